--- /dev/null
+++ b/cmake/berylwing_package.cmake
@@ -0,0 +1,25 @@
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+# Applies the options that every target of the project shares.
+function(berylwing_target_options target)
+    target_include_directories(${target} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+    target_compile_options(${target} PRIVATE -Wall -Wextra -Werror)
+    target_compile_definitions(${target} PUBLIC BOOST_ASIO_NO_DEPRECATED SPDLOG_FMT_EXTERNAL)
+endfunction()
+
+# Declares one package of the workspace as a library: berylwing_package(NAME SOURCES ... DEPENDS ...).
+function(berylwing_package name)
+    cmake_parse_arguments(PACKAGE "" "" "SOURCES;DEPENDS" ${ARGN})
+    add_library(berylwing_${name} STATIC ${PACKAGE_SOURCES})
+    add_library(berylwing::${name} ALIAS berylwing_${name})
+    berylwing_target_options(berylwing_${name})
+    target_link_libraries(berylwing_${name} PUBLIC ${PACKAGE_DEPENDS})
+endfunction()
--- /dev/null
+++ b/src/berylwing/client/command_line.cpp
@@ -0,0 +1,130 @@
+#include "berylwing/client/command_line.hpp"
+
+#include "berylwing/client/object_commands.hpp"
+#include "berylwing/client/status_command.hpp"
+#include "berylwing/http/platform_exchange.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace berylwing {
+
+const char* const kClientHelp = R"(berylwing changes contracts and takes hosts or failure domains out and back.
+
+  berylwing contract list|show NAME|set FILE|remove NAME
+  berylwing endpoint list|show NAME|set FILE|remove NAME
+  berylwing service  list|show NAME|set FILE|remove NAME
+  berylwing domain   out|in|status NAME     take a failure domain out of service, back, or ask
+  berylwing host     out|in|status NAME     the same for one host
+  berylwing status                          the fleet: hosts, endpoints, load
+  berylwing apply FILE                      write all objects of a file
+  berylwing check FILE                      check the objects of a file, write nothing
+
+Options: --platform=ADDRESS:PORT (or FLAGS_platform in the environment), --json,
+--expected_version=N to write only over version N (0: only if there is none).
+
+A write replaces the version read just before it. If somebody else was faster, nothing is written.
+Exit codes: 0 done, 1 platform not reachable, 2 usage, 3 findings, 4 race lost, 5 not found, 6 outcome unknown.
+
+Example:  berylwing --platform=127.0.0.1:7000 domain out knox-a
+)";
+
+namespace {
+
+    std::optional<ObjectKind> kindOf(const std::string& word)
+    {
+        if (word == "contract")
+            return ObjectKind::Contract;
+        if (word == "endpoint")
+            return ObjectKind::Endpoint;
+        if (word == "service")
+            return ObjectKind::Service;
+        if (word == "domain")
+            return ObjectKind::FailureDomain;
+        if (word == "host")
+            return ObjectKind::Host;
+        return std::nullopt;
+    }
+
+    bool hasState(ObjectKind kind)
+    {
+        return kind == ObjectKind::FailureDomain || kind == ObjectKind::Host;
+    }
+
+    std::optional<Task<ExitCode>> objectCommand(
+        ObjectCommands& commands, ObjectKind kind, const std::string& verb, const std::string& argument)
+    {
+        if (verb == "list")
+            return commands.list(kind);
+        if (argument.empty())
+            return std::nullopt;
+        if (verb == "show" || verb == "status")
+            return commands.show(kind, argument);
+        if (hasState(kind) && (verb == "out" || verb == "in"))
+            return commands.setOut(kind, argument, verb == "out");
+        if (!hasState(kind) && verb == "set")
+            return commands.set(kind, argument);
+        if (!hasState(kind) && verb == "remove")
+            return commands.remove(kind, argument);
+        return std::nullopt;
+    }
+
+    ExitCode runTask(boost::asio::io_context& context, Task<ExitCode> task)
+    {
+        ExitCode code = ExitCode::Done;
+        std::exception_ptr failure;
+        boost::asio::co_spawn(context, std::move(task), [&](const std::exception_ptr& error, ExitCode result) {
+            failure = error;
+            code = result;
+        });
+        context.run();
+        if (failure)
+            std::rethrow_exception(failure);
+        return code;
+    }
+
+} // namespace
+
+CommandLine::CommandLine(ClientOptions clientOptions, std::ostream& output, std::ostream& errors)
+    : options { std::move(clientOptions) }
+    , out { output }
+    , err { errors }
+{
+}
+
+ExitCode CommandLine::run(const std::vector<std::string>& words)
+{
+    try {
+        return this->dispatch(words);
+    } catch (const PlatformError& error) {
+        this->err << "the platform does not answer: " << error.what() << "\n";
+        return ExitCode::Unavailable;
+    }
+}
+
+ExitCode CommandLine::dispatch(const std::vector<std::string>& words)
+{
+    boost::asio::io_context context { 1 };
+    Metrics metrics;
+    PlatformClient platform { makePlatformExchange(this->options.platform), metrics };
+    ObjectCommands commands { this->options, platform, this->out, this->err };
+    StatusCommand status { this->options, platform, this->out };
+    const auto word = [&words](std::size_t index) { return index < words.size() ? words[index] : std::string {}; };
+    if (word(0) == "status")
+        return runTask(context, status.run());
+    if (word(0) == "apply" && words.size() == 2)
+        return runTask(context, commands.apply(word(1)));
+    if (word(0) == "check" && words.size() == 2)
+        return commands.check(word(1));
+    if (const auto kind = kindOf(word(0))) {
+        if (auto task = objectCommand(commands, *kind, word(1), word(2)))
+            return runTask(context, std::move(*task));
+    }
+    this->err << kClientHelp;
+    return ExitCode::Usage;
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/client/object_commands.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "berylwing/client/command_line.hpp"
+#include "berylwing/config/objects.hpp"
+#include "berylwing/core/task.hpp"
+#include "berylwing/platform/platform_client.hpp"
+#include <ostream>
+#include <string>
+
+namespace berylwing {
+
+/** @brief Commands that read and change configuration objects. */
+class ObjectCommands {
+    [[nodiscard]] Task<ExitCode> write(ObjectKind kind, std::string name, nlohmann::json value);
+    [[nodiscard]] Task<ExitCode> settleLostAnswer(ObjectKind kind, std::string name, nlohmann::json value);
+    [[nodiscard]] ExitCode reportRace(const std::string& name);
+
+public:
+    /**
+     * @brief Creates the commands.
+     * @param clientOptions Options that hold for every command.
+     * @param platformClient Client of the platform.
+     * @param output Receives results.
+     * @param errors Receives what went wrong.
+     */
+    ObjectCommands(const ClientOptions& clientOptions, PlatformClient& platformClient, std::ostream& output,
+        std::ostream& errors);
+
+    /** @brief Lists the objects of a kind. @param kind Kind. @return Exit code. */
+    [[nodiscard]] Task<ExitCode> list(ObjectKind kind);
+
+    /** @brief Shows an object. @param kind Kind. @param name Name. @return Exit code. */
+    [[nodiscard]] Task<ExitCode> show(ObjectKind kind, std::string name);
+
+    /** @brief Writes an object from a file. @param kind Kind. @param path File. @return Exit code. */
+    [[nodiscard]] Task<ExitCode> set(ObjectKind kind, std::string path);
+
+    /** @brief Removes an object. @param kind Kind. @param name Name. @return Exit code. */
+    [[nodiscard]] Task<ExitCode> remove(ObjectKind kind, std::string name);
+
+    /** @brief Takes a domain or host out or back. @param kind Kind. @param name Name. @param out True for out. */
+    [[nodiscard]] Task<ExitCode> setOut(ObjectKind kind, std::string name, bool out);
+
+    /** @brief Writes all objects of a file. @param path File with lists of objects by kind. @return Exit code. */
+    [[nodiscard]] Task<ExitCode> apply(std::string path);
+
+    /** @brief Checks all objects of a file without writing. @param path File. @return Exit code. */
+    [[nodiscard]] ExitCode check(const std::string& path);
+
+private:
+    const ClientOptions& options;
+    PlatformClient& platform;
+    std::ostream& out;
+    std::ostream& err;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/config/fwd.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace berylwing {
+
+class Catalog;
+class DocumentReader;
+enum class EndpointKind;
+enum class ObjectKind;
+struct Contract;
+struct EndpointObject;
+struct FailureDomainObject;
+struct Roster;
+struct RosterMember;
+struct ServiceObject;
+struct Settings;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/core/event.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include <boost/intrusive/list.hpp>
+
+namespace berylwing {
+
+/** @brief Wakes the coroutines that wait for a condition to change. */
+class Event {
+    struct Waiting : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        Waiting(const Executor& executor, TimePoint due)
+            : waiter { executor, due }
+        {
+        }
+
+        Clock::Waiter waiter;
+    };
+
+    using WaitingList = boost::intrusive::list<Waiting, boost::intrusive::constant_time_size<false>>;
+
+public:
+    /**
+     * @brief Creates an event without waiters.
+     * @param hostClock Clock of the host.
+     */
+    explicit Event(Clock& hostClock)
+        : clock { hostClock }
+    {
+    }
+
+    Event(const Event&) = delete;
+    Event& operator=(const Event&) = delete;
+    ~Event() { this->waitingList.clear(); }
+
+    /**
+     * @brief Waits for the next notification.
+     * @param deadline Time after which the wait ends without one.
+     * @return Awaitable that completes on a notification or at the deadline.
+     */
+    [[nodiscard]] Task<void> waitUntil(TimePoint deadline);
+
+    /** @brief Wakes all coroutines that wait now. */
+    void notifyAll();
+
+private:
+    Clock& clock;
+    WaitingList waitingList;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/core/hash.cpp
@@ -0,0 +1,22 @@
+#include "berylwing/core/hash.hpp"
+
+#include <cmath>
+#include <xxhash.h>
+
+namespace berylwing {
+
+std::uint64_t hashText(std::string_view text, std::uint64_t seed) noexcept
+{
+    return XXH3_64bits_withSeed(text.data(), text.size(), seed);
+}
+
+double rendezvousScore(std::uint64_t key, std::string_view node, double weight) noexcept
+{
+    constexpr double kMantissaRange = 9007199254740992.0;
+    constexpr int kUnusedBits = 11;
+    const auto hash = hashText(node, key);
+    const auto uniform = (static_cast<double>(hash >> kUnusedBits) + 0.5) / kMantissaRange;
+    return -weight / std::log(uniform);
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/core/hash.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace berylwing {
+
+/**
+ * @brief Hashes a text with a seed; the value is the same on every host.
+ * @param text Text to hash.
+ * @param seed Seed, usually the hash of another text.
+ * @return 64-bit hash.
+ */
+[[nodiscard]] std::uint64_t hashText(std::string_view text, std::uint64_t seed = 0) noexcept;
+
+/**
+ * @brief Computes the score of a node for a key in a weighted rendezvous hash.
+ * @param key Hash of the key.
+ * @param node Name of the node.
+ * @param weight Relative weight, greater than zero.
+ * @return Score; the node with the highest score comes first.
+ */
+[[nodiscard]] double rendezvousScore(std::uint64_t key, std::string_view node, double weight = 1.0) noexcept;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/daemon/main.cpp
@@ -0,0 +1,65 @@
+#include "berylwing/config/settings.hpp"
+#include "berylwing/core/finding.hpp"
+#include "berylwing/daemon/daemon.hpp"
+#include "berylwing/telemetry/log.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <iterator>
+#include <spdlog/spdlog.h>
+#include <stdexcept>
+
+DEFINE_string(settings, "", "Settings file, JSON with comments.");
+DEFINE_bool(check_settings, false, "Check the settings file, report all findings and exit.");
+DEFINE_string(log_level, "", "Log level in place of the settings file's: debug, info, warn or error.");
+DEFINE_int64(drain_limit_ms, -1, "Longest time for a graceful stop in place of the settings file's.");
+
+namespace {
+
+constexpr int kExitUsage = 2;
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream file { path };
+    if (!file)
+        throw std::runtime_error { "cannot read " + path };
+    return { std::istreambuf_iterator<char> { file }, {} };
+}
+
+berylwing::Settings loadSettings()
+{
+    auto settings = berylwing::readSettings(readFile(FLAGS_settings), FLAGS_settings);
+    if (const auto level = berylwing::kLogLevelNames.find(FLAGS_log_level))
+        settings.logLevel = *level;
+    if (FLAGS_drain_limit_ms >= 0)
+        settings.drainLimit = berylwing::Duration { FLAGS_drain_limit_ms };
+    return settings;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("runs a berylwing host, for example: berylwingd --settings=host.json");
+    gflags::SetVersionString("0.1.0");
+    // Operators may set each flag by an environment variable named FLAGS_ and the flag.
+    gflags::SetCommandLineOption("tryfromenv", "settings,log_level,drain_limit_ms");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        const auto settings = loadSettings();
+        if (FLAGS_check_settings) {
+            std::cout << FLAGS_settings << ": no findings\n";
+            return EXIT_SUCCESS;
+        }
+        berylwing::configureLog(settings.logLevel, settings.host);
+        return berylwing::runDaemon(settings);
+    } catch (const berylwing::ConfigurationError& error) {
+        std::cerr << error.what();
+        return kExitUsage;
+    } catch (const std::exception& error) {
+        spdlog::critical("{}", error.what());
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/src/berylwing/entry/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace berylwing {
+
+class Entry;
+struct CallerRequest;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/host/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace berylwing {
+
+class Host;
+struct HostDependencies;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/host/host.cpp
@@ -0,0 +1,127 @@
+#include "berylwing/host/host.hpp"
+
+#include <algorithm>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr Duration kDrainCheckInterval { 50 };
+    constexpr Duration kLeavingRetryPause { 200 };
+    constexpr Duration kHostLeavingRetryAfter { 100 };
+
+} // namespace
+
+Host::Host(Clock& hostClock, HostDependencies dependencies)
+    : clock { hostClock }
+    , steps { std::move(dependencies.stepHook) }
+    , link { hostClock.executor(), dependencies.identity, std::move(dependencies.transport), this->hostMetrics }
+    , platform { std::move(dependencies.platform), this->hostMetrics }
+    , failureDomain { this->clock, this->link, this->hostCatalog, this->hostMetrics }
+    , watcher { this->clock, this->link, this->hostCatalog, this->failureDomain, this->platform, this->hostMetrics,
+        std::move(dependencies.seeds) }
+    , registrar { this->clock, this->link, this->hostCatalog, this->failureDomain, this->platform }
+    , endpointRegistry { this->clock, this->link, this->hostCatalog, this->failureDomain, this->hostMetrics,
+        dependencies.endpoints, dependencies.loadMultiple }
+    , attemptServer { this->clock, this->link, this->endpointRegistry, this->hostMetrics, dependencies.endpoints,
+        this->steps }
+    , dispatcher { this->clock, this->link, this->hostCatalog, this->failureDomain, this->hostMetrics, this->steps }
+    , ledgerOwner { this->clock, std::move(dependencies.wallClock), this->link, this->hostCatalog, this->failureDomain,
+        this->platform, this->dispatcher, this->hostMetrics, this->steps }
+    , orderClient { this->clock, this->link, this->hostCatalog, this->failureDomain, this->hostMetrics, this->steps }
+    , contractLimits { this->clock, this->hostCatalog }
+    , entry { this->clock, this->hostCatalog, this->contractLimits, this->dispatcher, this->orderClient,
+        this->hostMetrics, this->steps }
+{
+}
+
+bool Host::isReady() const
+{
+    const auto& identity = this->link.identity();
+    return this->watcher.isLoaded() && !this->stopping && !this->hostCatalog.isHostOut(identity.host)
+        && !this->hostCatalog.isDomainOut(identity.domain);
+}
+
+void Host::start()
+{
+    spawn(this->clock.executor(), "bring-up", this->bringUp());
+}
+
+Task<void> Host::bringUp()
+{
+    co_await this->watcher.load();
+    const auto& executor = this->clock.executor();
+    spawn(executor, "watcher", this->watcher.run());
+    spawn(executor, "beats", this->failureDomain.run());
+    spawn(executor, "registrar", this->registrar.run());
+    spawn(executor, "endpoints", this->endpointRegistry.run());
+    spawn(executor, "attempts", this->attemptServer.run());
+    spawn(executor, "ledger", this->ledgerOwner.run());
+    spdlog::info("configuration loaded through revision {}", this->hostCatalog.completeThrough());
+}
+
+Task<Outcome> Host::handle(const CallerRequest& caller, const ResponseSink& sink)
+{
+    if (!this->stopping && this->watcher.isLoaded())
+        co_return co_await this->entry.handle(caller, sink);
+    this->hostMetrics.add(Refusal::HostLeaving);
+    co_return NotRun { Refusal::HostLeaving, kHostLeavingRetryAfter };
+}
+
+Task<void> Host::stop(Duration limit)
+{
+    this->stopping = true;
+    const auto deadline = this->clock.now() + limit;
+    bool announced = false;
+    while (!announced && this->clock.now() < deadline) {
+        try {
+            announced = co_await this->registrar.announceLeaving();
+        } catch (const PlatformError& error) {
+            spdlog::warn("leaving not announced yet: {}", error.what());
+        }
+        if (!announced)
+            co_await this->clock.sleepFor(kLeavingRetryPause);
+    }
+    co_await this->waitUntilDrained(deadline);
+    co_await this->ledgerOwner.giveUpAll(deadline);
+    try {
+        co_await this->registrar.removeSelf();
+    } catch (const PlatformError& error) {
+        spdlog::warn("left without being taken out of the roster: {}", error.what());
+    }
+}
+
+Task<void> Host::waitUntilDrained(TimePoint deadline)
+{
+    const auto isDrained = [this] {
+        return this->endpointRegistry.holdsNothing() && this->entry.isIdle() && this->attemptServer.isIdle()
+            && this->ledgerOwner.isIdle();
+    };
+    while (!isDrained() && this->clock.now() < deadline)
+        co_await this->clock.sleepFor(kDrainCheckInterval);
+    if (!isDrained())
+        spdlog::warn("the drain limit is over, what is still in flight ends with an error");
+}
+
+nlohmann::json Host::status() const
+{
+    auto endpoints = nlohmann::json::array();
+    for (const auto& [name, endpoint] : this->endpointRegistry.all()) {
+        if (!endpoint->authority.holdsFirst && endpoint->inFlight() == 0)
+            continue;
+        endpoints.push_back({ { "name", name }, { "lifecycle", kLifecycleNames[endpoint->lifecycle.state()] },
+            { "in_flight", endpoint->inFlight() }, { "allowance", this->endpointRegistry.allowance(*endpoint) },
+            { "owned", endpoint->authority.holdsFirst } });
+    }
+    auto peers = nlohmann::json::array();
+    for (const auto& [host, peer] : this->failureDomain.peers())
+        peers.push_back({ { "host", host }, { "silent", this->failureDomain.isSilent(host) },
+            { "confirms", this->failureDomain.isConfirmedBy(peer) } });
+    return { { "host", this->link.identity().host }, { "domain", this->link.identity().domain },
+        { "ready", this->isReady() }, { "configuration", this->hostCatalog.completeThrough() },
+        { "roster", this->failureDomain.roster().version }, { "endpoints", endpoints }, { "peers", peers } };
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/http/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace berylwing {
+
+class CallerServer;
+class HttpCallError;
+class StatusServer;
+enum class HttpFault;
+struct CallerLimits;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/http/http_call.cpp
@@ -0,0 +1,54 @@
+#include "berylwing/http/http_call.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = boost::beast::http;
+
+    void throwOnError(const boost::system::error_code& error)
+    {
+        if (!error)
+            return;
+        const bool isTimeout = error == beast::error::timeout;
+        throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message() };
+    }
+
+} // namespace
+
+Task<void> connectHttp(beast::tcp_stream& stream, SocketAddress address)
+{
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint { asio::ip::make_address(address.address), address.port };
+    co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        throw HttpCallError { HttpFault::NotConnected, error.message() };
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::ip::tcp::no_delay { true }, ignored);
+}
+
+Task<HttpResponse> callHttp(SocketAddress address, HttpRequest request, Duration timeout)
+{
+    beast::tcp_stream stream { co_await asio::this_coro::executor };
+    stream.expires_after(timeout);
+    co_await connectHttp(stream, address);
+    request.set(http::field::host, address.address);
+    request.prepare_payload();
+    boost::system::error_code error;
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
+    throwOnError(error);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    throwOnError(error);
+    co_return parser.release();
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/http/platform_exchange.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "berylwing/config/settings.hpp"
+#include "berylwing/platform/platform_client.hpp"
+
+namespace berylwing {
+
+/**
+ * @brief Makes the function that carries calls to the platform's object API over HTTP.
+ * @param address Address and port of the platform.
+ * @return Function for a PlatformClient.
+ */
+[[nodiscard]] PlatformClient::Exchange makePlatformExchange(SocketAddress address);
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/ledger/ledger_owner.cpp
@@ -0,0 +1,272 @@
+#include "berylwing/ledger/ledger_owner.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include "berylwing/ledger/idempotency_key.hpp"
+#include "berylwing/ledger/limits.hpp"
+#include "berylwing/ledger/shard_name.hpp"
+#include "berylwing/relay/timing.hpp"
+#include "berylwing/telemetry/log.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    std::uint64_t fingerprintOf(const wire::Request& request)
+    {
+        return hashText(request.body(), hashText(request.serves() + " " + request.method() + " " + request.path()));
+    }
+
+    OrderResult refused(const Outcome& outcome)
+    {
+        OrderResult result;
+        result.outcome = outcome;
+        return result;
+    }
+
+} // namespace
+
+LedgerOwner::LedgerOwner(Clock& hostClock, WallClock wall, Link& hostLink, Catalog& hostCatalog,
+    FailureDomain& failureDomain, PlatformClient& platformClient, Dispatcher& requestDispatcher, Metrics& hostMetrics,
+    const Steps& pathSteps)
+    : clock { hostClock }
+    , wallClock { std::move(wall) }
+    , link { hostLink }
+    , catalog { hostCatalog }
+    , domain { failureDomain }
+    , platform { platformClient }
+    , dispatcher { requestDispatcher }
+    , metrics { hostMetrics }
+    , steps { pathSteps }
+{
+    this->link.handle(wire::Envelope::kOrder, [this](const wire::Envelope& envelope) {
+        spawn(this->clock.executor(), "order", this->serve(envelope));
+    });
+}
+
+Task<void> LedgerOwner::run()
+{
+    while (true) {
+        for (const auto& entry : this->waiting)
+            this->tellProgress(entry);
+        co_await this->clock.sleepFor(kOrderProgressInterval);
+    }
+}
+
+Task<void> LedgerOwner::giveUpAll(TimePoint deadline)
+{
+    this->stopping = true;
+    for (const auto& [name, shard] : this->shards) {
+        if (shard->isOwned())
+            co_await shard->giveUp(deadline);
+    }
+}
+
+LedgerShard& LedgerOwner::shardOf(const std::string& name)
+{
+    auto& shard = this->shards[name];
+    if (!shard)
+        shard = std::make_unique<LedgerShard>(
+            name, this->clock, this->wallClock, this->link.identity(), this->platform, this->metrics);
+    return *shard;
+}
+
+Task<void> LedgerOwner::serve(wire::Envelope envelope)
+{
+    WaitingEntry entry;
+    entry.host = envelope.from();
+    entry.attempt = envelope.order().attempt();
+    this->waiting.push_back(entry);
+    co_await this->steps.reach(Step::LedgerReceived);
+    const auto& request = envelope.order().request();
+    const auto deadline = this->clock.now() + Duration { request.remaining_ms() };
+    const auto result = co_await this->run(request, deadline);
+    this->answer(entry, result);
+}
+
+Task<OrderResult> LedgerOwner::run(const wire::Request& request, TimePoint deadline)
+{
+    if (const auto reason = this->checkKey(request))
+        co_return refused(NotRun { *reason });
+    const auto* contract = this->catalog.contract(request.workspace());
+    if (contract == nullptr)
+        co_return refused(NotRun { Refusal::UnknownWorkspace });
+    auto& shard = this->shardOf(shardName(contract->home, request.workspace(), request.idempotency_key()));
+    if (auto refusal = co_await this->acquire(shard))
+        co_return std::move(*refusal);
+    const auto key = claimName(request.workspace(), request.idempotency_key());
+    if (const auto running = this->active.find(key); running != this->active.end()) {
+        const auto order = running->second;
+        while (!order->isFinished && this->clock.now() < deadline)
+            co_await order->finished.waitUntil(deadline);
+        if (!order->isFinished)
+            co_return refused(OutcomeUnknown { Refusal::DeadlinePassed });
+    }
+    if (const auto* claim = shard.find(key))
+        co_return this->resultOf(*claim, fingerprintOf(request));
+    if (!shard.isOwned() || this->active.contains(key))
+        co_return refused(NotRun { Refusal::LedgerMoved, kDefaultRetryAfter });
+    const ActiveOrderPtr order { new ActiveOrder { this->clock } };
+    this->active.emplace(key, order);
+    auto result = co_await this->claimAndRun(shard, request, deadline);
+    this->active.erase(key);
+    order->isFinished = true;
+    order->finished.notifyAll();
+    co_return result;
+}
+
+Task<std::optional<OrderResult>> LedgerOwner::acquire(LedgerShard& shard)
+{
+    if (shard.isOwned())
+        co_return std::nullopt;
+    OrderResult moved = refused(NotRun { Refusal::LedgerMoved, kDefaultRetryAfter });
+    if (this->stopping || !this->domain.isMember())
+        co_return moved;
+    const bool isFresh = this->clock.now() - shard.ownerReadAt() < kOwnerReadValidity;
+    if (isFresh && !shard.ownerHost().empty() && !this->domain.isSilent(shard.ownerHost())) {
+        moved.otherOwner = shard.ownerHost();
+        co_return moved;
+    }
+    try {
+        const bool acquired = co_await shard.acquire([this](const std::string& host, std::uint64_t incarnation) {
+            return this->isRespectedOwner(host, incarnation);
+        });
+        if (acquired)
+            co_return std::nullopt;
+    } catch (const PlatformError&) {
+        co_return refused(NotRun { Refusal::LedgerUnavailable, kDefaultRetryAfter });
+    }
+    moved.otherOwner = shard.ownerHost();
+    co_return moved;
+}
+
+Task<OrderResult> LedgerOwner::claimAndRun(LedgerShard& shard, const wire::Request& request, TimePoint deadline)
+{
+    const auto key = claimName(request.workspace(), request.idempotency_key());
+    if (shard.size() >= kMostClaims)
+        co_return refused(NotRun { Refusal::QueueFull, kDefaultRetryAfter });
+    co_await this->steps.reach(Step::LedgerClaiming);
+    Claim claim;
+    claim.fingerprint = fingerprintOf(request);
+    claim.keyTimeMs = IdempotencyKey::parse(request.idempotency_key())->timeMs();
+    shard.set(key, std::move(claim));
+    const auto result = co_await shard.commit(std::min(deadline, this->clock.now() + kClaimWait));
+    if (result == CommitResult::Lost)
+        co_return refused(NotRun { Refusal::LedgerMoved, kDefaultRetryAfter });
+    if (result == CommitResult::Unresolved) {
+        // Nothing was dispatched and nothing will be; the claim is taken back as soon as the platform answers.
+        shard.release(key);
+        this->metrics.add(Incident::ClaimAbandoned);
+        co_return refused(NotRun { Refusal::LedgerUnavailable, kDefaultRetryAfter });
+    }
+    co_await this->steps.reach(Step::LedgerClaimed);
+    co_return co_await this->dispatch(shard, request, deadline);
+}
+
+Task<OrderResult> LedgerOwner::dispatch(LedgerShard& shard, const wire::Request& request, TimePoint deadline)
+{
+    OrderResult result;
+    const ResponseSink sink {
+        [&result](unsigned status, const std::string& contentType) -> Task<void> {
+            result.status = status;
+            result.contentType = contentType;
+            co_return;
+        },
+        [&result](std::string_view bytes) -> Task<void> {
+            result.body += bytes;
+            co_return;
+        },
+    };
+    co_await this->steps.reach(Step::LedgerDispatching);
+    result.outcome = co_await this->dispatcher.run(request, Repeatability::OnceOnly, deadline, sink);
+    co_await this->steps.reach(Step::LedgerAnswered);
+    const auto key = claimName(request.workspace(), request.idempotency_key());
+    const auto* held = shard.isOwned() ? shard.find(key) : nullptr;
+    if (held == nullptr)
+        co_return result;
+    if (result.outcome.isWhole()) {
+        Claim done = *held;
+        done.state = ClaimState::Done;
+        done.status = result.status;
+        done.contentType = result.contentType;
+        done.bodyKept = result.body.size() <= kMostKeptBody;
+        if (done.bodyKept)
+            done.body = result.body;
+        shard.set(key, std::move(done));
+    } else if (result.outcome.execution == Execution::NotRun) {
+        shard.release(key);
+        this->metrics.add(Incident::ClaimReleased);
+    } else {
+        co_return result;
+    }
+    // The caller gets its answer at once; the record follows with the next write.
+    static_cast<void>(co_await shard.commit(this->clock.now()));
+    co_await this->steps.reach(Step::LedgerRecorded);
+    co_return result;
+}
+
+OrderResult LedgerOwner::resultOf(const Claim& claim, std::uint64_t fingerprint) const
+{
+    if (claim.fingerprint != fingerprint)
+        return refused(NotRun { Refusal::KeyReusedForOtherRequest });
+    if (claim.state == ClaimState::Claimed)
+        return refused(OutcomeUnknown { Refusal::MayHaveRan });
+    if (!claim.bodyKept)
+        return refused(RanWithoutAnswer { Refusal::AlreadyRan });
+    OrderResult result;
+    result.status = claim.status;
+    result.contentType = claim.contentType;
+    result.body = claim.body;
+    return result;
+}
+
+bool LedgerOwner::isRespectedOwner(const std::string& host, std::uint64_t incarnation) const
+{
+    if (host == this->link.identity().host)
+        return false;
+    const auto* member = this->domain.roster().find(host);
+    return member != nullptr && member->incarnation == incarnation && !this->domain.isSilent(host);
+}
+
+std::optional<Refusal> LedgerOwner::checkKey(const wire::Request& request) const
+{
+    const auto key = IdempotencyKey::parse(request.idempotency_key());
+    if (!key)
+        return Refusal::BadIdempotencyKey;
+    const auto age = Duration { this->wallClock() - key->timeMs() };
+    if (age > kRetention - kRetentionMargin)
+        return Refusal::ExpiredIdempotencyKey;
+    return age < -kRetentionMargin ? std::optional { Refusal::BadIdempotencyKey } : std::nullopt;
+}
+
+void LedgerOwner::answer(const WaitingEntry& entry, const OrderResult& result)
+{
+    wire::Envelope envelope;
+    auto& message = *envelope.mutable_order_answer();
+    message.set_attempt(entry.attempt);
+    message.set_answered(result.outcome.isWhole());
+    message.set_execution(static_cast<wire::Execution>(result.outcome.execution));
+    message.set_owner(result.otherOwner);
+    if (result.outcome.isWhole()) {
+        message.set_status(result.status);
+        message.set_content_type(result.contentType);
+        message.set_body(result.body);
+    } else {
+        message.set_reason(static_cast<std::uint32_t>(*result.outcome.reason));
+        message.set_retry_after_ms(result.outcome.retryAfter.count());
+        this->metrics.add(*result.outcome.reason);
+    }
+    this->link.send(entry.host, std::move(envelope));
+}
+
+void LedgerOwner::tellProgress(const WaitingEntry& entry)
+{
+    wire::Envelope envelope;
+    envelope.mutable_order_answer()->set_attempt(entry.attempt);
+    envelope.mutable_order_answer()->set_pending(true);
+    this->link.send(entry.host, std::move(envelope));
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/ledger/ledger_owner.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "berylwing/config/catalog.hpp"
+#include "berylwing/core/event.hpp"
+#include "berylwing/core/step.hpp"
+#include "berylwing/ledger/ledger_shard.hpp"
+#include "berylwing/link/link.hpp"
+#include "berylwing/membership/failure_domain.hpp"
+#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/relay/dispatcher.hpp"
+#include "berylwing/core/outcome.hpp"
+#include <boost/intrusive/list.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace berylwing {
+
+class Metrics;
+
+/** @brief Answer of an order, or the reason why there is none. */
+struct OrderResult {
+    Outcome outcome;
+    unsigned status = 0;
+    std::string contentType;
+    std::string body;
+    /** Host that is to be asked instead, if any. */
+    std::string otherOwner;
+};
+
+/**
+ * @brief Runs orders, that is requests that may not be repeated, at most once each.
+ *
+ * An order is claimed in the ledger before the first byte of it goes to an endpoint. A resend finds the claim: it waits
+ * for the run, gets the kept answer, or is told that the order ran or may have run.
+ */
+class LedgerOwner {
+    /** @brief Order that is being claimed or run; resends wait for it. */
+    struct ActiveOrder : boost::intrusive_ref_counter<ActiveOrder, boost::thread_unsafe_counter> {
+        explicit ActiveOrder(Clock& clock)
+            : finished { clock }
+        {
+        }
+
+        Event finished;
+        bool isFinished = false;
+        OrderResult result;
+    };
+
+    /** @brief Entry host that waits for an answer. */
+    struct WaitingEntry : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        std::string host;
+        std::uint64_t attempt = 0;
+    };
+
+    using ActiveOrderPtr = boost::intrusive_ptr<ActiveOrder>;
+
+    [[nodiscard]] LedgerShard& shardOf(const std::string& name);
+    [[nodiscard]] Task<void> serve(wire::Envelope envelope);
+    [[nodiscard]] Task<OrderResult> run(const wire::Request& request, TimePoint deadline);
+    [[nodiscard]] Task<std::optional<OrderResult>> acquire(LedgerShard& shard);
+    [[nodiscard]] Task<OrderResult> claimAndRun(LedgerShard& shard, const wire::Request& request, TimePoint deadline);
+    [[nodiscard]] Task<OrderResult> dispatch(LedgerShard& shard, const wire::Request& request, TimePoint deadline);
+    [[nodiscard]] OrderResult resultOf(const Claim& claim, std::uint64_t fingerprint) const;
+    [[nodiscard]] bool isRespectedOwner(const std::string& host, std::uint64_t incarnation) const;
+    [[nodiscard]] std::optional<Refusal> checkKey(const wire::Request& request) const;
+    void answer(const WaitingEntry& entry, const OrderResult& result);
+    void tellProgress(const WaitingEntry& entry);
+
+public:
+    /**
+     * @brief Creates an owner without shards.
+     * @param hostClock Clock of the host.
+     * @param wall Wall clock.
+     * @param hostLink Link of the host.
+     * @param hostCatalog Configuration of the host.
+     * @param failureDomain Failure domain of the host.
+     * @param platformClient Client of the platform.
+     * @param requestDispatcher Carries claimed orders to their endpoints.
+     * @param hostMetrics Metrics of the host.
+     * @param pathSteps Steps announced on the way.
+     */
+    LedgerOwner(Clock& hostClock, WallClock wall, Link& hostLink, Catalog& hostCatalog, FailureDomain& failureDomain,
+        PlatformClient& platformClient, Dispatcher& requestDispatcher, Metrics& hostMetrics, const Steps& pathSteps);
+
+    /** @brief Tells entry hosts that their orders are in progress, as long as the host runs. @return Awaitable. */
+    [[nodiscard]] Task<void> run();
+
+    /** @brief Tells whether no order is being run. @return True if idle. */
+    [[nodiscard]] bool isIdle() const noexcept { return this->active.empty(); }
+
+    /**
+     * @brief Gives all shards up in a planned stop, so that other hosts need not wait for this host's silence.
+     * @param deadline Time after which the stop goes on regardless.
+     * @return Awaitable.
+     */
+    [[nodiscard]] Task<void> giveUpAll(TimePoint deadline);
+
+private:
+    Clock& clock;
+    WallClock wallClock;
+    Link& link;
+    Catalog& catalog;
+    FailureDomain& domain;
+    PlatformClient& platform;
+    Dispatcher& dispatcher;
+    Metrics& metrics;
+    const Steps& steps;
+    std::map<std::string, std::unique_ptr<LedgerShard>, std::less<>> shards;
+    std::unordered_map<std::string, ActiveOrderPtr> active;
+    boost::intrusive::list<WaitingEntry, boost::intrusive::constant_time_size<false>> waiting;
+    bool stopping = false;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/ledger/order_client.cpp
@@ -0,0 +1,137 @@
+#include "berylwing/ledger/order_client.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include "berylwing/ledger/limits.hpp"
+#include "berylwing/ledger/shard_name.hpp"
+#include "berylwing/membership/rank_hosts.hpp"
+#include "berylwing/relay/timing.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr std::size_t kMostRedirects = 2;
+
+    Outcome outcomeOf(const wire::OrderAnswer& answer)
+    {
+        const auto reason = static_cast<Refusal>(std::min<std::size_t>(answer.reason(), kRefusalNames.size() - 1));
+        switch (answer.execution()) {
+        case wire::NOT_RUN:
+            return NotRun { reason, Duration { answer.retry_after_ms() } };
+        case wire::RAN:
+            return RanWithoutAnswer { reason };
+        default:
+            return OutcomeUnknown { reason };
+        }
+    }
+
+} // namespace
+
+OrderClient::OrderClient(Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& failureDomain,
+    Metrics& hostMetrics, const Steps& pathSteps)
+    : clock { hostClock }
+    , link { hostLink }
+    , catalog { hostCatalog }
+    , domain { failureDomain }
+    , metrics { hostMetrics }
+    , steps { pathSteps }
+    , nextAttempt { hashText(hostLink.identity().host, hostLink.identity().incarnation) }
+{
+    this->link.handle(wire::Envelope::kOrderAnswer,
+        [this](const wire::Envelope& envelope) { this->deliver(envelope.order_answer(), envelope.from()); });
+}
+
+Task<Outcome> OrderClient::run(
+    const wire::Request& request, const std::string& home, TimePoint deadline, const ResponseSink& sink)
+{
+    const auto shard = shardName(home, request.workspace(), request.idempotency_key());
+    Outcome last = NotRun { Refusal::LedgerUnavailable, kDefaultRetryAfter };
+    bool mayHaveRun = false;
+    while (this->clock.now() + kOrderRetryPause < deadline) {
+        auto candidates = this->owners(home, shard);
+        std::size_t redirects = 0;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (index > 0)
+                this->metrics.add(Retry::OtherLedgerOwner);
+            const auto answer = co_await this->ask(request, candidates[index], deadline, mayHaveRun);
+            if (!answer)
+                continue;
+            if (answer->answered()) {
+                co_await sink.head(answer->status(), answer->content_type());
+                co_await sink.body(answer->body());
+                co_return Outcome {};
+            }
+            last = outcomeOf(*answer);
+            if (last.reason == Refusal::LedgerMoved) {
+                if (!answer->owner().empty() && redirects++ < kMostRedirects)
+                    candidates.insert(candidates.begin() + static_cast<std::ptrdiff_t>(index) + 1, answer->owner());
+                continue;
+            }
+            if (mayHaveRun && last.execution == Execution::NotRun)
+                co_return OutcomeUnknown { *last.reason };
+            co_return last;
+        }
+        co_await this->clock.sleepFor(kOrderRetryPause);
+    }
+    if (mayHaveRun)
+        co_return OutcomeUnknown { Refusal::DeadlinePassed };
+    co_return last;
+}
+
+std::vector<std::string> OrderClient::owners(const std::string& home, const std::string& shard) const
+{
+    const auto* roster = this->catalog.roster(home);
+    if (roster == nullptr)
+        return {};
+    auto hosts = rankHosts(*roster, shard);
+    if (home == this->link.identity().domain)
+        std::erase_if(hosts, [this](const std::string& host) { return this->domain.isSilent(host); });
+    if (hosts.size() > kMostOwners)
+        hosts.resize(kMostOwners);
+    return hosts;
+}
+
+Task<std::optional<wire::OrderAnswer>> OrderClient::ask(
+    const wire::Request& request, const std::string& owner, TimePoint deadline, bool& mayHaveRun)
+{
+    Inbox inbox { this->clock, this->nextAttempt++, owner };
+    this->inboxes.push_back(inbox);
+    wire::Envelope envelope;
+    auto& order = *envelope.mutable_order();
+    order.set_attempt(inbox.attempt);
+    *order.mutable_request() = request;
+    order.mutable_request()->set_remaining_ms((deadline - this->clock.now()).count());
+    if (!this->link.send(owner, std::move(envelope)))
+        co_return std::nullopt;
+    co_await this->steps.reach(Step::EntryForwarded);
+    while (!inbox.answer) {
+        const auto silentAt = std::min(deadline, this->clock.now() + kOrderSilence);
+        inbox.heard = false;
+        while (!inbox.answer && !inbox.heard && this->clock.now() < silentAt)
+            co_await inbox.arrived.waitUntil(silentAt);
+        if (!inbox.answer && !inbox.heard) {
+            mayHaveRun = true;
+            co_return std::nullopt;
+        }
+    }
+    co_return inbox.answer;
+}
+
+void OrderClient::deliver(const wire::OrderAnswer& answer, const std::string& from)
+{
+    for (auto& inbox : this->inboxes) {
+        if (inbox.attempt != answer.attempt() || inbox.owner != from)
+            continue;
+        inbox.heard = true;
+        if (!answer.pending())
+            inbox.answer = answer;
+        inbox.arrived.notifyAll();
+        return;
+    }
+    this->metrics.add(Incident::StaleAttemptDropped);
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/limits/contract_limits.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "berylwing/config/catalog.hpp"
+#include "berylwing/core/clock.hpp"
+#include "berylwing/limits/token_bucket.hpp"
+#include "berylwing/core/outcome.hpp"
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace berylwing {
+
+/**
+ * @brief Limits of the workspaces at one entry host, derived from their contracts.
+ *
+ * Each host holds an equal share of a contract and one grant more, so that small contracts can be used at any host.
+ */
+class ContractLimits {
+    struct Usage {
+        TokenBucket requests;
+        std::size_t inFlight = 0;
+    };
+
+    [[nodiscard]] double share(double limit) const;
+    [[nodiscard]] Usage& usageOf(const Contract& contract);
+    [[nodiscard]] std::size_t hosts() const;
+
+public:
+    /** @brief Place of one request in its workspace's limits; given back when it goes out of scope. */
+    class Grant {
+    public:
+        /** @brief Takes a place. @param counter Counter of the requests in flight. */
+        explicit Grant(std::size_t& counter)
+            : inFlight { counter }
+        {
+            ++this->inFlight;
+        }
+
+        ~Grant() { --this->inFlight; }
+        Grant(const Grant&) = delete;
+        Grant& operator=(const Grant&) = delete;
+
+    private:
+        std::size_t& inFlight;
+    };
+
+    /** @brief Creates limits without usage. @param hostClock Clock of the host. @param hostCatalog Configuration. */
+    ContractLimits(Clock& hostClock, const Catalog& hostCatalog);
+
+    /**
+     * @brief Counts a request against its contract.
+     * @param contract Contract of the workspace.
+     * @return Refusal, or nothing if the request is within the limits.
+     */
+    [[nodiscard]] std::optional<NotRun> admit(const Contract& contract);
+
+    /** @brief Takes a place for a request that was admitted. @param contract Contract. @return Place. */
+    [[nodiscard]] Grant hold(const Contract& contract) { return Grant { this->usageOf(contract).inFlight }; }
+
+private:
+    Clock& clock;
+    const Catalog& catalog;
+    std::map<std::string, Usage, std::less<>> usages;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/limits/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace berylwing {
+
+class ContractLimits;
+class TokenBucket;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/link/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace berylwing {
+
+class Link;
+class ZmqTransport;
+struct PeerAddress;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/link/link.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "berylwing/core/task.hpp"
+#include "berylwing/link/messages.pb.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace berylwing {
+
+class Metrics;
+
+/** @brief Name and place of one daemon process. */
+struct Identity {
+    std::string host;
+    std::string domain;
+    std::uint64_t incarnation = 0;
+    std::string address;
+    std::uint16_t linkPort = 0;
+    std::uint16_t statusPort = 0;
+};
+
+/**
+ * @brief Sends messages to other hosts and hands received ones to their handlers.
+ *
+ * A message to the host itself takes the same way, so that no caller has to tell the two apart.
+ */
+class Link {
+public:
+    /** @brief Function that sends bytes to a host; false if the bytes surely never left this host. */
+    using Transport = std::function<bool(const std::string& host, const std::string& bytes)>;
+
+    /** @brief Function that handles one kind of message. */
+    using Handler = std::function<void(const wire::Envelope&)>;
+
+    /** @brief Function that reads the version of the roster of this host's failure domain. */
+    using RosterVersion = std::function<std::uint64_t()>;
+
+    /**
+     * @brief Creates a link without handlers.
+     * @param hostExecutor Executor of the host.
+     * @param self Identity of the host.
+     * @param bytesTransport Function that sends bytes.
+     * @param hostMetrics Metrics of the host.
+     */
+    Link(const Executor& hostExecutor, Identity self, Transport bytesTransport, Metrics& hostMetrics);
+
+    /** @brief Reads the identity of the host. @return Identity. */
+    [[nodiscard]] const Identity& identity() const noexcept { return this->self; }
+
+    /**
+     * @brief Sends a message.
+     * @param host Receiver.
+     * @param envelope Message; sender and roster version are filled in.
+     * @return False if the message surely never left this host.
+     */
+    bool send(const std::string& host, wire::Envelope envelope);
+
+    /** @brief Handles received bytes; anything that is not a message is dropped. @param bytes Bytes of one message. */
+    void receive(std::string_view bytes);
+
+    /** @brief Registers the handler of one kind of message. @param kind Kind. @param handler Handler. */
+    void handle(wire::Envelope::MessageCase kind, Handler handler);
+
+    /** @brief Sets the function that reads the roster version. @param reader Function. */
+    void readRosterVersionFrom(RosterVersion reader);
+
+private:
+    Executor executor;
+    Identity self;
+    Transport transport;
+    Metrics& metrics;
+    RosterVersion rosterVersion;
+    std::map<wire::Envelope::MessageCase, Handler> handlers;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/link/zmq_transport.cpp
@@ -0,0 +1,199 @@
+#include "berylwing/link/zmq_transport.hpp"
+
+#include <array>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <utility>
+#include <vector>
+#include <zmq.hpp>
+
+namespace berylwing {
+
+namespace {
+
+    namespace asio = boost::asio;
+
+    constexpr std::string_view kAuthenticationAddress = "inproc://zeromq.zap.01";
+    constexpr std::size_t kRawKeyBytes = 32;
+    constexpr std::size_t kTextKeyBytes = 41;
+    constexpr int kHeartbeatIntervalMs = 1000;
+    constexpr int kHeartbeatTimeoutMs = 3000;
+    constexpr int kReconnectMs = 100;
+    constexpr int kMostReconnectMs = 1000;
+    constexpr int kSendQueue = 20'000;
+    constexpr std::size_t kMostMessagesPerTurn = 64;
+
+    std::string urlOf(const SocketAddress& address)
+    {
+        return "tcp://" + address.address + ":" + std::to_string(address.port);
+    }
+
+    std::string textKey(const zmq::message_t& raw)
+    {
+        if (raw.size() != kRawKeyBytes)
+            return {};
+        std::array<char, kTextKeyBytes> text {};
+        zmq_z85_encode(text.data(), raw.data<std::uint8_t>(), raw.size());
+        return text.data();
+    }
+
+    /** Waits for a socket's descriptor, which signals a change only once. */
+    class Readiness {
+    public:
+        Readiness(const Executor& executor, zmq::socket_t& socket)
+            : descriptor { executor, socket.get(zmq::sockopt::fd) }
+        {
+        }
+
+        ~Readiness() { this->descriptor.release(); }
+        Readiness(const Readiness&) = delete;
+        Readiness& operator=(const Readiness&) = delete;
+
+        Task<void> wait()
+        {
+            boost::system::error_code ignored;
+            co_await this->descriptor.async_wait(
+                asio::posix::stream_descriptor::wait_read, asio::redirect_error(asio::use_awaitable, ignored));
+        }
+
+    private:
+        asio::posix::stream_descriptor descriptor;
+    };
+
+    bool isReadable(zmq::socket_t& socket)
+    {
+        return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+    }
+
+    std::vector<zmq::message_t> receiveParts(zmq::socket_t& socket)
+    {
+        std::vector<zmq::message_t> parts;
+        bool more = true;
+        while (more) {
+            zmq::message_t part;
+            if (!socket.recv(part, zmq::recv_flags::dontwait))
+                return parts;
+            more = part.more();
+            parts.push_back(std::move(part));
+        }
+        return parts;
+    }
+
+} // namespace
+
+struct ZmqTransport::Sockets {
+    struct Peer {
+        SocketAddress address;
+        zmq::socket_t socket;
+    };
+
+    Peer& peer(const std::string& host, const SocketAddress& address)
+    {
+        const auto known = this->peers.find(host);
+        const bool isSame = known != this->peers.end() && known->second.address.address == address.address
+            && known->second.address.port == address.port;
+        if (isSame)
+            return known->second;
+        this->peers.erase(host);
+        zmq::socket_t socket { this->context, zmq::socket_type::dealer };
+        socket.set(zmq::sockopt::curve_serverkey, this->keys.serverPublic);
+        socket.set(zmq::sockopt::curve_publickey, this->keys.clientPublic);
+        socket.set(zmq::sockopt::curve_secretkey, this->keys.clientSecret);
+        // Without a finished handshake nothing is queued, so that a failed send means that nothing left this host.
+        socket.set(zmq::sockopt::immediate, true);
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, kSendQueue);
+        socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatIntervalMs);
+        socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+        socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+        socket.set(zmq::sockopt::reconnect_ivl_max, kMostReconnectMs);
+        socket.connect(urlOf(address));
+        return this->peers.emplace(host, Peer { address, std::move(socket) }).first->second;
+    }
+
+    Executor executor;
+    FleetKeys keys;
+    Directory directory;
+    zmq::context_t context;
+    zmq::socket_t authentication;
+    zmq::socket_t incoming;
+    std::map<std::string, Peer> peers;
+};
+
+ZmqTransport::ZmqTransport(
+    const Executor& executor, const SocketAddress& listen, FleetKeys keys, Directory directory)
+    : sockets { std::make_unique<Sockets>() }
+{
+    auto& own = *this->sockets;
+    own.executor = executor;
+    own.keys = std::move(keys);
+    own.directory = std::move(directory);
+    // The authentication has to answer before the first peer may connect.
+    own.authentication = zmq::socket_t { own.context, zmq::socket_type::rep };
+    own.authentication.set(zmq::sockopt::linger, 0);
+    own.authentication.bind(std::string { kAuthenticationAddress });
+    own.incoming = zmq::socket_t { own.context, zmq::socket_type::router };
+    own.incoming.set(zmq::sockopt::linger, 0);
+    own.incoming.set(zmq::sockopt::curve_server, true);
+    own.incoming.set(zmq::sockopt::curve_secretkey, own.keys.serverSecret);
+    own.incoming.set(zmq::sockopt::zap_domain, "fleet");
+    own.incoming.bind(urlOf(listen));
+}
+
+ZmqTransport::~ZmqTransport() = default;
+
+bool ZmqTransport::send(const std::string& host, const std::string& bytes)
+{
+    const auto address = this->sockets->directory(host);
+    if (!address)
+        return false;
+    auto& peer = this->sockets->peer(host, *address);
+    return peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+}
+
+Task<void> ZmqTransport::receive(Receiver receiver)
+{
+    auto& incoming = this->sockets->incoming;
+    Readiness readiness { this->sockets->executor, incoming };
+    while (true) {
+        std::size_t received = 0;
+        while (received < kMostMessagesPerTurn && isReadable(incoming)) {
+            const auto parts = receiveParts(incoming);
+            if (parts.size() == 2)
+                receiver(parts.back().to_string_view());
+            ++received;
+        }
+        if (received == kMostMessagesPerTurn)
+            co_await yieldTurn();
+        else
+            co_await readiness.wait();
+    }
+}
+
+Task<void> ZmqTransport::authenticate()
+{
+    constexpr std::size_t kRequestParts = 7;
+    constexpr std::size_t kRequestIdPart = 1;
+    constexpr std::size_t kKeyPart = 6;
+    auto& socket = this->sockets->authentication;
+    Readiness readiness { this->sockets->executor, socket };
+    while (true) {
+        while (isReadable(socket)) {
+            const auto parts = receiveParts(socket);
+            const bool isKnown
+                = parts.size() == kRequestParts && textKey(parts[kKeyPart]) == this->sockets->keys.clientPublic;
+            const auto requestId = parts.size() > kRequestIdPart ? parts[kRequestIdPart].to_string() : std::string {};
+            const std::array<std::string, 6> answer { "1.0", requestId, isKnown ? "200" : "400",
+                isKnown ? "OK" : "unknown key", isKnown ? "fleet" : "", "" };
+            for (std::size_t index = 0; index < answer.size(); ++index) {
+                const auto flags = index + 1 < answer.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+                socket.send(zmq::buffer(answer[index]), flags);
+            }
+        }
+        co_await readiness.wait();
+    }
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/membership/configuration_watcher.cpp
@@ -0,0 +1,170 @@
+#include "berylwing/membership/configuration_watcher.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include "berylwing/membership/timing.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr Duration kPeerAnswerWait { 300 };
+    constexpr Duration kWatcherCheckInterval { 500 };
+
+} // namespace
+
+ConfigurationWatcher::ConfigurationWatcher(Clock& hostClock, Link& hostLink, Catalog& hostCatalog,
+    FailureDomain& hostDomain, PlatformClient& platformClient, Metrics& hostMetrics, std::vector<std::string> seedHosts)
+    : clock { hostClock }
+    , link { hostLink }
+    , catalog { hostCatalog }
+    , domain { hostDomain }
+    , platform { platformClient }
+    , metrics { hostMetrics }
+    , seeds { std::move(seedHosts) }
+    , changed { hostClock }
+    , random { hashText(hostLink.identity().host, hostLink.identity().incarnation) }
+{
+    this->link.handle(wire::Envelope::kPullConfiguration, [this](const wire::Envelope& envelope) {
+        this->sendConfiguration(envelope.from(), envelope.pull_configuration().after());
+    });
+    this->link.handle(wire::Envelope::kConfiguration, [this](const wire::Envelope& envelope) {
+        this->onConfiguration(envelope.configuration(), envelope.from());
+    });
+    this->domain.listen([this] { this->pullFromNewerPeer(); });
+}
+
+Task<void> ConfigurationWatcher::load()
+{
+    while (true) {
+        for (const auto& seed : this->seeds)
+            this->pull(seed);
+        try {
+            const auto batch = co_await this->platform.watch(0, Duration {});
+            this->catalog.takeAll(batch.changes, batch.through);
+        } catch (const PlatformError& error) {
+            spdlog::warn("configuration not loaded from the platform: {}", error.what());
+        }
+        co_await this->changed.waitUntil(this->clock.now() + kPeerAnswerWait);
+        if (this->isLoaded())
+            co_return;
+        co_await this->clock.sleepFor(this->jitteredPause());
+    }
+}
+
+Task<void> ConfigurationWatcher::run()
+{
+    while (true) {
+        if (!this->shouldWatch()) {
+            this->domain.setWatching(false);
+            co_await this->clock.sleepFor(kWatcherCheckInterval);
+            continue;
+        }
+        bool failed = false;
+        try {
+            co_await this->watchOnce();
+        } catch (const PlatformError& error) {
+            failed = true;
+            spdlog::debug("watch ended: {}", error.what());
+        }
+        if (failed) {
+            this->domain.setWatching(false);
+            co_await this->clock.sleepFor(this->jitteredPause());
+        }
+    }
+}
+
+Task<void> ConfigurationWatcher::watchOnce()
+{
+    const auto before = this->catalog.completeThrough();
+    const auto batch = co_await this->platform.watch(before, kWatchWait);
+    this->domain.setWatching(true);
+    if (this->catalog.takeAll(batch.changes, batch.through) > 0)
+        this->metrics.add(Incident::ConfigurationTaken);
+    if (this->catalog.completeThrough() > before)
+        this->push(before);
+}
+
+bool ConfigurationWatcher::shouldWatch() const
+{
+    std::size_t betterWatchers = 0;
+    for (const auto& host : this->domain.ranking("watch")) {
+        if (host == this->link.identity().host)
+            return true;
+        const auto peer = this->domain.peers().find(host);
+        if (peer != this->domain.peers().end() && peer->second.watching && !this->domain.isSilent(host))
+            ++betterWatchers;
+        if (betterWatchers >= kWatchersPerDomain)
+            return false;
+    }
+    return true;
+}
+
+Duration ConfigurationWatcher::jitteredPause()
+{
+    std::uniform_int_distribution<Duration::rep> extra { 0, kPlatformPause.count() };
+    return kPlatformPause + Duration { extra(this->random) };
+}
+
+void ConfigurationWatcher::push(std::uint64_t after)
+{
+    for (const auto& [host, peer] : this->domain.peers()) {
+        if (peer.configuration < this->catalog.completeThrough())
+            this->sendConfiguration(host, after);
+    }
+}
+
+void ConfigurationWatcher::pull(const std::string& host)
+{
+    wire::Envelope envelope;
+    envelope.mutable_pull_configuration()->set_after(this->catalog.completeThrough());
+    this->link.send(host, std::move(envelope));
+}
+
+void ConfigurationWatcher::pullFromNewerPeer()
+{
+    for (const auto& [host, peer] : this->domain.peers()) {
+        const bool hasNewerRoster = peer.rosterVersion > this->domain.roster().version;
+        if (peer.configuration > this->catalog.completeThrough() || hasNewerRoster)
+            return this->pull(host);
+    }
+}
+
+void ConfigurationWatcher::sendConfiguration(const std::string& host, std::uint64_t after)
+{
+    wire::Envelope envelope;
+    auto& message = *envelope.mutable_configuration();
+    message.set_after(after);
+    message.set_through(this->catalog.completeThrough());
+    for (const auto& object : this->catalog.newerThan(after)) {
+        auto& entry = *message.add_objects();
+        entry.set_kind(static_cast<std::uint32_t>(object.kind));
+        entry.set_name(object.name);
+        entry.set_version(object.version);
+        if (!object.value.empty())
+            entry.set_value(object.value.dump());
+    }
+    this->link.send(host, std::move(envelope));
+}
+
+void ConfigurationWatcher::onConfiguration(const wire::Configuration& configuration, const std::string& from)
+{
+    if (configuration.after() > this->catalog.completeThrough())
+        return this->pull(from);
+    std::vector<VersionedObject> batch;
+    for (const auto& object : configuration.objects()) {
+        if (object.kind() >= kObjectKindNames.size())
+            continue;
+        auto value = nlohmann::json::parse(object.value(), nullptr, false);
+        if (value.is_discarded())
+            value = nullptr;
+        batch.push_back({ static_cast<ObjectKind>(object.kind()), object.name(), object.version(), std::move(value) });
+    }
+    const auto taken = this->catalog.takeAll(batch, configuration.through());
+    this->metrics.add(taken > 0 ? Incident::ConfigurationTaken : Incident::StaleConfigurationIgnored);
+    this->changed.notifyAll();
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/membership/failure_domain.cpp
@@ -0,0 +1,207 @@
+#include "berylwing/membership/failure_domain.hpp"
+
+#include "berylwing/membership/rank_hosts.hpp"
+#include "berylwing/membership/timing.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    std::int64_t toMs(TimePoint time)
+    {
+        return time.time_since_epoch().count();
+    }
+
+    TimePoint fromMs(std::int64_t ms)
+    {
+        return TimePoint { Duration { ms } };
+    }
+
+} // namespace
+
+FailureDomain::FailureDomain(Clock& hostClock, Link& hostLink, Catalog& hostCatalog, Metrics& hostMetrics)
+    : clock { hostClock }
+    , link { hostLink }
+    , catalog { hostCatalog }
+    , metrics { hostMetrics }
+    , describeBeat { [](const std::string&) { return BeatContent {}; } }
+{
+    this->link.readRosterVersionFrom([this] { return this->roster().version; });
+    this->link.handle(wire::Envelope::kBeat, [this](const wire::Envelope& envelope) { this->onBeat(envelope); });
+    this->catalog.listen([this](const VersionedObject& object) {
+        if (object.kind == ObjectKind::Roster && object.name == this->link.identity().domain)
+            this->takeRoster();
+    });
+    this->takeRoster();
+}
+
+const Roster& FailureDomain::roster() const
+{
+    static const Roster empty;
+    const auto* known = this->catalog.roster(this->link.identity().domain);
+    return known == nullptr ? empty : *known;
+}
+
+bool FailureDomain::isMember() const
+{
+    const auto* member = this->roster().find(this->link.identity().host);
+    return member != nullptr && member->incarnation == this->link.identity().incarnation;
+}
+
+const std::vector<std::string>& FailureDomain::ranking(std::string_view key) const
+{
+    const auto known = this->rankings.find(key);
+    if (known != this->rankings.end())
+        return known->second;
+    return this->rankings.emplace(key, rankHosts(this->roster(), key)).first->second;
+}
+
+bool FailureDomain::isSilent(std::string_view host) const
+{
+    return host != this->link.identity().host && this->silence(host) > kGrant + kGrantMargin;
+}
+
+Duration FailureDomain::silence(std::string_view host) const
+{
+    const auto found = this->peersByHost.find(host);
+    return found == this->peersByHost.end() ? Duration {} : this->clock.now() - found->second.heardAt;
+}
+
+bool FailureDomain::isConfirmedBy(const Peer& peer) const
+{
+    return peer.rosterVersion == this->roster().version && peer.echoedAt && this->clock.now() - *peer.echoedAt < kGrant;
+}
+
+bool FailureDomain::isConfirmedByAll() const
+{
+    return std::all_of(this->peersByHost.begin(), this->peersByHost.end(),
+        [this](const auto& entry) { return this->isConfirmedBy(entry.second); });
+}
+
+bool FailureDomain::isSettled() const
+{
+    const auto version = this->roster().version;
+    return std::all_of(this->peersByHost.begin(), this->peersByHost.end(),
+        [version](const auto& entry) { return entry.second.rosterVersion >= version; });
+}
+
+void FailureDomain::describeBeatsWith(DescribeBeat describe)
+{
+    this->describeBeat = std::move(describe);
+}
+
+void FailureDomain::listen(Listener listener)
+{
+    this->listeners.push_back(std::move(listener));
+}
+
+void FailureDomain::setWatching(bool isWatching) noexcept
+{
+    this->watching = isWatching;
+}
+
+Task<void> FailureDomain::run()
+{
+    while (true) {
+        this->beat();
+        this->reportSilence();
+        co_await this->clock.sleepFor(kBeatInterval);
+    }
+}
+
+void FailureDomain::beatNow()
+{
+    this->beat();
+}
+
+Peer& FailureDomain::peerOf(const RosterMember& member)
+{
+    auto& peer = this->peersByHost[member.host];
+    if (peer.incarnation == member.incarnation)
+        return peer;
+    peer = Peer {};
+    peer.host = member.host;
+    peer.incarnation = member.incarnation;
+    peer.heardAt = this->clock.now();
+    return peer;
+}
+
+void FailureDomain::takeRoster()
+{
+    const auto& current = this->roster();
+    if (current.version <= this->takenVersion)
+        return;
+    this->takenVersion = current.version;
+    this->rankings.clear();
+    std::erase_if(this->peersByHost, [&current](const auto& entry) { return current.find(entry.first) == nullptr; });
+    for (const auto& member : current.members) {
+        if (member.host != this->link.identity().host)
+            static_cast<void>(this->peerOf(member));
+    }
+    this->metrics.add(Incident::RosterTaken);
+    this->beat();
+    for (const auto& listener : this->listeners)
+        listener();
+}
+
+void FailureDomain::onBeat(const wire::Envelope& envelope)
+{
+    const auto found = this->peersByHost.find(envelope.from());
+    if (found == this->peersByHost.end() || found->second.incarnation != envelope.incarnation())
+        return;
+    auto& peer = found->second;
+    const auto& beat = envelope.beat();
+    if (beat.sent_ms() < peer.lastSentMs)
+        return;
+    peer.heardAt = this->clock.now();
+    peer.heard = true;
+    peer.silenceReported = false;
+    peer.lastSentMs = beat.sent_ms();
+    peer.rosterVersion = std::max(peer.rosterVersion, envelope.roster_version());
+    if (beat.echo_incarnation() == this->link.identity().incarnation)
+        peer.echoedAt = fromMs(beat.echo_ms());
+    peer.configuration = beat.configuration();
+    peer.watching = beat.watching();
+    peer.residuals.assign(beat.residuals().begin(), beat.residuals().end());
+    peer.loads.assign(beat.loads().begin(), beat.loads().end());
+    for (const auto& listener : this->listeners)
+        listener();
+}
+
+void FailureDomain::beat()
+{
+    for (const auto& [host, peer] : this->peersByHost) {
+        wire::Envelope envelope;
+        auto& message = *envelope.mutable_beat();
+        message.set_sent_ms(toMs(this->clock.now()));
+        if (peer.heard) {
+            message.set_echo_ms(peer.lastSentMs);
+            message.set_echo_incarnation(peer.incarnation);
+        }
+        message.set_configuration(this->catalog.completeThrough());
+        message.set_watching(this->watching);
+        const auto content = this->describeBeat(host);
+        for (const auto& residual : content.residuals)
+            *message.add_residuals() = residual;
+        for (const auto& load : content.loads)
+            *message.add_loads() = load;
+        this->link.send(host, std::move(envelope));
+    }
+}
+
+void FailureDomain::reportSilence()
+{
+    for (auto& [host, peer] : this->peersByHost) {
+        if (peer.silenceReported || !this->isSilent(host))
+            continue;
+        peer.silenceReported = true;
+        this->metrics.add(Incident::PeerSilent);
+        spdlog::warn("host {} has been silent for {} ms", host, this->silence(host).count());
+    }
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/membership/rank_hosts.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "berylwing/config/objects.hpp"
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylwing {
+
+/**
+ * @brief Orders the members of a roster for a key by rendezvous hash; members that are leaving are left out.
+ * @param roster Roster.
+ * @param key Key, usually the name of an endpoint or of a ledger shard.
+ * @return Hosts, the owner of the key first.
+ */
+[[nodiscard]] std::vector<std::string> rankHosts(const Roster& roster, std::string_view key);
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/membership/registrar.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "berylwing/config/catalog.hpp"
+#include "berylwing/core/clock.hpp"
+#include "berylwing/link/link.hpp"
+#include "berylwing/membership/failure_domain.hpp"
+#include "berylwing/platform/platform_client.hpp"
+#include <functional>
+
+namespace berylwing {
+
+/**
+ * @brief Keeps this host's entry in the roster of its failure domain, and removes members that are gone.
+ *
+ * A member is removed only if it is silent and the platform's list of hosts does not show it any more.
+ */
+class Registrar {
+    using Change = std::function<bool(Roster&)>;
+
+    [[nodiscard]] Task<bool> change(Change change);
+    [[nodiscard]] Task<void> registerSelf();
+    [[nodiscard]] Task<bool> writeSelf();
+    [[nodiscard]] Task<void> removeGoneMembers();
+    [[nodiscard]] bool isFirstLiveMember() const;
+    [[nodiscard]] RosterMember self() const;
+
+public:
+    /**
+     * @brief Creates a registrar.
+     * @param hostClock Clock of the host.
+     * @param hostLink Link of the host.
+     * @param hostCatalog Configuration of the host.
+     * @param hostDomain Failure domain of the host.
+     * @param platformClient Client of the platform.
+     */
+    Registrar(
+        Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& hostDomain, PlatformClient& platformClient);
+
+    /** @brief Registers this host and tends the roster until it leaves. @return Awaitable. */
+    [[nodiscard]] Task<void> run();
+
+    /** @brief Marks this host as leaving in the roster. @return True if the platform took the change. */
+    [[nodiscard]] Task<bool> announceLeaving();
+
+    /** @brief Takes this host out of the roster. @return True if the platform took the change. */
+    [[nodiscard]] Task<bool> removeSelf();
+
+private:
+    Clock& clock;
+    Link& link;
+    Catalog& catalog;
+    FailureDomain& domain;
+    PlatformClient& platform;
+    bool leaving = false;
+    bool removed = false;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/platform/platform_client.cpp
@@ -0,0 +1,123 @@
+#include "berylwing/platform/platform_client.hpp"
+
+#include "berylwing/telemetry/metrics.hpp"
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr Duration kCallTimeout { 1000 };
+    constexpr Duration kWatchGrace { 2000 };
+
+    nlohmann::json parseBody(const std::string& body)
+    {
+        try {
+            return nlohmann::json::parse(body);
+        } catch (const nlohmann::json::exception& error) {
+            throw PlatformError { PlatformFault::Protocol, error.what() };
+        }
+    }
+
+    VersionedObject readChange(const nlohmann::json& change)
+    {
+        const auto kind = kObjectKindNames.find(change.at("kind").get<std::string>());
+        if (!kind)
+            throw PlatformError { PlatformFault::Protocol, "unknown object kind in a watch" };
+        return { *kind, change.at("name").get<std::string>(), change.at("version").get<std::uint64_t>(),
+            change.value("value", nlohmann::json {}) };
+    }
+
+    WatchBatch readBatch(const std::string& body)
+    {
+        const auto document = parseBody(body);
+        try {
+            WatchBatch batch;
+            batch.through = document.at("revision").get<std::uint64_t>();
+            for (const auto& change : document.at("changes"))
+                batch.changes.push_back(readChange(change));
+            return batch;
+        } catch (const nlohmann::json::exception& error) {
+            throw PlatformError { PlatformFault::Protocol, error.what() };
+        }
+    }
+
+} // namespace
+
+PlatformClient::PlatformClient(Exchange carry, Metrics& hostMetrics)
+    : exchange { std::move(carry) }
+    , metrics { hostMetrics }
+{
+}
+
+Task<PlatformReply> PlatformClient::call(PlatformCall call)
+{
+    this->metrics.addPlatformCall();
+    if (call.timeout == Duration {})
+        call.timeout = kCallTimeout;
+    co_return co_await this->exchange(call);
+}
+
+Task<std::optional<StoredObject>> PlatformClient::get(ObjectKind kind, std::string name)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::Get;
+    request.kind = kind;
+    request.name = std::move(name);
+    const auto reply = co_await this->call(std::move(request));
+    if (reply.status == PlatformStatus::NotFound)
+        co_return std::nullopt;
+    co_return StoredObject { reply.version, parseBody(reply.body) };
+}
+
+Task<std::uint64_t> PlatformClient::put(
+    ObjectKind kind, std::string name, const nlohmann::json& value, std::uint64_t expectedVersion)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::Put;
+    request.kind = kind;
+    request.name = std::move(name);
+    request.body = value.dump();
+    request.expectedVersion = expectedVersion;
+    const auto reply = co_await this->call(std::move(request));
+    if (reply.status != PlatformStatus::Ok)
+        throw PlatformError { PlatformFault::Conflict, "the object has another version" };
+    co_return reply.version;
+}
+
+Task<std::uint64_t> PlatformClient::remove(ObjectKind kind, std::string name, std::uint64_t expectedVersion)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::Remove;
+    request.kind = kind;
+    request.name = std::move(name);
+    request.expectedVersion = expectedVersion;
+    const auto reply = co_await this->call(std::move(request));
+    if (reply.status != PlatformStatus::Ok)
+        throw PlatformError { PlatformFault::Conflict, "the object has another version" };
+    co_return reply.version;
+}
+
+Task<WatchBatch> PlatformClient::watch(std::uint64_t after, Duration wait)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::Watch;
+    request.after = after;
+    request.wait = wait;
+    request.timeout = wait + kWatchGrace;
+    const auto reply = co_await this->call(std::move(request));
+    co_return readBatch(reply.body);
+}
+
+Task<std::vector<HostListing>> PlatformClient::hosts()
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::Hosts;
+    const auto reply = co_await this->call(std::move(request));
+    std::vector<HostListing> hosts;
+    for (const auto& entry : parseBody(reply.body))
+        hosts.push_back({ entry.at("host").get<std::string>(), entry.value("leaving", false) });
+    co_return hosts;
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -0,0 +1,231 @@
+#include "berylwing/relay/attempt_server.hpp"
+
+#include "berylwing/relay/timing.hpp"
+#include "berylwing/telemetry/log.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr unsigned kPartialContent = 206;
+
+    Duration remaining(const wire::Request& request)
+    {
+        return Duration { request.remaining_ms() };
+    }
+
+    Outcome outcomeOf(const EndpointError& error)
+    {
+        if (error.fault() == EndpointFault::NotSent)
+            return NotRun { Refusal::EndpointUnreachable };
+        return OutcomeUnknown { Refusal::EndpointBroken };
+    }
+
+} // namespace
+
+AttemptServer::Attempt::Attempt(Clock& clock, const wire::Envelope& envelope)
+    : from { envelope.from() }
+    , open { envelope.open() }
+    , deadline { clock.now() + remaining(envelope.open().request()) }
+    , changed { clock }
+    , window { envelope.open().window_bytes() }
+    , offset { envelope.open().resume_offset() }
+    , toldAt { clock.now() }
+{
+}
+
+AttemptServer::AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry,
+    Metrics& hostMetrics, EndpointAccess endpointAccess, const Steps& pathSteps)
+    : clock { hostClock }
+    , link { hostLink }
+    , registry { endpointRegistry }
+    , metrics { hostMetrics }
+    , access { std::move(endpointAccess) }
+    , steps { pathSteps }
+{
+    this->link.handle(wire::Envelope::kOpen, [this](const wire::Envelope& envelope) {
+        spawn(this->clock.executor(), "attempt", this->serve(envelope));
+    });
+    this->link.handle(wire::Envelope::kCredit, [this](const wire::Envelope& envelope) {
+        if (auto* attempt = this->find(envelope.credit().attempt())) {
+            attempt->window += static_cast<std::int64_t>(envelope.credit().bytes());
+            attempt->changed.notifyAll();
+        }
+    });
+    this->link.handle(wire::Envelope::kCancel, [this](const wire::Envelope& envelope) {
+        if (auto* attempt = this->find(envelope.cancel().attempt())) {
+            attempt->cancelled = true;
+            if (attempt->connection)
+                attempt->connection->abort();
+            attempt->changed.notifyAll();
+        }
+    });
+}
+
+Task<void> AttemptServer::run()
+{
+    while (true) {
+        for (auto& attempt : this->attempts) {
+            if (this->clock.now() - attempt.toldAt >= kKeepAliveInterval)
+                this->sendChunk(attempt, {});
+        }
+        co_await this->clock.sleepFor(kKeepAliveInterval / 2);
+    }
+}
+
+AttemptServer::Attempt* AttemptServer::find(std::uint64_t id)
+{
+    const auto found = std::find_if(this->attempts.begin(), this->attempts.end(),
+        [id](const Attempt& attempt) { return attempt.open.attempt() == id; });
+    return found == this->attempts.end() ? nullptr : &*found;
+}
+
+bool AttemptServer::isDuplicate(std::uint64_t attempt, TimePoint deadline)
+{
+    const auto now = this->clock.now();
+    while (!this->seenByAge.empty() && this->seenByAge.front().until < now) {
+        this->seen.erase(this->seenByAge.front().attempt);
+        this->seenByAge.pop_front();
+    }
+    if (!this->seen.insert(attempt).second)
+        return true;
+    this->seenByAge.push_back({ attempt, deadline + kDuplicateMargin });
+    return false;
+}
+
+Task<void> AttemptServer::serve(wire::Envelope envelope)
+{
+    Attempt attempt { this->clock, envelope };
+    if (this->isDuplicate(attempt.open.attempt(), attempt.deadline)) {
+        this->metrics.add(Incident::DuplicateAttemptDropped);
+        co_return;
+    }
+    this->attempts.push_back(attempt);
+    co_await this->steps.reach(Step::OwnerReceived);
+    const auto endpoint = this->registry.find(attempt.open.endpoint());
+    if (!endpoint)
+        co_return this->refuse(attempt, NotRun { Refusal::NotOwner }, 0, {});
+    if (attempt.open.follow_placement()) {
+        const auto place = endpoint->placements.lookUp(attempt.open.request().chat(), this->clock.now());
+        if (place && *place != attempt.open.endpoint())
+            co_return this->refuse(attempt, NotRun { Refusal::PlacedElsewhere }, endpoint->inFlight(), *place);
+    }
+    const auto outcome = co_await this->run(attempt, *endpoint);
+    if (!outcome.isWhole())
+        this->refuse(attempt, outcome, endpoint->inFlight(), {});
+    co_await this->steps.reach(Step::OwnerFinished);
+}
+
+Task<Outcome> AttemptServer::run(Attempt& attempt, OwnedEndpoint& endpoint)
+{
+    const LoadMean observed { attempt.open.observed_in_flight(), attempt.open.observed_engines() };
+    if (const auto reason = this->registry.refusal(endpoint, observed))
+        co_return NotRun { *reason };
+    const Admission admission { &endpoint };
+    co_await this->steps.reach(Step::OwnerAdmitted);
+    try {
+        attempt.connection = co_await this->access.connect(endpoint.configuration, attempt.deadline);
+    } catch (const EndpointError& error) {
+        this->registry.observeFailure(endpoint);
+        co_return NotRun { Refusal::EndpointUnreachable };
+    }
+    co_await this->steps.reach(Step::OwnerSending);
+    // The host may have been paused since the admission, so its right to send is checked once more.
+    if (const auto reason = this->registry.refusalToSend(endpoint))
+        co_return NotRun { *reason };
+    if (attempt.cancelled)
+        co_return NotRun { Refusal::CallerGone };
+    if (this->clock.now() >= attempt.deadline)
+        co_return NotRun { Refusal::DeadlinePassed };
+    co_return co_await this->exchange(attempt, endpoint);
+}
+
+Task<Outcome> AttemptServer::exchange(Attempt& attempt, OwnedEndpoint& endpoint)
+{
+    try {
+        const auto outcome = co_await this->stream(attempt, endpoint);
+        if (outcome.isWhole())
+            this->registry.observeSuccess(endpoint);
+        co_return outcome;
+    } catch (const EndpointError& error) {
+        logRequest(LogLevel::Warn, attempt.open.request().request_id(), error.what());
+        if (attempt.cancelled)
+            co_return OutcomeUnknown { Refusal::CallerGone };
+        if (error.fault() == EndpointFault::Broken)
+            this->registry.observeFailure(endpoint);
+        co_return outcomeOf(error);
+    }
+}
+
+Task<Outcome> AttemptServer::stream(Attempt& attempt, OwnedEndpoint& endpoint)
+{
+    const auto connection = attempt.connection;
+    EndpointCall call { attempt.open.request(), attempt.open.attempt(), attempt.open.resume_offset(),
+        attempt.open.resume_token() };
+    co_await connection->send(call);
+    const auto head = co_await connection->readHead(attempt.deadline);
+    this->registry.observeHead(endpoint, head);
+    if (attempt.open.resume_offset() > 0 && head.status != kPartialContent)
+        co_return OutcomeUnknown { Refusal::StreamIncomplete };
+    wire::Envelope headMessage;
+    headMessage.mutable_head()->set_attempt(attempt.open.attempt());
+    headMessage.mutable_head()->set_status(head.status);
+    headMessage.mutable_head()->set_content_type(head.contentType);
+    headMessage.mutable_head()->set_resume_token(head.resumeToken);
+    this->link.send(attempt.from, std::move(headMessage));
+    while (auto bytes = co_await connection->readBody(attempt.deadline)) {
+        co_await this->steps.reach(Step::OwnerStreaming);
+        co_await this->waitForWindow(attempt);
+        if (attempt.cancelled)
+            co_return OutcomeUnknown { Refusal::CallerGone };
+        if (this->clock.now() >= attempt.deadline)
+            co_return OutcomeUnknown { Refusal::DeadlinePassed };
+        this->sendChunk(attempt, std::move(*bytes));
+    }
+    wire::Envelope endMessage;
+    endMessage.mutable_end()->set_attempt(attempt.open.attempt());
+    endMessage.mutable_end()->set_length(attempt.offset);
+    this->link.send(attempt.from, std::move(endMessage));
+    co_return Outcome {};
+}
+
+Task<void> AttemptServer::waitForWindow(Attempt& attempt)
+{
+    while (attempt.window <= 0 && !attempt.cancelled && this->clock.now() < attempt.deadline)
+        co_await attempt.changed.waitUntil(attempt.deadline);
+}
+
+void AttemptServer::refuse(
+    const Attempt& attempt, const Outcome& outcome, std::uint32_t inFlight, const std::string& placedAt)
+{
+    wire::Envelope envelope;
+    auto& refused = *envelope.mutable_refused();
+    refused.set_attempt(attempt.open.attempt());
+    refused.set_reason(static_cast<std::uint32_t>(*outcome.reason));
+    refused.set_execution(static_cast<wire::Execution>(outcome.execution));
+    refused.set_retry_after_ms(outcome.retryAfter.count());
+    refused.set_in_flight(inFlight);
+    refused.set_placed_at(placedAt);
+    this->metrics.add(*outcome.reason);
+    this->link.send(attempt.from, std::move(envelope));
+}
+
+void AttemptServer::sendChunk(Attempt& attempt, std::string bytes)
+{
+    wire::Envelope envelope;
+    auto& chunk = *envelope.mutable_chunk();
+    chunk.set_attempt(attempt.open.attempt());
+    chunk.set_offset(attempt.offset);
+    attempt.offset += bytes.size();
+    attempt.window -= static_cast<std::int64_t>(bytes.size());
+    attempt.toldAt = this->clock.now();
+    if (!bytes.empty())
+        this->metrics.addRelayedChunk();
+    chunk.set_data(std::move(bytes));
+    this->link.send(attempt.from, std::move(envelope));
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/relay/attempt_server.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "berylwing/core/event.hpp"
+#include "berylwing/core/step.hpp"
+#include "berylwing/link/link.hpp"
+#include "berylwing/core/outcome.hpp"
+#include "berylwing/routing/endpoint_connection.hpp"
+#include "berylwing/routing/endpoint_registry.hpp"
+#include <boost/intrusive/list.hpp>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+namespace berylwing {
+
+class Metrics;
+
+/**
+ * @brief Runs the attempts that other hosts forward to the endpoints of this host, one task for each.
+ */
+class AttemptServer {
+    struct Attempt : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        Attempt(Clock& clock, const wire::Envelope& envelope);
+
+        std::string from;
+        wire::Open open;
+        TimePoint deadline;
+        Event changed;
+        std::int64_t window;
+        std::uint64_t offset = 0;
+        TimePoint toldAt;
+        bool cancelled = false;
+        std::shared_ptr<EndpointConnection> connection;
+    };
+
+    using Attempts = boost::intrusive::list<Attempt, boost::intrusive::constant_time_size<false>>;
+
+    [[nodiscard]] Attempt* find(std::uint64_t attempt);
+    [[nodiscard]] bool isDuplicate(std::uint64_t attempt, TimePoint deadline);
+    [[nodiscard]] Task<void> serve(wire::Envelope envelope);
+    [[nodiscard]] Task<Outcome> run(Attempt& attempt, OwnedEndpoint& endpoint);
+    [[nodiscard]] Task<Outcome> exchange(Attempt& attempt, OwnedEndpoint& endpoint);
+    [[nodiscard]] Task<Outcome> stream(Attempt& attempt, OwnedEndpoint& endpoint);
+    [[nodiscard]] Task<void> waitForWindow(Attempt& attempt);
+    void refuse(const Attempt& attempt, const Outcome& outcome, std::uint32_t inFlight, const std::string& placedAt);
+    void sendChunk(Attempt& attempt, std::string bytes);
+
+public:
+    /**
+     * @brief Creates a server without attempts.
+     * @param hostClock Clock of the host.
+     * @param hostLink Link of the host.
+     * @param endpointRegistry Endpoints of the host's failure domain.
+     * @param hostMetrics Metrics of the host.
+     * @param endpointAccess Access to the endpoints.
+     * @param pathSteps Steps announced on the way.
+     */
+    AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry, Metrics& hostMetrics,
+        EndpointAccess endpointAccess, const Steps& pathSteps);
+
+    /** @brief Tells whether an attempt is running. @return True if none is. */
+    [[nodiscard]] bool isIdle() const noexcept { return this->attempts.empty(); }
+
+    /** @brief Tells entry hosts that their attempts live, as long as this host runs. @return Awaitable. */
+    [[nodiscard]] Task<void> run();
+
+private:
+    struct Seen {
+        std::uint64_t attempt;
+        TimePoint until;
+    };
+
+    Clock& clock;
+    Link& link;
+    EndpointRegistry& registry;
+    Metrics& metrics;
+    EndpointAccess access;
+    const Steps& steps;
+    Attempts attempts;
+    std::deque<Seen> seenByAge;
+    std::unordered_set<std::uint64_t> seen;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "berylwing/config/catalog.hpp"
+#include "berylwing/core/event.hpp"
+#include "berylwing/core/step.hpp"
+#include "berylwing/link/link.hpp"
+#include "berylwing/membership/failure_domain.hpp"
+#include "berylwing/core/outcome.hpp"
+#include "berylwing/relay/response_sink.hpp"
+#include "berylwing/routing/endpoint_registry.hpp"
+#include <boost/intrusive/list.hpp>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylwing {
+
+class Metrics;
+
+/** @brief Whether a request may run more than once. */
+enum class Repeatability {
+    Repeatable,
+    OnceOnly,
+};
+
+/**
+ * @brief Carries a request to the owner of an endpoint and its answer back.
+ *
+ * Candidates are tried in the order of their rank until one takes the request. A request that may have reached an
+ * endpoint is tried again only if it is repeatable, and only in a way that gives the caller each byte once.
+ */
+class Dispatcher {
+    struct Inbox : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+        Inbox(Clock& clock, std::uint64_t attemptId, std::string ownerHost)
+            : attempt { attemptId }
+            , owner { std::move(ownerHost) }
+            , arrived { clock }
+        {
+        }
+
+        std::uint64_t attempt;
+        std::string owner;
+        std::deque<wire::Envelope> messages;
+        Event arrived;
+    };
+
+    struct Run;
+
+    using Inboxes = boost::intrusive::list<Inbox, boost::intrusive::constant_time_size<false>>;
+
+    void deliver(std::uint64_t attempt, const wire::Envelope& envelope);
+    void cancel(const std::string& owner, std::uint64_t attempt);
+    [[nodiscard]] std::vector<std::string> candidates(const wire::Request& request) const;
+    [[nodiscard]] std::vector<std::string> ownersOf(const EndpointObject& endpoint) const;
+    [[nodiscard]] Task<void> walk(Run& run, const std::vector<std::string>& order);
+    [[nodiscard]] Task<void> tryEndpoint(Run& run, const std::string& endpoint);
+    [[nodiscard]] Task<void> tryOwner(Run& run, const EndpointObject& endpoint, const std::string& owner);
+    [[nodiscard]] Task<void> receive(Run& run, Inbox& inbox);
+    [[nodiscard]] Task<void> takeChunk(Run& run, Inbox& inbox, const wire::Chunk& chunk);
+    void takeRefusal(Run& run, const wire::Refused& refused);
+    void finishAttempt(Run& run);
+    [[nodiscard]] wire::Envelope openMessage(const Run& run, const EndpointObject& endpoint, std::uint64_t attempt) const;
+    void tellPlacement(const Run& run, const std::vector<std::string>& order);
+
+public:
+    /**
+     * @brief Creates a dispatcher.
+     * @param hostClock Clock of the host.
+     * @param hostLink Link of the host.
+     * @param hostCatalog Configuration of the host.
+     * @param failureDomain Failure domain of the host.
+     * @param hostMetrics Metrics of the host.
+     * @param pathSteps Steps announced on the way.
+     */
+    Dispatcher(Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& failureDomain,
+        Metrics& hostMetrics, const Steps& pathSteps);
+
+    /**
+     * @brief Runs a request.
+     * @param request Request.
+     * @param repeatability Whether it may run more than once.
+     * @param deadline Time at which it is given up.
+     * @param sink Where the answer goes.
+     * @return How the request ended.
+     * @throws CallerGoneError If the caller has gone; the attempt is cancelled.
+     */
+    [[nodiscard]] Task<Outcome> run(
+        const wire::Request& request, Repeatability repeatability, TimePoint deadline, const ResponseSink& sink);
+
+private:
+    Clock& clock;
+    Link& link;
+    Catalog& catalog;
+    FailureDomain& domain;
+    Metrics& metrics;
+    const Steps& steps;
+    Inboxes inboxes;
+    std::uint64_t nextAttempt;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/relay/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace berylwing {
+
+class AttemptServer;
+class CallerGoneError;
+class Dispatcher;
+enum class Repeatability;
+struct ResponseSink;
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/relay/timing.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include <cstdint>
+
+namespace berylwing {
+
+/** @brief Time without a message on an attempt after which its owner sends an empty chunk. */
+inline constexpr Duration kKeepAliveInterval { 500 };
+
+/** @brief Time without any message after which an attempt is given up by its entry host. */
+inline constexpr Duration kAttemptSilence { 1800 };
+
+/** @brief Time after its deadline for which an attempt is still recognised as a duplicate. */
+inline constexpr Duration kDuplicateMargin { 60'000 };
+
+/** @brief Bytes that an owner may send ahead of the caller. */
+inline constexpr std::uint32_t kWindowBytes = 256 * 1024;
+
+/** @brief Bytes after which an entry host allows its owner to send more. */
+inline constexpr std::uint32_t kCreditBytes = kWindowBytes / 4;
+
+/** @brief Pause after all candidates have refused. */
+inline constexpr Duration kWalkPause { 40 };
+
+/** @brief Candidates that are asked before the walk begins anew. */
+inline constexpr std::size_t kMostCandidates = 8;
+
+/** @brief Hosts that are asked for one endpoint. */
+inline constexpr std::size_t kMostOwners = 3;
+
+/** @brief Time after which a caller may try again when nothing better is known. */
+inline constexpr Duration kDefaultRetryAfter { 1000 };
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/routing/authority.cpp
@@ -0,0 +1,106 @@
+#include "berylwing/routing/authority.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace berylwing {
+
+namespace {
+
+    constexpr std::size_t kUnranked = std::numeric_limits<std::size_t>::max();
+    constexpr std::size_t kMostRanks = 31;
+
+} // namespace
+
+std::uint32_t doubtShare(std::uint32_t limit, std::size_t rank) noexcept
+{
+    if (rank >= kMostRanks)
+        return 0;
+    return (limit >> rank) - (limit >> (rank + 1));
+}
+
+Authority::Authority(FailureDomain& failureDomain)
+    : domain { failureDomain }
+{
+}
+
+bool Authority::isFirst(std::string_view endpoint) const
+{
+    return this->domain.isMember() && this->rankOf(endpoint) == 0;
+}
+
+bool Authority::isStandIn(std::string_view endpoint) const
+{
+    const auto rank = this->rankOf(endpoint);
+    return rank != kUnranked && rank > 0 && this->domain.isMember() && this->domain.isSettled()
+        && this->betterRanksSilent(endpoint);
+}
+
+bool Authority::canClaimFirst(std::string_view endpoint) const
+{
+    return this->isFirst(endpoint) && this->domain.isConfirmedByAll() && !this->someoneHoldsFirst(endpoint);
+}
+
+std::uint32_t Authority::allowance(
+    std::string_view endpoint, const AuthorityState& state, std::uint32_t limit) const
+{
+    if (!this->domain.isMember() || state.handingOff)
+        return 0;
+    if (state.holdsFirst) {
+        if (!this->isFirst(endpoint) || !this->domain.isConfirmedByAll())
+            return doubtShare(limit, 0);
+        const auto others = this->othersInFlight(endpoint);
+        return limit > others ? limit - others : 0;
+    }
+    if (!state.firstDrained || !this->isStandIn(endpoint))
+        return 0;
+    return doubtShare(limit, this->rankOf(endpoint));
+}
+
+bool Authority::isInDoubt(std::string_view endpoint, const AuthorityState& state) const
+{
+    return state.holdsFirst ? !this->domain.isConfirmedByAll() : this->isStandIn(endpoint);
+}
+
+std::size_t Authority::rankOf(std::string_view endpoint) const
+{
+    const auto ranking = this->domain.ranking(endpoint);
+    const auto found = std::find(ranking.begin(), ranking.end(), this->domain.selfHost());
+    return found == ranking.end() ? kUnranked : static_cast<std::size_t>(found - ranking.begin());
+}
+
+bool Authority::betterRanksSilent(std::string_view endpoint) const
+{
+    for (const auto& host : this->domain.ranking(endpoint)) {
+        if (host == this->domain.selfHost())
+            return true;
+        if (!this->domain.isSilent(host))
+            return false;
+    }
+    return false;
+}
+
+std::uint32_t Authority::othersInFlight(std::string_view endpoint) const
+{
+    std::uint32_t total = 0;
+    for (const auto& [host, peer] : this->domain.peers()) {
+        for (const auto& residual : peer.residuals) {
+            if (residual.endpoint() == endpoint)
+                total += residual.in_flight();
+        }
+    }
+    return total;
+}
+
+bool Authority::someoneHoldsFirst(std::string_view endpoint) const
+{
+    for (const auto& [host, peer] : this->domain.peers()) {
+        for (const auto& residual : peer.residuals) {
+            if (residual.endpoint() == endpoint && residual.holds_first())
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/routing/authority.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "berylwing/membership/failure_domain.hpp"
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace berylwing {
+
+/**
+ * @brief Share of a limit that surely belongs to the holder of a rank while hosts do not confirm each other.
+ *
+ * The shares of all ranks add up to no more than the limit.
+ * @param limit Limit to share.
+ * @param rank Rank of the holder, counted from zero.
+ * @return Share of the holder.
+ */
+[[nodiscard]] std::uint32_t doubtShare(std::uint32_t limit, std::size_t rank) noexcept;
+
+/** @brief What a host knows about its right to send to one endpoint. */
+struct AuthorityState {
+    /** Whether this host holds the first place, by handoff or because nobody else can hold it. */
+    bool holdsFirst = false;
+    /** Whether a handoff was sent that may have been taken. */
+    bool handingOff = false;
+    /** Roster version at which the handoff was sent. */
+    std::uint64_t handoffVersion = 0;
+    /** Whether the endpoint itself has reported, after the first host fell silent, that it is within the first share. */
+    bool firstDrained = false;
+};
+
+/**
+ * @brief Decides how much of an endpoint's limit this host may use.
+ *
+ * Confirmed by all members, the owner uses the limit less what others still have in flight. In doubt each rank uses its
+ * own share, the ranks after the first only when all ranks before them are silent.
+ */
+class Authority {
+    [[nodiscard]] std::size_t rankOf(std::string_view endpoint) const;
+    [[nodiscard]] bool betterRanksSilent(std::string_view endpoint) const;
+    [[nodiscard]] std::uint32_t othersInFlight(std::string_view endpoint) const;
+    [[nodiscard]] bool someoneHoldsFirst(std::string_view endpoint) const;
+
+public:
+    /** @brief Creates the authority of a host. @param failureDomain Domain of the host. */
+    explicit Authority(FailureDomain& failureDomain);
+
+    /** @brief Tells whether this host is ranked first. @param endpoint Endpoint. @return True for the owner. */
+    [[nodiscard]] bool isFirst(std::string_view endpoint) const;
+
+    /** @brief Tells whether this host may act because better ranks are silent. @param endpoint Endpoint. */
+    [[nodiscard]] bool isStandIn(std::string_view endpoint) const;
+
+    /**
+     * @brief Tells whether the first place of an endpoint is free to be taken without a handoff.
+     * @param endpoint Endpoint.
+     * @return True if this host is ranked first and every member showed that it does not hold the place.
+     */
+    [[nodiscard]] bool canClaimFirst(std::string_view endpoint) const;
+
+    /**
+     * @brief Computes the part of a limit that this host may use now.
+     * @param endpoint Endpoint.
+     * @param state This host's state for the endpoint.
+     * @param limit Limit of the endpoint.
+     * @return Most requests that this host may have in flight; zero if it has to refuse.
+     */
+    [[nodiscard]] std::uint32_t allowance(
+        std::string_view endpoint, const AuthorityState& state, std::uint32_t limit) const;
+
+    /** @brief Tells whether this host acts in doubt. @param endpoint Endpoint. @param state State. */
+    [[nodiscard]] bool isInDoubt(std::string_view endpoint, const AuthorityState& state) const;
+
+private:
+    FailureDomain& domain;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/routing/owned_endpoint.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "berylwing/config/objects.hpp"
+#include "berylwing/core/clock.hpp"
+#include "berylwing/routing/authority.hpp"
+#include "berylwing/routing/endpoint_lifecycle.hpp"
+#include "berylwing/routing/placement_table.hpp"
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+
+namespace berylwing {
+
+/** @brief Endpoint of this host's failure domain, with all that this host knows about it. */
+class OwnedEndpoint : public boost::intrusive_ref_counter<OwnedEndpoint, boost::thread_unsafe_counter> {
+public:
+    /** @brief Creates the state of an endpoint of which nothing is known. @param object Configuration. */
+    explicit OwnedEndpoint(EndpointObject object);
+
+    /** @brief Counts the requests that this host has in flight at the endpoint. @return Requests. */
+    [[nodiscard]] std::uint32_t inFlight() const noexcept { return this->requests; }
+
+    /** @brief Takes over a changed configuration. @param object Configuration. */
+    void configure(EndpointObject object);
+
+    /** @brief Counts a request that was admitted. */
+    void addRequest() noexcept { ++this->requests; }
+
+    /** @brief Counts a request that has ended. */
+    void removeRequest() noexcept { --this->requests; }
+
+    EndpointObject configuration;
+    EndpointLifecycle lifecycle;
+    AuthorityState authority;
+    PlacementTable placements;
+    TimePoint standInSince {};
+    bool wasInDoubt = false;
+    bool wasStandIn = false;
+    bool probing = false;
+
+private:
+    std::uint32_t requests = 0;
+};
+
+/** @brief Reference to an endpoint's state. */
+using OwnedEndpointPtr = boost::intrusive_ptr<OwnedEndpoint>;
+
+/** @brief Place of one request in its endpoint's limit; given back when it goes out of scope. */
+class Admission {
+public:
+    /** @brief Takes a place. @param endpoint Endpoint. */
+    explicit Admission(OwnedEndpointPtr endpoint)
+        : place { std::move(endpoint) }
+    {
+        this->place->addRequest();
+    }
+
+    ~Admission() { this->place->removeRequest(); }
+    Admission(const Admission&) = delete;
+    Admission& operator=(const Admission&) = delete;
+
+private:
+    OwnedEndpointPtr place;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/telemetry/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace berylwing {
+
+class Metrics;
+enum class LogLevel;
+
+} // namespace berylwing
--- /dev/null
+++ b/test/stand_ins/http_server.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "berylwing/core/task.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <functional>
+#include <string>
+
+namespace berylwing::test {
+
+using StandInRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using StandInResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/** @brief Answers one request on a connection; returns false to close it. */
+using StandInHandler = std::function<Task<bool>(boost::beast::tcp_stream&, const StandInRequest&)>;
+
+/** @brief Listens and hands every request to the handler. */
+[[nodiscard]] Task<void> listenHttp(Executor executor, std::string address, std::uint16_t port, StandInHandler handler);
+
+/** @brief Writes a whole answer. */
+[[nodiscard]] Task<void> respond(boost::beast::tcp_stream& stream, StandInResponse response);
+
+/** @brief Reads a header as a text. */
+[[nodiscard]] std::string header(const StandInRequest& request, const char* name);
+
+} // namespace berylwing::test
