--- a/src/berylwing/client/command_line.cpp
+++ b/src/berylwing/client/command_line.cpp
@@ -34,57 +34,54 @@
 
 namespace {
 
-    std::optional<ObjectKind> kindOf(const std::string& word)
-    {
-        if (word == "contract")
-            return ObjectKind::Contract;
-        if (word == "endpoint")
-            return ObjectKind::Endpoint;
-        if (word == "service")
-            return ObjectKind::Service;
-        if (word == "domain")
-            return ObjectKind::FailureDomain;
-        if (word == "host")
-            return ObjectKind::Host;
-        return std::nullopt;
-    }
+std::optional<ObjectKind> kindOf(const std::string& word)
+{
+    if (word == "contract")
+        return ObjectKind::Contract;
+    if (word == "endpoint")
+        return ObjectKind::Endpoint;
+    if (word == "service")
+        return ObjectKind::Service;
+    if (word == "domain")
+        return ObjectKind::FailureDomain;
+    if (word == "host")
+        return ObjectKind::Host;
+    return std::nullopt;
+}
 
-    bool hasState(ObjectKind kind)
-    {
-        return kind == ObjectKind::FailureDomain || kind == ObjectKind::Host;
-    }
+bool hasState(ObjectKind kind) { return kind == ObjectKind::FailureDomain || kind == ObjectKind::Host; }
 
-    std::optional<Task<ExitCode>> objectCommand(
-        ObjectCommands& commands, ObjectKind kind, const std::string& verb, const std::string& argument)
-    {
-        if (verb == "list")
-            return commands.list(kind);
-        if (argument.empty())
-            return std::nullopt;
-        if (verb == "show" || verb == "status")
-            return commands.show(kind, argument);
-        if (hasState(kind) && (verb == "out" || verb == "in"))
-            return commands.setOut(kind, argument, verb == "out");
-        if (!hasState(kind) && verb == "set")
-            return commands.set(kind, argument);
-        if (!hasState(kind) && verb == "remove")
-            return commands.remove(kind, argument);
+std::optional<Task<ExitCode>> objectCommand(
+    ObjectCommands& commands, ObjectKind kind, const std::string& verb, const std::string& argument)
+{
+    if (verb == "list")
+        return commands.list(kind);
+    if (argument.empty())
         return std::nullopt;
-    }
+    if (verb == "show" || verb == "status")
+        return commands.show(kind, argument);
+    if (hasState(kind) && (verb == "out" || verb == "in"))
+        return commands.setOut(kind, argument, verb == "out");
+    if (!hasState(kind) && verb == "set")
+        return commands.set(kind, argument);
+    if (!hasState(kind) && verb == "remove")
+        return commands.remove(kind, argument);
+    return std::nullopt;
+}
 
-    ExitCode runTask(boost::asio::io_context& context, Task<ExitCode> task)
-    {
-        ExitCode code = ExitCode::Done;
-        std::exception_ptr failure;
-        boost::asio::co_spawn(context, std::move(task), [&](const std::exception_ptr& error, ExitCode result) {
-            failure = error;
-            code = result;
-        });
-        context.run();
-        if (failure)
-            std::rethrow_exception(failure);
-        return code;
-    }
+ExitCode runTask(boost::asio::io_context& context, Task<ExitCode> task)
+{
+    ExitCode code = ExitCode::Done;
+    std::exception_ptr failure;
+    boost::asio::co_spawn(context, std::move(task), [&](const std::exception_ptr& error, ExitCode result) {
+        failure = error;
+        code = result;
+    });
+    context.run();
+    if (failure)
+        std::rethrow_exception(failure);
+    return code;
+}
 
 } // namespace
 
--- a/src/berylwing/client/object_commands.cpp
+++ b/src/berylwing/client/object_commands.cpp
@@ -11,51 +11,48 @@
 
 namespace {
 
-    struct NamedObject {
-        ObjectKind kind;
-        std::string name;
-        nlohmann::json value;
-    };
-
-    const char* nameField(ObjectKind kind)
-    {
-        return kind == ObjectKind::Contract ? "workspace" : "name";
-    }
+struct NamedObject {
+    ObjectKind kind;
+    std::string name;
+    nlohmann::json value;
+};
 
-    std::string nameOf(ObjectKind kind, const nlohmann::json& value)
-    {
-        return value.is_object() ? value.value(nameField(kind), std::string {}) : std::string {};
-    }
+const char* nameField(ObjectKind kind) { return kind == ObjectKind::Contract ? "workspace" : "name"; }
 
-    nlohmann::json readJson(const std::string& path, Findings& findings)
-    {
-        std::ifstream file { path };
-        if (!file) {
-            findings.add(path, "no readable file", "a file");
-            return nlohmann::json::object();
-        }
-        const std::string text { std::istreambuf_iterator<char> { file }, {} };
-        return parseDocument(text, path, findings);
+std::string nameOf(ObjectKind kind, const nlohmann::json& value)
+{
+    return value.is_object() ? value.value(nameField(kind), std::string {}) : std::string {};
+}
+
+nlohmann::json readJson(const std::string& path, Findings& findings)
+{
+    std::ifstream file { path };
+    if (!file) {
+        findings.add(path, "no readable file", "a file");
+        return nlohmann::json::object();
     }
+    const std::string text { std::istreambuf_iterator<char> { file }, {} };
+    return parseDocument(text, path, findings);
+}
 
-    std::vector<NamedObject> readObjects(const std::string& path, Findings& findings)
-    {
-        const auto document = readJson(path, findings);
-        std::vector<NamedObject> objects;
-        for (const auto& [kindName, list] : document.items()) {
-            const auto kind = kObjectKindNames.find(kindName);
-            if (!kind || !list.is_array()) {
-                findings.add(path + "/" + kindName, "an unknown name", "lists named by the kind of their objects");
-                continue;
-            }
-            for (const auto& value : list) {
-                const auto name = nameOf(*kind, value);
-                findings.addAll(path + "/" + name, checkObject(*kind, name, value));
-                objects.push_back({ *kind, name, value });
-            }
+std::vector<NamedObject> readObjects(const std::string& path, Findings& findings)
+{
+    const auto document = readJson(path, findings);
+    std::vector<NamedObject> objects;
+    for (const auto& [kindName, list] : document.items()) {
+        const auto kind = kObjectKindNames.find(kindName);
+        if (!kind || !list.is_array()) {
+            findings.add(path + "/" + kindName, "an unknown name", "lists named by the kind of their objects");
+            continue;
+        }
+        for (const auto& value : list) {
+            const auto name = nameOf(*kind, value);
+            findings.addAll(path + "/" + name, checkObject(*kind, name, value));
+            objects.push_back({ *kind, name, value });
         }
-        return objects;
     }
+    return objects;
+}
 
 } // namespace
 
--- a/src/berylwing/client/object_commands.hpp
+++ b/src/berylwing/client/object_commands.hpp
@@ -23,8 +23,8 @@
      * @param output Receives results.
      * @param errors Receives what went wrong.
      */
-    ObjectCommands(const ClientOptions& clientOptions, PlatformClient& platformClient, std::ostream& output,
-        std::ostream& errors);
+    ObjectCommands(
+        const ClientOptions& clientOptions, PlatformClient& platformClient, std::ostream& output, std::ostream& errors);
 
     /** @brief Lists the objects of a kind. @param kind Kind. @return Exit code. */
     [[nodiscard]] Task<ExitCode> list(ObjectKind kind);
--- a/src/berylwing/client/status_command.cpp
+++ b/src/berylwing/client/status_command.cpp
@@ -8,15 +8,15 @@
 
 namespace {
 
-    constexpr Duration kStatusTimeout { 1000 };
-    constexpr unsigned kHttpVersion = 11;
-    constexpr int kNameWidth = 18;
+constexpr Duration kStatusTimeout { 1000 };
+constexpr unsigned kHttpVersion = 11;
+constexpr int kNameWidth = 18;
 
-    std::string text(const nlohmann::json& object, const char* name)
-    {
-        const auto value = object.value(name, nlohmann::json {});
-        return value.is_string() ? value.get<std::string>() : value.dump();
-    }
+std::string text(const nlohmann::json& object, const char* name)
+{
+    const auto value = object.value(name, nlohmann::json {});
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
 
 } // namespace
 
--- a/src/berylwing/config/catalog.cpp
+++ b/src/berylwing/config/catalog.cpp
@@ -8,23 +8,22 @@
 
 namespace {
 
-    template <typename Objects>
-    auto findIn(const Objects& objects, std::string_view name)
-    {
-        const auto found = objects.find(name);
-        return found == objects.end() ? nullptr : &found->second;
-    }
+template <typename Objects> auto findIn(const Objects& objects, std::string_view name)
+{
+    const auto found = objects.find(name);
+    return found == objects.end() ? nullptr : &found->second;
+}
 
-    template <typename Objects, typename Read>
-    void replace(Objects& objects, const VersionedObject& object, const Read& read)
-    {
-        if (object.value.empty()) {
-            objects.erase(object.name);
-            return;
-        }
-        Findings ignored;
-        objects[object.name] = read(object.value, object.name, ignored);
+template <typename Objects, typename Read>
+void replace(Objects& objects, const VersionedObject& object, const Read& read)
+{
+    if (object.value.empty()) {
+        objects.erase(object.name);
+        return;
     }
+    Findings ignored;
+    objects[object.name] = read(object.value, object.name, ignored);
+}
 
 } // namespace
 
@@ -34,25 +33,13 @@
     return workspace == nullptr ? nullptr : this->contract(*workspace);
 }
 
-const Contract* Catalog::contract(std::string_view workspace) const
-{
-    return findIn(this->contracts, workspace);
-}
+const Contract* Catalog::contract(std::string_view workspace) const { return findIn(this->contracts, workspace); }
 
-const ServiceObject* Catalog::service(std::string_view name) const
-{
-    return findIn(this->services, name);
-}
+const ServiceObject* Catalog::service(std::string_view name) const { return findIn(this->services, name); }
 
-const EndpointObject* Catalog::endpoint(std::string_view name) const
-{
-    return findIn(this->endpointsByName, name);
-}
+const EndpointObject* Catalog::endpoint(std::string_view name) const { return findIn(this->endpointsByName, name); }
 
-const Roster* Catalog::roster(std::string_view domain) const
-{
-    return findIn(this->rostersByDomain, domain);
-}
+const Roster* Catalog::roster(std::string_view domain) const { return findIn(this->rostersByDomain, domain); }
 
 bool Catalog::isDomainOut(std::string_view domain) const
 {
@@ -82,10 +69,7 @@
     return newer;
 }
 
-void Catalog::listen(Listener listener)
-{
-    this->listeners.push_back(std::move(listener));
-}
+void Catalog::listen(Listener listener) { this->listeners.push_back(std::move(listener)); }
 
 bool Catalog::take(const VersionedObject& object)
 {
--- a/src/berylwing/config/catalog.hpp
+++ b/src/berylwing/config/catalog.hpp
@@ -25,8 +25,7 @@
  * The version of each object only grows: an object that is older than the one in force is ignored, whoever brings it.
  */
 class Catalog {
-    template <typename Object>
-    using ByName = std::map<std::string, Object, std::less<>>;
+    template <typename Object> using ByName = std::map<std::string, Object, std::less<>>;
     struct Key {
         ObjectKind kind;
         std::string name;
--- a/src/berylwing/config/document_reader.cpp
+++ b/src/berylwing/config/document_reader.cpp
@@ -7,17 +7,16 @@
 
 namespace {
 
-    const nlohmann::json& emptyObject()
-    {
-        static const nlohmann::json empty = nlohmann::json::object();
-        return empty;
-    }
+const nlohmann::json& emptyObject()
+{
+    static const nlohmann::json kEmpty = nlohmann::json::object();
+    return kEmpty;
+}
 
-    template <typename Number>
-    std::string rangeText(Number least, Number most)
-    {
-        return "a number from " + nlohmann::json(least).dump() + " to " + nlohmann::json(most).dump();
-    }
+template <typename Number> std::string rangeText(Number least, Number most)
+{
+    return "a number from " + nlohmann::json(least).dump() + " to " + nlohmann::json(most).dump();
+}
 
 } // namespace
 
@@ -41,10 +40,7 @@
     return nullptr;
 }
 
-std::string DocumentReader::placeOf(std::string_view name) const
-{
-    return this->place + "/" + std::string { name };
-}
+std::string DocumentReader::placeOf(std::string_view name) const { return this->place + "/" + std::string { name }; }
 
 std::string DocumentReader::text(std::string_view name, const char* fallback)
 {
@@ -57,8 +53,7 @@
     return {};
 }
 
-std::int64_t DocumentReader::number(
-    std::string_view name, std::int64_t least, std::int64_t most, std::int64_t fallback)
+std::int64_t DocumentReader::number(std::string_view name, std::int64_t least, std::int64_t most, std::int64_t fallback)
 {
     const auto* value = this->find(name, false);
     if (value == nullptr)
--- a/src/berylwing/config/document_reader.hpp
+++ b/src/berylwing/config/document_reader.hpp
@@ -94,8 +94,7 @@
      * @param name Name of the value.
      * @param readItem Called with a reader for each item.
      */
-    template <typename ReadItem>
-    void list(std::string_view name, const ReadItem& readItem)
+    template <typename ReadItem> void list(std::string_view name, const ReadItem& readItem)
     {
         const auto* value = this->find(name, false);
         if (value == nullptr)
--- a/src/berylwing/config/objects.cpp
+++ b/src/berylwing/config/objects.cpp
@@ -8,48 +8,48 @@
 
 namespace {
 
-    constexpr std::int64_t kMostConcurrency = 1'000'000;
-    constexpr std::int64_t kMostCapacity = 100'000;
-    constexpr std::int64_t kMostPriority = 9;
-    constexpr std::int64_t kMostPort = 65535;
-    constexpr std::int64_t kLeastDeadlineMs = 100;
-    constexpr std::int64_t kMostDeadlineMs = 3'600'000;
-    constexpr std::int64_t kDefaultDeadlineMs = 60'000;
-    constexpr double kMostRate = 1e9;
-    constexpr double kMostWeight = 1000.0;
-    constexpr double kLeastWeight = 0.01;
-    constexpr std::int64_t kMostVersion = std::numeric_limits<std::int64_t>::max();
-
-    Duration readDeadline(DocumentReader& reader)
-    {
-        return Duration { reader.number("deadline_ms", kLeastDeadlineMs, kMostDeadlineMs, kDefaultDeadlineMs) };
-    }
+constexpr std::int64_t kMostConcurrency = 1'000'000;
+constexpr std::int64_t kMostCapacity = 100'000;
+constexpr std::int64_t kMostPriority = 9;
+constexpr std::int64_t kMostPort = 65535;
+constexpr std::int64_t kLeastDeadlineMs = 100;
+constexpr std::int64_t kMostDeadlineMs = 3'600'000;
+constexpr std::int64_t kDefaultDeadlineMs = 60'000;
+constexpr double kMostRate = 1e9;
+constexpr double kMostWeight = 1000.0;
+constexpr double kLeastWeight = 0.01;
+constexpr std::int64_t kMostVersion = std::numeric_limits<std::int64_t>::max();
+
+Duration readDeadline(DocumentReader& reader)
+{
+    return Duration { reader.number("deadline_ms", kLeastDeadlineMs, kMostDeadlineMs, kDefaultDeadlineMs) };
+}
 
-    std::uint16_t readPort(DocumentReader& reader, std::string_view name)
-    {
-        return static_cast<std::uint16_t>(reader.number(name, 1, kMostPort, 0));
-    }
+std::uint16_t readPort(DocumentReader& reader, std::string_view name)
+{
+    return static_cast<std::uint16_t>(reader.number(name, 1, kMostPort, 0));
+}
 
-    std::string nameOf(ObjectKind kind, const nlohmann::json& value, Findings& findings)
-    {
-        const std::string place { kObjectKindNames[kind] };
-        switch (kind) {
-        case ObjectKind::Contract:
-            return readContract(value, place, findings).workspace;
-        case ObjectKind::Endpoint:
-            return readEndpoint(value, place, findings).name;
-        case ObjectKind::Service:
-            return readService(value, place, findings).name;
-        case ObjectKind::FailureDomain:
-        case ObjectKind::Host:
-            return readOutOfService(value, place, findings).name;
-        case ObjectKind::Roster:
-            return readRoster(value, place, findings).domain;
-        case ObjectKind::Ledger:
-            break;
-        }
-        return {};
+std::string nameOf(ObjectKind kind, const nlohmann::json& value, Findings& findings)
+{
+    const std::string place { kObjectKindNames[kind] };
+    switch (kind) {
+    case ObjectKind::Contract:
+        return readContract(value, place, findings).workspace;
+    case ObjectKind::Endpoint:
+        return readEndpoint(value, place, findings).name;
+    case ObjectKind::Service:
+        return readService(value, place, findings).name;
+    case ObjectKind::FailureDomain:
+    case ObjectKind::Host:
+        return readOutOfService(value, place, findings).name;
+    case ObjectKind::Roster:
+        return readRoster(value, place, findings).domain;
+    case ObjectKind::Ledger:
+        break;
     }
+    return {};
+}
 
 } // namespace
 
@@ -146,8 +146,8 @@
     auto members = nlohmann::json::array();
     for (const auto& member : roster.members) {
         members.push_back({ { "host", member.host }, { "incarnation", member.incarnation },
-            { "address", member.address }, { "link_port", member.linkPort },
-            { "status_port", member.statusPort }, { "leaving", member.leaving } });
+            { "address", member.address }, { "link_port", member.linkPort }, { "status_port", member.statusPort },
+            { "leaving", member.leaving } });
     }
     return { { "domain", roster.domain }, { "members", members } };
 }
--- a/src/berylwing/config/settings.cpp
+++ b/src/berylwing/config/settings.cpp
@@ -6,33 +6,33 @@
 
 namespace {
 
-    constexpr std::size_t kCurveKeyLength = 40;
-    constexpr std::int64_t kMostPort = 65535;
-    constexpr std::int64_t kMostDrainMs = 3'600'000;
-    constexpr std::int64_t kDefaultDrainMs = 30'000;
-    constexpr std::int64_t kMostBodyBytes = 64 << 20;
-    constexpr std::int64_t kDefaultBodyBytes = 1 << 20;
-    constexpr std::int64_t kMostSenderTimeoutMs = 600'000;
-    constexpr std::int64_t kDefaultSenderTimeoutMs = 10'000;
-    constexpr double kMostLoadMultiple = 10.0;
-    constexpr double kDefaultLoadMultiple = 1.25;
+constexpr std::size_t kCurveKeyLength = 40;
+constexpr std::int64_t kMostPort = 65535;
+constexpr std::int64_t kMostDrainMs = 3'600'000;
+constexpr std::int64_t kDefaultDrainMs = 30'000;
+constexpr std::int64_t kMostBodyBytes = 64 << 20;
+constexpr std::int64_t kDefaultBodyBytes = 1 << 20;
+constexpr std::int64_t kMostSenderTimeoutMs = 600'000;
+constexpr std::int64_t kDefaultSenderTimeoutMs = 10'000;
+constexpr double kMostLoadMultiple = 10.0;
+constexpr double kDefaultLoadMultiple = 1.25;
 
-    SocketAddress readAddress(DocumentReader& reader, const std::string& name)
-    {
-        const auto portName = name + "_port";
-        const auto address = reader.text(name + "_address");
-        const auto port = static_cast<std::uint16_t>(reader.number(portName, 1, kMostPort, 0));
-        return { address, port };
-    }
+SocketAddress readAddress(DocumentReader& reader, const std::string& name)
+{
+    const auto portName = name + "_port";
+    const auto address = reader.text(name + "_address");
+    const auto port = static_cast<std::uint16_t>(reader.number(portName, 1, kMostPort, 0));
+    return { address, port };
+}
 
-    std::string readKey(DocumentReader& reader, const std::string& name, std::string_view place, Findings& findings)
-    {
-        const auto key = reader.text(name);
-        if (!key.empty() && key.size() != kCurveKeyLength)
-            findings.add(std::string { place } + "/" + name, "a key of " + std::to_string(key.size()) + " characters",
-                "a CURVE key of 40 characters");
-        return key;
-    }
+std::string readKey(DocumentReader& reader, const std::string& name, std::string_view place, Findings& findings)
+{
+    const auto key = reader.text(name);
+    if (!key.empty() && key.size() != kCurveKeyLength)
+        findings.add(std::string { place } + "/" + name, "a key of " + std::to_string(key.size()) + " characters",
+            "a CURVE key of 40 characters");
+    return key;
+}
 
 } // namespace
 
--- a/src/berylwing/core/clock.cpp
+++ b/src/berylwing/core/clock.cpp
@@ -8,10 +8,7 @@
 
 namespace {
 
-    TimePoint systemTime()
-    {
-        return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-    }
+TimePoint systemTime() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
 
 } // namespace
 
@@ -37,15 +34,9 @@
 {
 }
 
-Clock::~Clock()
-{
-    this->waiters.clear();
-}
+Clock::~Clock() { this->waiters.clear(); }
 
-TimePoint Clock::now() const
-{
-    return this->source();
-}
+TimePoint Clock::now() const { return this->source(); }
 
 Task<void> Clock::sleepFor(Duration length)
 {
--- a/src/berylwing/core/enum_names.hpp
+++ b/src/berylwing/core/enum_names.hpp
@@ -12,8 +12,7 @@
  * @tparam Enum Enumeration type.
  * @tparam Count Number of values.
  */
-template <typename Enum, std::size_t Count>
-class EnumNames {
+template <typename Enum, std::size_t Count> class EnumNames {
 public:
     /**
      * @brief Creates the table.
@@ -50,5 +49,4 @@
     std::array<std::string_view, Count> names;
 };
 
-
 } // namespace berylwing
--- a/src/berylwing/core/task.hpp
+++ b/src/berylwing/core/task.hpp
@@ -7,8 +7,7 @@
 namespace berylwing {
 
 /** @brief Coroutine type of every asynchronous operation of the project. */
-template <typename Type>
-using Task = boost::asio::awaitable<Type>;
+template <typename Type> using Task = boost::asio::awaitable<Type>;
 
 /** @brief Executor on which a host's coroutines run. */
 using Executor = boost::asio::any_io_executor;
--- a/src/berylwing/daemon/daemon.cpp
+++ b/src/berylwing/daemon/daemon.cpp
@@ -20,106 +20,105 @@
 
 namespace {
 
-    std::int64_t wallTimeMs()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+std::int64_t wallTimeMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+Identity identityOf(const Settings& settings)
+{
+    return { settings.host, settings.domain, static_cast<std::uint64_t>(wallTimeMs()), settings.link.address,
+        settings.link.port, settings.metrics.port };
+}
+
+/** Finds the link address of a host in the rosters, or among the seeds. */
+std::optional<SocketAddress> findHost(const Catalog& catalog, const Settings& settings, const std::string& host)
+{
+    for (const auto& [domain, roster] : catalog.rosters()) {
+        if (const auto* member = roster.find(host))
+            return SocketAddress { member->address, member->linkPort };
     }
+    for (const auto& seed : settings.seeds) {
+        if (seed.host == host)
+            return seed.link;
+    }
+    return std::nullopt;
+}
 
-    Identity identityOf(const Settings& settings)
-    {
-        return { settings.host, settings.domain, static_cast<std::uint64_t>(wallTimeMs()), settings.link.address,
-            settings.link.port, settings.metrics.port };
+std::vector<std::string> seedNames(const Settings& settings)
+{
+    std::vector<std::string> names;
+    for (const auto& seed : settings.seeds) {
+        if (seed.host != settings.host)
+            names.push_back(seed.host);
     }
+    return names;
+}
 
-    /** Finds the link address of a host in the rosters, or among the seeds. */
-    std::optional<SocketAddress> findHost(const Catalog& catalog, const Settings& settings, const std::string& host)
+/** The host with its sockets. */
+class Daemon {
+public:
+    explicit Daemon(const Settings& daemonSettings)
+        : settings { daemonSettings }
+        , clock { this->context.get_executor() }
+        , transport { this->clock.executor(), this->settings.link, this->settings.keys,
+            [this](const std::string& name) { return findHost(this->host->catalog(), this->settings, name); } }
+        , host { std::make_unique<Host>(this->clock, this->dependencies()) }
+        , callers { this->clock.executor(), this->settings.callers,
+            { this->settings.mostBodyBytes, this->settings.senderTimeout }, *this->host }
+        , status { this->clock.executor(), this->settings.metrics, *this->host }
+        , signals { this->context, SIGTERM, SIGINT }
     {
-        for (const auto& [domain, roster] : catalog.rosters()) {
-            if (const auto* member = roster.find(host))
-                return SocketAddress { member->address, member->linkPort };
-        }
-        for (const auto& seed : settings.seeds) {
-            if (seed.host == host)
-                return seed.link;
-        }
-        return std::nullopt;
     }
 
-    std::vector<std::string> seedNames(const Settings& settings)
+    void run()
     {
-        std::vector<std::string> names;
-        for (const auto& seed : settings.seeds) {
-            if (seed.host != settings.host)
-                names.push_back(seed.host);
-        }
-        return names;
+        const auto& executor = this->clock.executor();
+        spawn(executor, "authentication", this->transport.authenticate());
+        spawn(
+            executor, "link", this->transport.receive([this](std::string_view bytes) { this->host->receive(bytes); }));
+        spawn(executor, "callers", this->callers.run());
+        spawn(executor, "status", this->status.run());
+        spawn(executor, "signals", this->stopOnSignal());
+        this->host->start();
+        this->context.run();
     }
 
-    /** The host with its sockets. */
-    class Daemon {
-    public:
-        explicit Daemon(const Settings& daemonSettings)
-            : settings { daemonSettings }
-            , clock { this->context.get_executor() }
-            , transport { this->clock.executor(), this->settings.link, this->settings.keys,
-                [this](const std::string& name) { return findHost(this->host->catalog(), this->settings, name); } }
-            , host { std::make_unique<Host>(this->clock, this->dependencies()) }
-            , callers { this->clock.executor(), this->settings.callers,
-                { this->settings.mostBodyBytes, this->settings.senderTimeout }, *this->host }
-            , status { this->clock.executor(), this->settings.metrics, *this->host }
-            , signals { this->context, SIGTERM, SIGINT }
-        {
-        }
-
-        void run()
-        {
-            const auto& executor = this->clock.executor();
-            spawn(executor, "authentication", this->transport.authenticate());
-            spawn(executor, "link",
-                this->transport.receive([this](std::string_view bytes) { this->host->receive(bytes); }));
-            spawn(executor, "callers", this->callers.run());
-            spawn(executor, "status", this->status.run());
-            spawn(executor, "signals", this->stopOnSignal());
-            this->host->start();
-            this->context.run();
-        }
-
-    private:
-        [[nodiscard]] HostDependencies dependencies()
-        {
-            HostDependencies dependencies;
-            dependencies.identity = identityOf(this->settings);
-            dependencies.seeds = seedNames(this->settings);
-            dependencies.loadMultiple = this->settings.loadMultiple;
-            dependencies.wallClock = wallTimeMs;
-            dependencies.transport = [this](const std::string& name, const std::string& bytes) {
-                return this->transport.send(name, bytes);
-            };
-            dependencies.platform = makePlatformExchange(this->settings.platform);
-            dependencies.endpoints = makeEndpointAccess(this->clock);
-            return dependencies;
-        }
+private:
+    [[nodiscard]] HostDependencies dependencies()
+    {
+        HostDependencies dependencies;
+        dependencies.identity = identityOf(this->settings);
+        dependencies.seeds = seedNames(this->settings);
+        dependencies.loadMultiple = this->settings.loadMultiple;
+        dependencies.wallClock = wallTimeMs;
+        dependencies.transport
+            = [this](const std::string& name, const std::string& bytes) { return this->transport.send(name, bytes); };
+        dependencies.platform = makePlatformExchange(this->settings.platform);
+        dependencies.endpoints = makeEndpointAccess(this->clock);
+        return dependencies;
+    }
 
-        [[nodiscard]] Task<void> stopOnSignal()
-        {
-            co_await this->signals.async_wait(boost::asio::use_awaitable);
-            spdlog::info("stopping");
-            co_await this->host->stop(this->settings.drainLimit);
-            this->callers.close();
-            spdlog::info("stopped");
-            this->context.stop();
-        }
+    [[nodiscard]] Task<void> stopOnSignal()
+    {
+        co_await this->signals.async_wait(boost::asio::use_awaitable);
+        spdlog::info("stopping");
+        co_await this->host->stop(this->settings.drainLimit);
+        this->callers.close();
+        spdlog::info("stopped");
+        this->context.stop();
+    }
 
-        Settings settings;
-        boost::asio::io_context context { 1 };
-        Clock clock;
-        ZmqTransport transport;
-        std::unique_ptr<Host> host;
-        CallerServer callers;
-        StatusServer status;
-        boost::asio::signal_set signals;
-    };
+    Settings settings;
+    boost::asio::io_context context { 1 };
+    Clock clock;
+    ZmqTransport transport;
+    std::unique_ptr<Host> host;
+    CallerServer callers;
+    StatusServer status;
+    boost::asio::signal_set signals;
+};
 
 } // namespace
 
--- a/src/berylwing/entry/entry.cpp
+++ b/src/berylwing/entry/entry.cpp
@@ -11,15 +11,14 @@
 
 namespace {
 
-    constexpr std::string_view kChatPath = "/v1/chat/completions";
-    constexpr std::string_view kServicePrefix = "/v1/services/";
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicePrefix = "/v1/services/";
 
-    bool isOnceOnly(const ServiceObject& service, std::string_view method, std::string_view path)
-    {
-        return std::any_of(service.onceOnly.begin(), service.onceOnly.end(), [&](const OnceOnlyRule& rule) {
-            return rule.method == method && path.starts_with(rule.prefix);
-        });
-    }
+bool isOnceOnly(const ServiceObject& service, std::string_view method, std::string_view path)
+{
+    return std::any_of(service.onceOnly.begin(), service.onceOnly.end(),
+        [&](const OnceOnlyRule& rule) { return rule.method == method && path.starts_with(rule.prefix); });
+}
 
 } // namespace
 
@@ -93,8 +92,8 @@
     request.set_is_engine_call(true);
     request.set_serves(document.at("model").get<std::string>());
     request.set_path(std::string { kChatPath });
-    const bool isServed = std::any_of(this->catalog.endpoints().begin(), this->catalog.endpoints().end(),
-        [&request](const auto& entry) {
+    const bool isServed = std::any_of(
+        this->catalog.endpoints().begin(), this->catalog.endpoints().end(), [&request](const auto& entry) {
             return entry.second.kind == EndpointKind::Engine && entry.second.serves == request.serves();
         });
     if (!isServed)
--- a/src/berylwing/entry/entry.hpp
+++ b/src/berylwing/entry/entry.hpp
@@ -2,12 +2,12 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
 #include "berylwing/ledger/order_client.hpp"
 #include "berylwing/limits/contract_limits.hpp"
 #include "berylwing/link/messages.pb.h"
 #include "berylwing/relay/dispatcher.hpp"
-#include "berylwing/core/outcome.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include <string>
 
--- a/src/berylwing/host/host.cpp
+++ b/src/berylwing/host/host.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-    constexpr Duration kDrainCheckInterval { 50 };
-    constexpr Duration kLeavingRetryPause { 200 };
-    constexpr Duration kHostLeavingRetryAfter { 100 };
+constexpr Duration kDrainCheckInterval { 50 };
+constexpr Duration kLeavingRetryPause { 200 };
+constexpr Duration kHostLeavingRetryAfter { 100 };
 
 } // namespace
 
@@ -44,10 +44,7 @@
         && !this->hostCatalog.isDomainOut(identity.domain);
 }
 
-void Host::start()
-{
-    spawn(this->clock.executor(), "bring-up", this->bringUp());
-}
+void Host::start() { spawn(this->clock.executor(), "bring-up", this->bringUp()); }
 
 Task<void> Host::bringUp()
 {
--- a/src/berylwing/http/caller_connection.cpp
+++ b/src/berylwing/http/caller_connection.cpp
@@ -14,223 +14,217 @@
 
 namespace {
 
-    namespace asio = boost::asio;
-    namespace beast = boost::beast;
-    namespace http = boost::beast::http;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
 
-    using RequestParser = http::request_parser<http::string_body>;
+using RequestParser = http::request_parser<http::string_body>;
 
-    constexpr std::uint32_t kMostHeaderBytes = 16 * 1024;
-    constexpr Duration kWriteTimeout { 60'000 };
-    constexpr Duration kIdleTimeout { 75'000 };
-    constexpr std::string_view kBearer = "Bearer ";
+constexpr std::uint32_t kMostHeaderBytes = 16 * 1024;
+constexpr Duration kWriteTimeout { 60'000 };
+constexpr Duration kIdleTimeout { 75'000 };
+constexpr std::string_view kBearer = "Bearer ";
 
-    std::string nextRequestId()
-    {
-        static std::uint64_t counter = 0;
-        return "r" + std::to_string(++counter);
-    }
+std::string nextRequestId()
+{
+    static std::uint64_t counter = 0;
+    return "r" + std::to_string(++counter);
+}
 
-    std::string textOf(beast::string_view view)
-    {
-        return { view.data(), view.size() };
-    }
+std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
 
-    CallerRequest toCallerRequest(const http::request<http::string_body>& request)
+CallerRequest toCallerRequest(const http::request<http::string_body>& request)
+{
+    CallerRequest caller;
+    caller.requestId = textOf(request["X-Request-Id"]);
+    if (caller.requestId.empty())
+        caller.requestId = nextRequestId();
+    caller.method = textOf(request.method_string());
+    caller.target = textOf(request.target());
+    const auto authorization = textOf(request[http::field::authorization]);
+    if (authorization.starts_with(kBearer))
+        caller.bearerToken = authorization.substr(kBearer.size());
+    caller.chat = textOf(request["X-Chat-Id"]);
+    caller.idempotencyKey = textOf(request["Idempotency-Key"]);
+    caller.contentType = textOf(request[http::field::content_type]);
+    caller.body = request.body();
+    return caller;
+}
+
+Refusal refusalOf(const boost::system::error_code& error)
+{
+    if (error == http::error::body_limit)
+        return Refusal::BodyTooLarge;
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return Refusal::TooManyHeaders;
+    if (error == beast::error::timeout)
+        return Refusal::SlowSender;
+    return Refusal::BadRequest;
+}
+
+/** One connection and the answer that is being written to it. */
+class Connection {
+public:
+    Connection(asio::ip::tcp::socket socket, CallerLimits callerLimits, Host& answeringHost)
+        : stream { std::move(socket) }
+        , limits { callerLimits }
+        , host { answeringHost }
     {
-        CallerRequest caller;
-        caller.requestId = textOf(request["X-Request-Id"]);
-        if (caller.requestId.empty())
-            caller.requestId = nextRequestId();
-        caller.method = textOf(request.method_string());
-        caller.target = textOf(request.target());
-        const auto authorization = textOf(request[http::field::authorization]);
-        if (authorization.starts_with(kBearer))
-            caller.bearerToken = authorization.substr(kBearer.size());
-        caller.chat = textOf(request["X-Chat-Id"]);
-        caller.idempotencyKey = textOf(request["Idempotency-Key"]);
-        caller.contentType = textOf(request[http::field::content_type]);
-        caller.body = request.body();
-        return caller;
     }
 
-    Refusal refusalOf(const boost::system::error_code& error)
+    Task<void> run()
     {
-        if (error == http::error::body_limit)
-            return Refusal::BodyTooLarge;
-        if (error == http::error::header_limit || error == http::error::buffer_overflow)
-            return Refusal::TooManyHeaders;
-        if (error == beast::error::timeout)
-            return Refusal::SlowSender;
-        return Refusal::BadRequest;
+        bool keepAlive = true;
+        while (keepAlive)
+            keepAlive = co_await this->serveOne();
+        boost::system::error_code ignored;
+        this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
-    /** One connection and the answer that is being written to it. */
-    class Connection {
-    public:
-        Connection(asio::ip::tcp::socket socket, CallerLimits callerLimits, Host& answeringHost)
-            : stream { std::move(socket) }
-            , limits { callerLimits }
-            , host { answeringHost }
-        {
-        }
-
-        Task<void> run()
-        {
-            bool keepAlive = true;
-            while (keepAlive)
-                keepAlive = co_await this->serveOne();
-            boost::system::error_code ignored;
-            this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        }
-
-    private:
-        Task<bool> serveOne()
-        {
-            RequestParser parser;
-            parser.header_limit(kMostHeaderBytes);
-            parser.body_limit(static_cast<std::uint64_t>(this->limits.mostBodyBytes));
-            boost::system::error_code error;
-            this->stream.expires_after(kIdleTimeout);
-            // The first byte may be long in coming, the rest of the request may not.
-            if (this->buffer.size() == 0) {
-                const auto size = co_await this->stream.async_read_some(
-                    this->buffer.prepare(kMostHeaderBytes), asio::redirect_error(asio::use_awaitable, error));
-                if (error)
-                    co_return false;
-                this->buffer.commit(size);
-            }
-            this->stream.expires_after(this->limits.senderTimeout);
-            co_await http::async_read(
-                this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+private:
+    Task<bool> serveOne()
+    {
+        RequestParser parser;
+        parser.header_limit(kMostHeaderBytes);
+        parser.body_limit(static_cast<std::uint64_t>(this->limits.mostBodyBytes));
+        boost::system::error_code error;
+        this->stream.expires_after(kIdleTimeout);
+        // The first byte may be long in coming, the rest of the request may not.
+        if (this->buffer.size() == 0) {
+            const auto size = co_await this->stream.async_read_some(
+                this->buffer.prepare(kMostHeaderBytes), asio::redirect_error(asio::use_awaitable, error));
             if (error)
-                co_return co_await this->refuseInput(error);
-            this->keepAlive = parser.get().keep_alive();
-            co_await this->answer(parser.get());
-            co_return this->keepAlive;
+                co_return false;
+            this->buffer.commit(size);
         }
+        this->stream.expires_after(this->limits.senderTimeout);
+        co_await http::async_read(this->stream, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return co_await this->refuseInput(error);
+        this->keepAlive = parser.get().keep_alive();
+        co_await this->answer(parser.get());
+        co_return this->keepAlive;
+    }
 
-        Task<bool> refuseInput(boost::system::error_code error)
-        {
-            if (error == http::error::end_of_stream)
-                co_return false;
-            const auto reason = refusalOf(error);
-            this->host.countRefusal(reason);
-            const auto requestId = nextRequestId();
-            logRequest(LogLevel::Info, requestId, "input refused: " + error.message());
-            this->keepAlive = false;
-            co_await this->writeError(requestId, NotRun { reason });
+    Task<bool> refuseInput(boost::system::error_code error)
+    {
+        if (error == http::error::end_of_stream)
             co_return false;
-        }
+        const auto reason = refusalOf(error);
+        this->host.countRefusal(reason);
+        const auto requestId = nextRequestId();
+        logRequest(LogLevel::Info, requestId, "input refused: " + error.message());
+        this->keepAlive = false;
+        co_await this->writeError(requestId, NotRun { reason });
+        co_return false;
+    }
 
-        Task<void> answer(const http::request<http::string_body>& request)
-        {
-            const auto target = textOf(request.target());
-            if (target == "/healthz")
-                co_return co_await this->writePlain(http::status::ok, "alive\n");
-            if (target == "/readyz" && this->host.isReady())
-                co_return co_await this->writePlain(http::status::ok, "ready\n");
-            if (target == "/readyz")
-                co_return co_await this->writePlain(http::status::service_unavailable, "not ready\n");
-            const auto caller = toCallerRequest(request);
-            this->headWritten = false;
-            this->requestId = caller.requestId;
-            try {
-                const ResponseSink sink {
-                    [this](unsigned status, const std::string& type) { return this->writeHead(status, type); },
-                    [this](std::string_view bytes) { return this->writeChunk(bytes); },
-                };
-                const auto outcome = co_await this->host.handle(caller, sink);
-                co_await this->finish(outcome);
-            } catch (const CallerGoneError&) {
-                this->host.countRefusal(Refusal::CallerGone);
-                logRequest(LogLevel::Info, caller.requestId, "the caller has gone");
-                this->keepAlive = false;
-            }
+    Task<void> answer(const http::request<http::string_body>& request)
+    {
+        const auto target = textOf(request.target());
+        if (target == "/healthz")
+            co_return co_await this->writePlain(http::status::ok, "alive\n");
+        if (target == "/readyz" && this->host.isReady())
+            co_return co_await this->writePlain(http::status::ok, "ready\n");
+        if (target == "/readyz")
+            co_return co_await this->writePlain(http::status::service_unavailable, "not ready\n");
+        const auto caller = toCallerRequest(request);
+        this->headWritten = false;
+        this->requestId = caller.requestId;
+        try {
+            const ResponseSink sink {
+                [this](unsigned status, const std::string& type) { return this->writeHead(status, type); },
+                [this](std::string_view bytes) { return this->writeChunk(bytes); },
+            };
+            const auto outcome = co_await this->host.handle(caller, sink);
+            co_await this->finish(outcome);
+        } catch (const CallerGoneError&) {
+            this->host.countRefusal(Refusal::CallerGone);
+            logRequest(LogLevel::Info, caller.requestId, "the caller has gone");
+            this->keepAlive = false;
         }
+    }
 
-        Task<void> finish(const Outcome& outcome)
-        {
-            if (!outcome.isWhole() && !this->headWritten)
-                co_return co_await this->writeError(this->requestId, outcome);
-            if (!outcome.isWhole()) {
-                // The status is long gone, so the error is an event of its own and the stream stays unterminated.
-                co_await this->writeChunk(errorEvent(this->requestId, outcome));
-                this->keepAlive = false;
-                co_return;
-            }
-            co_await this->write(http::make_chunk_last());
+    Task<void> finish(const Outcome& outcome)
+    {
+        if (!outcome.isWhole() && !this->headWritten)
+            co_return co_await this->writeError(this->requestId, outcome);
+        if (!outcome.isWhole()) {
+            // The status is long gone, so the error is an event of its own and the stream stays unterminated.
+            co_await this->writeChunk(errorEvent(this->requestId, outcome));
+            this->keepAlive = false;
+            co_return;
         }
+        co_await this->write(http::make_chunk_last());
+    }
 
-        Task<void> writeHead(unsigned status, const std::string& contentType)
-        {
-            http::response<http::empty_body> response { static_cast<http::status>(status), 11 };
-            response.set(http::field::content_type, contentType);
-            response.set("X-Request-Id", this->requestId);
-            response.chunked(true);
-            response.keep_alive(this->keepAlive);
-            http::response_serializer<http::empty_body> serializer { response };
-            boost::system::error_code error;
-            this->stream.expires_after(kWriteTimeout);
-            co_await http::async_write_header(
-                this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                throw CallerGoneError {};
-            this->headWritten = true;
-        }
+    Task<void> writeHead(unsigned status, const std::string& contentType)
+    {
+        http::response<http::empty_body> response { static_cast<http::status>(status), 11 };
+        response.set(http::field::content_type, contentType);
+        response.set("X-Request-Id", this->requestId);
+        response.chunked(true);
+        response.keep_alive(this->keepAlive);
+        http::response_serializer<http::empty_body> serializer { response };
+        boost::system::error_code error;
+        this->stream.expires_after(kWriteTimeout);
+        co_await http::async_write_header(this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            throw CallerGoneError {};
+        this->headWritten = true;
+    }
 
-        Task<void> writeChunk(std::string_view bytes)
-        {
-            if (!bytes.empty())
-                co_await this->write(http::make_chunk(asio::buffer(bytes.data(), bytes.size())));
-        }
+    Task<void> writeChunk(std::string_view bytes)
+    {
+        if (!bytes.empty())
+            co_await this->write(http::make_chunk(asio::buffer(bytes.data(), bytes.size())));
+    }
 
-        template <typename Buffers>
-        Task<void> write(const Buffers& buffers)
-        {
-            boost::system::error_code error;
-            this->stream.expires_after(kWriteTimeout);
-            co_await asio::async_write(this->stream, buffers, asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                throw CallerGoneError {};
-        }
+    template <typename Buffers> Task<void> write(const Buffers& buffers)
+    {
+        boost::system::error_code error;
+        this->stream.expires_after(kWriteTimeout);
+        co_await asio::async_write(this->stream, buffers, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            throw CallerGoneError {};
+    }
 
-        Task<void> writePlain(http::status status, const std::string& text)
-        {
-            http::response<http::string_body> response { status, 11 };
-            response.set(http::field::content_type, "text/plain");
-            response.body() = text;
-            co_await this->writeWhole(std::move(response));
-        }
+    Task<void> writePlain(http::status status, const std::string& text)
+    {
+        http::response<http::string_body> response { status, 11 };
+        response.set(http::field::content_type, "text/plain");
+        response.body() = text;
+        co_await this->writeWhole(std::move(response));
+    }
 
-        Task<void> writeError(const std::string& id, const Outcome& outcome)
-        {
-            http::response<http::string_body> response { static_cast<http::status>(statusOf(outcome)), 11 };
-            response.set(http::field::content_type, "application/json");
-            response.set("X-Request-Id", id);
-            if (outcome.retryAfter > Duration {})
-                response.set(http::field::retry_after, std::to_string(retryAfterSeconds(outcome)));
-            response.body() = errorDocument(id, outcome);
-            co_await this->writeWhole(std::move(response));
-        }
+    Task<void> writeError(const std::string& id, const Outcome& outcome)
+    {
+        http::response<http::string_body> response { static_cast<http::status>(statusOf(outcome)), 11 };
+        response.set(http::field::content_type, "application/json");
+        response.set("X-Request-Id", id);
+        if (outcome.retryAfter > Duration {})
+            response.set(http::field::retry_after, std::to_string(retryAfterSeconds(outcome)));
+        response.body() = errorDocument(id, outcome);
+        co_await this->writeWhole(std::move(response));
+    }
 
-        Task<void> writeWhole(http::response<http::string_body> response)
-        {
-            response.keep_alive(this->keepAlive);
-            response.prepare_payload();
-            boost::system::error_code ignored;
-            this->stream.expires_after(kWriteTimeout);
-            co_await http::async_write(this->stream, response, asio::redirect_error(asio::use_awaitable, ignored));
-        }
+    Task<void> writeWhole(http::response<http::string_body> response)
+    {
+        response.keep_alive(this->keepAlive);
+        response.prepare_payload();
+        boost::system::error_code ignored;
+        this->stream.expires_after(kWriteTimeout);
+        co_await http::async_write(this->stream, response, asio::redirect_error(asio::use_awaitable, ignored));
+    }
 
-        beast::tcp_stream stream;
-        beast::flat_buffer buffer;
-        CallerLimits limits;
-        Host& host;
-        std::string requestId;
-        bool keepAlive = true;
-        bool headWritten = false;
-    };
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    CallerLimits limits;
+    Host& host;
+    std::string requestId;
+    bool keepAlive = true;
+    bool headWritten = false;
+};
 
 } // namespace
 
--- a/src/berylwing/http/caller_server.cpp
+++ b/src/berylwing/http/caller_server.cpp
@@ -20,9 +20,9 @@
 
 CallerServer::CallerServer(const Executor& executor, const SocketAddress& address, CallerLimits limits, Host& host)
     : listener { std::make_unique<Listener>(Listener { executor,
-          asio::ip::tcp::acceptor {
-              executor, asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } },
-          limits, host }) }
+        asio::ip::tcp::acceptor {
+            executor, asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } },
+        limits, host }) }
 {
 }
 
@@ -32,8 +32,7 @@
 {
     while (this->listener->acceptor.is_open()) {
         boost::system::error_code error;
-        auto socket = co_await this->listener->acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        auto socket = co_await this->listener->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error)
             continue;
         boost::system::error_code ignored;
--- a/src/berylwing/http/error_document.cpp
+++ b/src/berylwing/http/error_document.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::int64_t kMillisecondsPerSecond = 1000;
+constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
 } // namespace
 
--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -8,17 +8,17 @@
 
 namespace {
 
-    namespace asio = boost::asio;
-    namespace beast = boost::beast;
-    namespace http = boost::beast::http;
-
-    void throwOnError(const boost::system::error_code& error)
-    {
-        if (!error)
-            return;
-        const bool isTimeout = error == beast::error::timeout;
-        throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message() };
-    }
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+void throwOnError(const boost::system::error_code& error)
+{
+    if (!error)
+        return;
+    const bool isTimeout = error == beast::error::timeout;
+    throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message() };
+}
 
 } // namespace
 
--- a/src/berylwing/http/status_server.cpp
+++ b/src/berylwing/http/status_server.cpp
@@ -12,43 +12,43 @@
 
 namespace {
 
-    namespace asio = boost::asio;
-    namespace beast = boost::beast;
-    namespace http = boost::beast::http;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
 
-    constexpr unsigned kHttpVersion = 11;
-    constexpr Duration kTimeout { 5000 };
+constexpr unsigned kHttpVersion = 11;
+constexpr Duration kTimeout { 5000 };
 
-    http::response<http::string_body> answerOf(beast::string_view target, const Host& host)
-    {
-        http::response<http::string_body> response { http::status::ok, kHttpVersion };
-        if (target == "/metrics") {
-            response.set(http::field::content_type, "text/plain; version=0.0.4");
-            response.body() = host.metrics().text();
-        } else if (target == "/status") {
-            response.set(http::field::content_type, "application/json");
-            response.body() = host.status().dump();
-        } else {
-            response.result(http::status::not_found);
-        }
-        return response;
+http::response<http::string_body> answerOf(beast::string_view target, const Host& host)
+{
+    http::response<http::string_body> response { http::status::ok, kHttpVersion };
+    if (target == "/metrics") {
+        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        response.body() = host.metrics().text();
+    } else if (target == "/status") {
+        response.set(http::field::content_type, "application/json");
+        response.body() = host.status().dump();
+    } else {
+        response.result(http::status::not_found);
     }
+    return response;
+}
 
-    Task<void> serve(asio::ip::tcp::socket socket, const Host& host)
-    {
-        beast::tcp_stream stream { std::move(socket) };
-        beast::flat_buffer buffer;
-        http::request<http::empty_body> request;
-        boost::system::error_code error;
-        stream.expires_after(kTimeout);
-        co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            co_return;
-        auto response = answerOf(request.target(), host);
-        response.keep_alive(false);
-        response.prepare_payload();
-        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
-    }
+Task<void> serve(asio::ip::tcp::socket socket, const Host& host)
+{
+    beast::tcp_stream stream { std::move(socket) };
+    beast::flat_buffer buffer;
+    http::request<http::empty_body> request;
+    boost::system::error_code error;
+    stream.expires_after(kTimeout);
+    co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    auto response = answerOf(request.target(), host);
+    response.keep_alive(false);
+    response.prepare_payload();
+    co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
+}
 
 } // namespace
 
@@ -60,9 +60,9 @@
 
 StatusServer::StatusServer(const Executor& executor, const SocketAddress& address, const Host& host)
     : listener { std::make_unique<Listener>(Listener { executor,
-          asio::ip::tcp::acceptor {
-              executor, asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } },
-          host }) }
+        asio::ip::tcp::acceptor {
+            executor, asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } },
+        host }) }
 {
 }
 
@@ -72,8 +72,7 @@
 {
     while (true) {
         boost::system::error_code error;
-        auto socket = co_await this->listener->acceptor.async_accept(
-            asio::redirect_error(asio::use_awaitable, error));
+        auto socket = co_await this->listener->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error)
             spawn(this->listener->executor, "status", serve(std::move(socket), this->listener->host));
     }
--- a/src/berylwing/ledger/claim.cpp
+++ b/src/berylwing/ledger/claim.cpp
@@ -4,36 +4,36 @@
 
 namespace {
 
-    /** Bodies are arbitrary bytes; a JSON text holds each as the code point of the same value. */
-    std::string toText(const std::string& bytes)
-    {
-        std::string text;
-        for (const auto byte : bytes) {
-            const auto code = static_cast<unsigned char>(byte);
-            if (code < 0x80) {
-                text.push_back(byte);
-                continue;
-            }
-            text.push_back(static_cast<char>(0xC0 | (code >> 6)));
-            text.push_back(static_cast<char>(0x80 | (code & 0x3F)));
+/** Bodies are arbitrary bytes; a JSON text holds each as the code point of the same value. */
+std::string toText(const std::string& bytes)
+{
+    std::string text;
+    for (const auto byte : bytes) {
+        const auto code = static_cast<unsigned char>(byte);
+        if (code < 0x80) {
+            text.push_back(byte);
+            continue;
         }
-        return text;
+        text.push_back(static_cast<char>(0xC0 | (code >> 6)));
+        text.push_back(static_cast<char>(0x80 | (code & 0x3F)));
     }
+    return text;
+}
 
-    std::string toBytes(const std::string& text)
-    {
-        std::string bytes;
-        for (std::size_t index = 0; index < text.size(); ++index) {
-            const auto code = static_cast<unsigned char>(text[index]);
-            if (code < 0x80 || index + 1 == text.size()) {
-                bytes.push_back(text[index]);
-                continue;
-            }
-            ++index;
-            bytes.push_back(static_cast<char>(((code & 0x03) << 6) | (static_cast<unsigned char>(text[index]) & 0x3F)));
+std::string toBytes(const std::string& text)
+{
+    std::string bytes;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const auto code = static_cast<unsigned char>(text[index]);
+        if (code < 0x80 || index + 1 == text.size()) {
+            bytes.push_back(text[index]);
+            continue;
         }
-        return bytes;
+        ++index;
+        bytes.push_back(static_cast<char>(((code & 0x03) << 6) | (static_cast<unsigned char>(text[index]) & 0x3F)));
     }
+    return bytes;
+}
 
 } // namespace
 
--- a/src/berylwing/ledger/idempotency_key.cpp
+++ b/src/berylwing/ledger/idempotency_key.cpp
@@ -9,17 +9,14 @@
 
 namespace {
 
-    constexpr std::size_t kLength = 36;
-    constexpr std::size_t kVersionPosition = 14;
-    constexpr std::size_t kTimeHighDigits = 8;
-    constexpr std::size_t kTimeLowPosition = 9;
-    constexpr std::size_t kTimeLowDigits = 4;
-    constexpr int kHexadecimal = 16;
-
-    bool isDash(std::size_t position)
-    {
-        return position == 8 || position == 13 || position == 18 || position == 23;
-    }
+constexpr std::size_t kLength = 36;
+constexpr std::size_t kVersionPosition = 14;
+constexpr std::size_t kTimeHighDigits = 8;
+constexpr std::size_t kTimeLowPosition = 9;
+constexpr std::size_t kTimeLowDigits = 4;
+constexpr int kHexadecimal = 16;
+
+bool isDash(std::size_t position) { return position == 8 || position == 13 || position == 18 || position == 23; }
 
 } // namespace
 
--- a/src/berylwing/ledger/ledger_owner.cpp
+++ b/src/berylwing/ledger/ledger_owner.cpp
@@ -14,17 +14,17 @@
 
 namespace {
 
-    std::uint64_t fingerprintOf(const wire::Request& request)
-    {
-        return hashText(request.body(), hashText(request.serves() + " " + request.method() + " " + request.path()));
-    }
+std::uint64_t fingerprintOf(const wire::Request& request)
+{
+    return hashText(request.body(), hashText(request.serves() + " " + request.method() + " " + request.path()));
+}
 
-    OrderResult refused(const Outcome& outcome)
-    {
-        OrderResult result;
-        result.outcome = outcome;
-        return result;
-    }
+OrderResult refused(const Outcome& outcome)
+{
+    OrderResult result;
+    result.outcome = outcome;
+    return result;
+}
 
 } // namespace
 
@@ -41,9 +41,8 @@
     , metrics { hostMetrics }
     , steps { pathSteps }
 {
-    this->link.handle(wire::Envelope::kOrder, [this](const wire::Envelope& envelope) {
-        spawn(this->clock.executor(), "order", this->serve(envelope));
-    });
+    this->link.handle(wire::Envelope::kOrder,
+        [this](const wire::Envelope& envelope) { spawn(this->clock.executor(), "order", this->serve(envelope)); });
 }
 
 Task<void> LedgerOwner::run()
--- a/src/berylwing/ledger/ledger_owner.hpp
+++ b/src/berylwing/ledger/ledger_owner.hpp
@@ -2,13 +2,13 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/event.hpp"
+#include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
 #include "berylwing/ledger/ledger_shard.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
 #include "berylwing/platform/platform_client.hpp"
 #include "berylwing/relay/dispatcher.hpp"
-#include "berylwing/core/outcome.hpp"
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
--- a/src/berylwing/ledger/ledger_shard.cpp
+++ b/src/berylwing/ledger/ledger_shard.cpp
@@ -91,7 +91,7 @@
             co_return CommitResult::Unresolved;
         co_await this->changed.waitUntil(deadline);
     }
-    co_return this->ownership == startedIn && this->writtenNumber >= target ? CommitResult::Written : CommitResult::Lost;
+    co_return this->ownership == startedIn&& this->writtenNumber >= target ? CommitResult::Written : CommitResult::Lost;
 }
 
 Task<void> LedgerShard::giveUp(TimePoint deadline)
--- a/src/berylwing/ledger/order_client.cpp
+++ b/src/berylwing/ledger/order_client.cpp
@@ -13,20 +13,20 @@
 
 namespace {
 
-    constexpr std::size_t kMostRedirects = 2;
+constexpr std::size_t kMostRedirects = 2;
 
-    Outcome outcomeOf(const wire::OrderAnswer& answer)
-    {
-        const auto reason = static_cast<Refusal>(std::min<std::size_t>(answer.reason(), kRefusalNames.size() - 1));
-        switch (answer.execution()) {
-        case wire::NOT_RUN:
-            return NotRun { reason, Duration { answer.retry_after_ms() } };
-        case wire::RAN:
-            return RanWithoutAnswer { reason };
-        default:
-            return OutcomeUnknown { reason };
-        }
+Outcome outcomeOf(const wire::OrderAnswer& answer)
+{
+    const auto reason = static_cast<Refusal>(std::min<std::size_t>(answer.reason(), kRefusalNames.size() - 1));
+    switch (answer.execution()) {
+    case wire::NOT_RUN:
+        return NotRun { reason, Duration { answer.retry_after_ms() } };
+    case wire::RAN:
+        return RanWithoutAnswer { reason };
+    default:
+        return OutcomeUnknown { reason };
     }
+}
 
 } // namespace
 
--- a/src/berylwing/ledger/order_client.hpp
+++ b/src/berylwing/ledger/order_client.hpp
@@ -2,10 +2,10 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/event.hpp"
+#include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
-#include "berylwing/core/outcome.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include <boost/intrusive/list.hpp>
 #include <optional>
--- a/src/berylwing/limits/contract_limits.cpp
+++ b/src/berylwing/limits/contract_limits.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr Duration kConcurrencyRetryAfter { 500 };
+constexpr Duration kConcurrencyRetryAfter { 500 };
 
 } // namespace
 
--- a/src/berylwing/limits/contract_limits.hpp
+++ b/src/berylwing/limits/contract_limits.hpp
@@ -2,8 +2,8 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/clock.hpp"
-#include "berylwing/limits/token_bucket.hpp"
 #include "berylwing/core/outcome.hpp"
+#include "berylwing/limits/token_bucket.hpp"
 #include <cstddef>
 #include <map>
 #include <optional>
--- a/src/berylwing/limits/token_bucket.cpp
+++ b/src/berylwing/limits/token_bucket.cpp
@@ -6,12 +6,9 @@
 
 namespace {
 
-    constexpr double kMillisecondsPerSecond = 1000.0;
+constexpr double kMillisecondsPerSecond = 1000.0;
 
-    double capacityOf(double rate)
-    {
-        return std::max(1.0, rate);
-    }
+double capacityOf(double rate) { return std::max(1.0, rate); }
 
 } // namespace
 
--- a/src/berylwing/link/link.cpp
+++ b/src/berylwing/link/link.cpp
@@ -9,22 +9,22 @@
 
 namespace {
 
-    bool isControl(wire::Envelope::MessageCase kind)
-    {
-        switch (kind) {
-        case wire::Envelope::kBeat:
-        case wire::Envelope::kHandoff:
-        case wire::Envelope::kHandoffTaken:
-        case wire::Envelope::kEndpointState:
-        case wire::Envelope::kPlaced:
-        case wire::Envelope::kPullConfiguration:
-        case wire::Envelope::kConfiguration:
-        case wire::Envelope::kQuarantine:
-            return true;
-        default:
-            return false;
-        }
+bool isControl(wire::Envelope::MessageCase kind)
+{
+    switch (kind) {
+    case wire::Envelope::kBeat:
+    case wire::Envelope::kHandoff:
+    case wire::Envelope::kHandoffTaken:
+    case wire::Envelope::kEndpointState:
+    case wire::Envelope::kPlaced:
+    case wire::Envelope::kPullConfiguration:
+    case wire::Envelope::kConfiguration:
+    case wire::Envelope::kQuarantine:
+        return true;
+    default:
+        return false;
     }
+}
 
 } // namespace
 
@@ -67,14 +67,8 @@
         handler->second(envelope);
 }
 
-void Link::handle(wire::Envelope::MessageCase kind, Handler handler)
-{
-    this->handlers[kind] = std::move(handler);
-}
+void Link::handle(wire::Envelope::MessageCase kind, Handler handler) { this->handlers[kind] = std::move(handler); }
 
-void Link::readRosterVersionFrom(RosterVersion reader)
-{
-    this->rosterVersion = std::move(reader);
-}
+void Link::readRosterVersionFrom(RosterVersion reader) { this->rosterVersion = std::move(reader); }
 
 } // namespace berylwing
--- a/src/berylwing/link/zmq_transport.cpp
+++ b/src/berylwing/link/zmq_transport.cpp
@@ -13,73 +13,70 @@
 
 namespace {
 
-    namespace asio = boost::asio;
-
-    constexpr std::string_view kAuthenticationAddress = "inproc://zeromq.zap.01";
-    constexpr std::size_t kRawKeyBytes = 32;
-    constexpr std::size_t kTextKeyBytes = 41;
-    constexpr int kHeartbeatIntervalMs = 1000;
-    constexpr int kHeartbeatTimeoutMs = 3000;
-    constexpr int kReconnectMs = 100;
-    constexpr int kMostReconnectMs = 1000;
-    constexpr int kSendQueue = 20'000;
-    constexpr std::size_t kMostMessagesPerTurn = 64;
-
-    std::string urlOf(const SocketAddress& address)
-    {
-        return "tcp://" + address.address + ":" + std::to_string(address.port);
-    }
+namespace asio = boost::asio;
+
+constexpr std::string_view kAuthenticationAddress = "inproc://zeromq.zap.01";
+constexpr std::size_t kRawKeyBytes = 32;
+constexpr std::size_t kTextKeyBytes = 41;
+constexpr int kHeartbeatIntervalMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 3000;
+constexpr int kReconnectMs = 100;
+constexpr int kMostReconnectMs = 1000;
+constexpr int kSendQueue = 20'000;
+constexpr std::size_t kMostMessagesPerTurn = 64;
+
+std::string urlOf(const SocketAddress& address)
+{
+    return "tcp://" + address.address + ":" + std::to_string(address.port);
+}
+
+std::string textKey(const zmq::message_t& raw)
+{
+    if (raw.size() != kRawKeyBytes)
+        return {};
+    std::array<char, kTextKeyBytes> text {};
+    zmq_z85_encode(text.data(), raw.data<std::uint8_t>(), raw.size());
+    return text.data();
+}
 
-    std::string textKey(const zmq::message_t& raw)
+/** Waits for a socket's descriptor, which signals a change only once. */
+class Readiness {
+public:
+    Readiness(const Executor& executor, zmq::socket_t& socket)
+        : descriptor { executor, socket.get(zmq::sockopt::fd) }
     {
-        if (raw.size() != kRawKeyBytes)
-            return {};
-        std::array<char, kTextKeyBytes> text {};
-        zmq_z85_encode(text.data(), raw.data<std::uint8_t>(), raw.size());
-        return text.data();
     }
 
-    /** Waits for a socket's descriptor, which signals a change only once. */
-    class Readiness {
-    public:
-        Readiness(const Executor& executor, zmq::socket_t& socket)
-            : descriptor { executor, socket.get(zmq::sockopt::fd) }
-        {
-        }
-
-        ~Readiness() { this->descriptor.release(); }
-        Readiness(const Readiness&) = delete;
-        Readiness& operator=(const Readiness&) = delete;
-
-        Task<void> wait()
-        {
-            boost::system::error_code ignored;
-            co_await this->descriptor.async_wait(
-                asio::posix::stream_descriptor::wait_read, asio::redirect_error(asio::use_awaitable, ignored));
-        }
-
-    private:
-        asio::posix::stream_descriptor descriptor;
-    };
+    ~Readiness() { this->descriptor.release(); }
+    Readiness(const Readiness&) = delete;
+    Readiness& operator=(const Readiness&) = delete;
 
-    bool isReadable(zmq::socket_t& socket)
+    Task<void> wait()
     {
-        return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0;
+        boost::system::error_code ignored;
+        co_await this->descriptor.async_wait(
+            asio::posix::stream_descriptor::wait_read, asio::redirect_error(asio::use_awaitable, ignored));
     }
 
-    std::vector<zmq::message_t> receiveParts(zmq::socket_t& socket)
-    {
-        std::vector<zmq::message_t> parts;
-        bool more = true;
-        while (more) {
-            zmq::message_t part;
-            if (!socket.recv(part, zmq::recv_flags::dontwait))
-                return parts;
-            more = part.more();
-            parts.push_back(std::move(part));
-        }
-        return parts;
+private:
+    asio::posix::stream_descriptor descriptor;
+};
+
+bool isReadable(zmq::socket_t& socket) { return (socket.get(zmq::sockopt::events) & ZMQ_POLLIN) != 0; }
+
+std::vector<zmq::message_t> receiveParts(zmq::socket_t& socket)
+{
+    std::vector<zmq::message_t> parts;
+    bool more = true;
+    while (more) {
+        zmq::message_t part;
+        if (!socket.recv(part, zmq::recv_flags::dontwait))
+            return parts;
+        more = part.more();
+        parts.push_back(std::move(part));
     }
+    return parts;
+}
 
 } // namespace
 
@@ -122,8 +119,7 @@
     std::map<std::string, Peer> peers;
 };
 
-ZmqTransport::ZmqTransport(
-    const Executor& executor, const SocketAddress& listen, FleetKeys keys, Directory directory)
+ZmqTransport::ZmqTransport(const Executor& executor, const SocketAddress& listen, FleetKeys keys, Directory directory)
     : sockets { std::make_unique<Sockets>() }
 {
     auto& own = *this->sockets;
--- a/src/berylwing/membership/configuration_watcher.cpp
+++ b/src/berylwing/membership/configuration_watcher.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    constexpr Duration kPeerAnswerWait { 300 };
-    constexpr Duration kWatcherCheckInterval { 500 };
+constexpr Duration kPeerAnswerWait { 300 };
+constexpr Duration kWatcherCheckInterval { 500 };
 
 } // namespace
 
@@ -30,9 +30,8 @@
     this->link.handle(wire::Envelope::kPullConfiguration, [this](const wire::Envelope& envelope) {
         this->sendConfiguration(envelope.from(), envelope.pull_configuration().after());
     });
-    this->link.handle(wire::Envelope::kConfiguration, [this](const wire::Envelope& envelope) {
-        this->onConfiguration(envelope.configuration(), envelope.from());
-    });
+    this->link.handle(wire::Envelope::kConfiguration,
+        [this](const wire::Envelope& envelope) { this->onConfiguration(envelope.configuration(), envelope.from()); });
     this->domain.listen([this] { this->pullFromNewerPeer(); });
 }
 
--- a/src/berylwing/membership/failure_domain.cpp
+++ b/src/berylwing/membership/failure_domain.cpp
@@ -11,15 +11,9 @@
 
 namespace {
 
-    std::int64_t toMs(TimePoint time)
-    {
-        return time.time_since_epoch().count();
-    }
+std::int64_t toMs(TimePoint time) { return time.time_since_epoch().count(); }
 
-    TimePoint fromMs(std::int64_t ms)
-    {
-        return TimePoint { Duration { ms } };
-    }
+TimePoint fromMs(std::int64_t ms) { return TimePoint { Duration { ms } }; }
 
 } // namespace
 
@@ -41,9 +35,9 @@
 
 const Roster& FailureDomain::roster() const
 {
-    static const Roster empty;
+    static const Roster kEmpty;
     const auto* known = this->catalog.roster(this->link.identity().domain);
-    return known == nullptr ? empty : *known;
+    return known == nullptr ? kEmpty : *known;
 }
 
 bool FailureDomain::isMember() const
@@ -89,20 +83,11 @@
         [version](const auto& entry) { return entry.second.rosterVersion >= version; });
 }
 
-void FailureDomain::describeBeatsWith(DescribeBeat describe)
-{
-    this->describeBeat = std::move(describe);
-}
+void FailureDomain::describeBeatsWith(DescribeBeat describe) { this->describeBeat = std::move(describe); }
 
-void FailureDomain::listen(Listener listener)
-{
-    this->listeners.push_back(std::move(listener));
-}
+void FailureDomain::listen(Listener listener) { this->listeners.push_back(std::move(listener)); }
 
-void FailureDomain::setWatching(bool isWatching) noexcept
-{
-    this->watching = isWatching;
-}
+void FailureDomain::setWatching(bool isWatching) noexcept { this->watching = isWatching; }
 
 Task<void> FailureDomain::run()
 {
@@ -113,10 +98,7 @@
     }
 }
 
-void FailureDomain::beatNow()
-{
-    this->beat();
-}
+void FailureDomain::beatNow() { this->beat(); }
 
 Peer& FailureDomain::peerOf(const RosterMember& member)
 {
--- a/src/berylwing/membership/failure_domain.hpp
+++ b/src/berylwing/membership/failure_domain.hpp
@@ -85,7 +85,8 @@
     /** @brief Registers a listener for rosters and beats. @param listener Function. */
     void listen(Listener listener);
 
-    /** @brief Sets whether this host tells its peers that it watches the platform. @param isWatching True if it does. */
+    /** @brief Sets whether this host tells its peers that it watches the platform. @param isWatching True if it does.
+     */
     void setWatching(bool isWatching) noexcept;
 
     /** @brief Sends beats for as long as the host runs. @return Awaitable that does not complete. */
--- a/src/berylwing/membership/registrar.cpp
+++ b/src/berylwing/membership/registrar.cpp
@@ -9,13 +9,12 @@
 
 namespace {
 
-    constexpr int kMostConflicts = 10;
+constexpr int kMostConflicts = 10;
 
-    bool isListed(const std::vector<HostListing>& listing, std::string_view host)
-    {
-        return std::any_of(
-            listing.begin(), listing.end(), [host](const HostListing& entry) { return entry.host == host; });
-    }
+bool isListed(const std::vector<HostListing>& listing, std::string_view host)
+{
+    return std::any_of(listing.begin(), listing.end(), [host](const HostListing& entry) { return entry.host == host; });
+}
 
 } // namespace
 
@@ -76,8 +75,8 @@
     if (this->removed)
         co_return;
     co_await this->change([this](Roster& roster) {
-        std::erase_if(roster.members,
-            [this](const RosterMember& member) { return member.host == this->link.identity().host; });
+        std::erase_if(
+            roster.members, [this](const RosterMember& member) { return member.host == this->link.identity().host; });
         roster.members.push_back(this->self());
         return true;
     });
@@ -117,8 +116,7 @@
 {
     const auto& identity = this->link.identity();
     const bool isLeaving = this->leaving || this->catalog.isHostOut(identity.host);
-    return { identity.host, identity.incarnation, identity.address, identity.linkPort, identity.statusPort,
-        isLeaving };
+    return { identity.host, identity.incarnation, identity.address, identity.linkPort, identity.statusPort, isLeaving };
 }
 
 Task<bool> Registrar::change(Change change)
--- a/src/berylwing/membership/registrar.hpp
+++ b/src/berylwing/membership/registrar.hpp
@@ -33,8 +33,8 @@
      * @param hostDomain Failure domain of the host.
      * @param platformClient Client of the platform.
      */
-    Registrar(
-        Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& hostDomain, PlatformClient& platformClient);
+    Registrar(Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& hostDomain,
+        PlatformClient& platformClient);
 
     /** @brief Registers this host and tends the roster until it leaves. @return Awaitable. */
     [[nodiscard]] Task<void> run();
--- a/src/berylwing/platform/platform_client.cpp
+++ b/src/berylwing/platform/platform_client.cpp
@@ -7,40 +7,40 @@
 
 namespace {
 
-    constexpr Duration kCallTimeout { 1000 };
-    constexpr Duration kWatchGrace { 2000 };
-
-    nlohmann::json parseBody(const std::string& body)
-    {
-        try {
-            return nlohmann::json::parse(body);
-        } catch (const nlohmann::json::exception& error) {
-            throw PlatformError { PlatformFault::Protocol, error.what() };
-        }
-    }
+constexpr Duration kCallTimeout { 1000 };
+constexpr Duration kWatchGrace { 2000 };
 
-    VersionedObject readChange(const nlohmann::json& change)
-    {
-        const auto kind = kObjectKindNames.find(change.at("kind").get<std::string>());
-        if (!kind)
-            throw PlatformError { PlatformFault::Protocol, "unknown object kind in a watch" };
-        return { *kind, change.at("name").get<std::string>(), change.at("version").get<std::uint64_t>(),
-            change.value("value", nlohmann::json {}) };
+nlohmann::json parseBody(const std::string& body)
+{
+    try {
+        return nlohmann::json::parse(body);
+    } catch (const nlohmann::json::exception& error) {
+        throw PlatformError { PlatformFault::Protocol, error.what() };
     }
+}
+
+VersionedObject readChange(const nlohmann::json& change)
+{
+    const auto kind = kObjectKindNames.find(change.at("kind").get<std::string>());
+    if (!kind)
+        throw PlatformError { PlatformFault::Protocol, "unknown object kind in a watch" };
+    return { *kind, change.at("name").get<std::string>(), change.at("version").get<std::uint64_t>(),
+        change.value("value", nlohmann::json {}) };
+}
 
-    WatchBatch readBatch(const std::string& body)
-    {
-        const auto document = parseBody(body);
-        try {
-            WatchBatch batch;
-            batch.through = document.at("revision").get<std::uint64_t>();
-            for (const auto& change : document.at("changes"))
-                batch.changes.push_back(readChange(change));
-            return batch;
-        } catch (const nlohmann::json::exception& error) {
-            throw PlatformError { PlatformFault::Protocol, error.what() };
-        }
+WatchBatch readBatch(const std::string& body)
+{
+    const auto document = parseBody(body);
+    try {
+        WatchBatch batch;
+        batch.through = document.at("revision").get<std::uint64_t>();
+        for (const auto& change : document.at("changes"))
+            batch.changes.push_back(readChange(change));
+        return batch;
+    } catch (const nlohmann::json::exception& error) {
+        throw PlatformError { PlatformFault::Protocol, error.what() };
     }
+}
 
 } // namespace
 
--- a/src/berylwing/relay/attempt_server.cpp
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -10,19 +10,16 @@
 
 namespace {
 
-    constexpr unsigned kPartialContent = 206;
+constexpr unsigned kPartialContent = 206;
 
-    Duration remaining(const wire::Request& request)
-    {
-        return Duration { request.remaining_ms() };
-    }
+Duration remaining(const wire::Request& request) { return Duration { request.remaining_ms() }; }
 
-    Outcome outcomeOf(const EndpointError& error)
-    {
-        if (error.fault() == EndpointFault::NotSent)
-            return NotRun { Refusal::EndpointUnreachable };
-        return OutcomeUnknown { Refusal::EndpointBroken };
-    }
+Outcome outcomeOf(const EndpointError& error)
+{
+    if (error.fault() == EndpointFault::NotSent)
+        return NotRun { Refusal::EndpointUnreachable };
+    return OutcomeUnknown { Refusal::EndpointBroken };
+}
 
 } // namespace
 
@@ -37,8 +34,8 @@
 {
 }
 
-AttemptServer::AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry,
-    Metrics& hostMetrics, EndpointAccess endpointAccess, const Steps& pathSteps)
+AttemptServer::AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry, Metrics& hostMetrics,
+    EndpointAccess endpointAccess, const Steps& pathSteps)
     : clock { hostClock }
     , link { hostLink }
     , registry { endpointRegistry }
@@ -46,9 +43,8 @@
     , access { std::move(endpointAccess) }
     , steps { pathSteps }
 {
-    this->link.handle(wire::Envelope::kOpen, [this](const wire::Envelope& envelope) {
-        spawn(this->clock.executor(), "attempt", this->serve(envelope));
-    });
+    this->link.handle(wire::Envelope::kOpen,
+        [this](const wire::Envelope& envelope) { spawn(this->clock.executor(), "attempt", this->serve(envelope)); });
     this->link.handle(wire::Envelope::kCredit, [this](const wire::Envelope& envelope) {
         if (auto* attempt = this->find(envelope.credit().attempt())) {
             attempt->window += static_cast<std::int64_t>(envelope.credit().bytes());
--- a/src/berylwing/relay/attempt_server.hpp
+++ b/src/berylwing/relay/attempt_server.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "berylwing/core/event.hpp"
+#include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
 #include "berylwing/link/link.hpp"
-#include "berylwing/core/outcome.hpp"
 #include "berylwing/routing/endpoint_connection.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
 #include <boost/intrusive/list.hpp>
--- a/src/berylwing/relay/dispatcher.hpp
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -2,10 +2,10 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/event.hpp"
+#include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
-#include "berylwing/core/outcome.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
 #include <boost/intrusive/list.hpp>
@@ -60,7 +60,8 @@
     [[nodiscard]] Task<void> takeChunk(Run& run, Inbox& inbox, const wire::Chunk& chunk);
     void takeRefusal(Run& run, const wire::Refused& refused);
     void finishAttempt(Run& run);
-    [[nodiscard]] wire::Envelope openMessage(const Run& run, const EndpointObject& endpoint, std::uint64_t attempt) const;
+    [[nodiscard]] wire::Envelope openMessage(
+        const Run& run, const EndpointObject& endpoint, std::uint64_t attempt) const;
     void tellPlacement(const Run& run, const std::vector<std::string>& order);
 
 public:
--- a/src/berylwing/routing/authority.cpp
+++ b/src/berylwing/routing/authority.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    constexpr std::size_t kUnranked = std::numeric_limits<std::size_t>::max();
-    constexpr std::size_t kMostRanks = 31;
+constexpr std::size_t kUnranked = std::numeric_limits<std::size_t>::max();
+constexpr std::size_t kMostRanks = 31;
 
 } // namespace
 
@@ -41,8 +41,7 @@
     return this->isFirst(endpoint) && this->domain.isConfirmedByAll() && !this->someoneHoldsFirst(endpoint);
 }
 
-std::uint32_t Authority::allowance(
-    std::string_view endpoint, const AuthorityState& state, std::uint32_t limit) const
+std::uint32_t Authority::allowance(std::string_view endpoint, const AuthorityState& state, std::uint32_t limit) const
 {
     if (!this->domain.isMember() || state.handingOff)
         return 0;
--- a/src/berylwing/routing/authority.hpp
+++ b/src/berylwing/routing/authority.hpp
@@ -25,7 +25,8 @@
     bool handingOff = false;
     /** Roster version at which the handoff was sent. */
     std::uint64_t handoffVersion = 0;
-    /** Whether the endpoint itself has reported, after the first host fell silent, that it is within the first share. */
+    /** Whether the endpoint itself has reported, after the first host fell silent, that it is within the first share.
+     */
     bool firstDrained = false;
 };
 
--- a/src/berylwing/routing/endpoint_lifecycle.cpp
+++ b/src/berylwing/routing/endpoint_lifecycle.cpp
@@ -10,61 +10,61 @@
 
 namespace internal {
 
-    namespace front = boost::msm::front;
-
-    struct Restarted { };
-    struct BecameWarm { };
-    struct Succeeded { };
-    struct Failed { };
-    struct LeaveRequested { };
-    struct Returned { };
-    struct Removed { };
-
-    /** Limits that the transitions change. */
-    struct Limits {
-        std::uint32_t cold = 1;
-        std::uint32_t full = 1;
-        std::uint32_t warming = 1;
+namespace front = boost::msm::front;
+
+struct Restarted { };
+struct BecameWarm { };
+struct Succeeded { };
+struct Failed { };
+struct LeaveRequested { };
+struct Returned { };
+struct Removed { };
+
+/** Limits that the transitions change. */
+struct Limits {
+    std::uint32_t cold = 1;
+    std::uint32_t full = 1;
+    std::uint32_t warming = 1;
+};
+
+struct LifecycleDefinition : front::state_machine_def<LifecycleDefinition> {
+    struct Unknown : front::state<> { };
+    struct Cold : front::state<> { };
+    struct Warming : front::state<> { };
+    struct Warm : front::state<> { };
+    struct Leaving : front::state<> { };
+    struct Gone : front::state<> { };
+
+    using initial_state = Unknown;
+
+    struct BeginWarming {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        void operator()(const Event&, Machine& machine, Source&, Target&) const
+        {
+            machine.limits.warming = std::max<std::uint32_t>(machine.limits.cold, 1);
+        }
+    };
+
+    struct RaiseLimit {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        void operator()(const Event&, Machine& machine, Source&, Target&) const
+        {
+            machine.limits.warming = std::min(machine.limits.full, machine.limits.warming * 2);
+        }
     };
 
-    struct LifecycleDefinition : front::state_machine_def<LifecycleDefinition> {
-        struct Unknown : front::state<> { };
-        struct Cold : front::state<> { };
-        struct Warming : front::state<> { };
-        struct Warm : front::state<> { };
-        struct Leaving : front::state<> { };
-        struct Gone : front::state<> { };
-
-        using initial_state = Unknown;
-
-        struct BeginWarming {
-            template <typename Event, typename Machine, typename Source, typename Target>
-            void operator()(const Event&, Machine& machine, Source&, Target&) const
-            {
-                machine.limits.warming = std::max<std::uint32_t>(machine.limits.cold, 1);
-            }
-        };
-
-        struct RaiseLimit {
-            template <typename Event, typename Machine, typename Source, typename Target>
-            void operator()(const Event&, Machine& machine, Source&, Target&) const
-            {
-                machine.limits.warming = std::min(machine.limits.full, machine.limits.warming * 2);
-            }
-        };
-
-        struct IsFullyWarm {
-            template <typename Event, typename Machine, typename Source, typename Target>
-            bool operator()(const Event&, Machine& machine, Source&, Target&) const
-            {
-                return machine.limits.warming * 2 >= machine.limits.full;
-            }
-        };
-
-        template <typename Source, typename Event, typename Target>
-        using Move = front::Row<Source, Event, Target, front::none, front::none>;
-
-        // clang-format off
+    struct IsFullyWarm {
+        template <typename Event, typename Machine, typename Source, typename Target>
+        bool operator()(const Event&, Machine& machine, Source&, Target&) const
+        {
+            return machine.limits.warming * 2 >= machine.limits.full;
+        }
+    };
+
+    template <typename Source, typename Event, typename Target>
+    using Move = front::Row<Source, Event, Target, front::none, front::none>;
+
+    // clang-format off
         struct transition_table : boost::mpl::vector<
             Move<Unknown, Restarted, Cold>,
             Move<Unknown, Failed, Cold>,
@@ -86,17 +86,14 @@
             Move<Warm, Removed, Gone>,
             Move<Leaving, Returned, Cold>,
             Move<Leaving, Removed, Gone>> { };
-        // clang-format on
+    // clang-format on
 
-        template <typename Machine, typename Event>
-        void no_transition(const Event&, Machine&, int)
-        {
-        }
+    template <typename Machine, typename Event> void no_transition(const Event&, Machine&, int) { }
 
-        Limits limits;
-    };
+    Limits limits;
+};
 
-    using Machine = boost::msm::back::state_machine<LifecycleDefinition>;
+using Machine = boost::msm::back::state_machine<LifecycleDefinition>;
 
 } // namespace internal
 
@@ -109,18 +106,17 @@
         return static_cast<LifecycleState>(this->ordinal(this->states.current_state()[0]));
     }
 
-    template <typename Event>
-    bool turnsCold(const Event& event)
+    template <typename Event> bool turnsCold(const Event& event)
     {
         const auto before = this->state();
         this->states.process_event(event);
-        return this->state() == LifecycleState::Cold && (before == LifecycleState::Warming || before == LifecycleState::Warm);
+        return this->state() == LifecycleState::Cold
+            && (before == LifecycleState::Warming || before == LifecycleState::Warm);
     }
 
 private:
     template <typename State>
-    static constexpr int kIdOf
-        = boost::msm::back::get_state_id<internal::Machine::stt, State>::type::value;
+    static constexpr int kIdOf = boost::msm::back::get_state_id<internal::Machine::stt, State>::type::value;
 
     [[nodiscard]] int ordinal(int id) const
     {
@@ -142,10 +138,7 @@
 EndpointLifecycle::EndpointLifecycle(EndpointLifecycle&&) noexcept = default;
 EndpointLifecycle& EndpointLifecycle::operator=(EndpointLifecycle&&) noexcept = default;
 
-LifecycleState EndpointLifecycle::state() const noexcept
-{
-    return this->machine->state();
-}
+LifecycleState EndpointLifecycle::state() const noexcept { return this->machine->state(); }
 
 std::uint32_t EndpointLifecycle::limit() const noexcept
 {
@@ -165,10 +158,7 @@
     return 0;
 }
 
-const std::string& EndpointLifecycle::bootId() const noexcept
-{
-    return this->machine->bootId;
-}
+const std::string& EndpointLifecycle::bootId() const noexcept { return this->machine->bootId; }
 
 bool EndpointLifecycle::observeBoot(const std::string& bootId)
 {
@@ -178,40 +168,19 @@
     return this->machine->turnsCold(internal::Restarted {});
 }
 
-void EndpointLifecycle::observeWarm()
-{
-    this->machine->states.process_event(internal::BecameWarm {});
-}
+void EndpointLifecycle::observeWarm() { this->machine->states.process_event(internal::BecameWarm {}); }
 
-bool EndpointLifecycle::observeCold()
-{
-    return this->machine->turnsCold(internal::Restarted {});
-}
+bool EndpointLifecycle::observeCold() { return this->machine->turnsCold(internal::Restarted {}); }
 
-void EndpointLifecycle::observeSuccess()
-{
-    this->machine->states.process_event(internal::Succeeded {});
-}
+void EndpointLifecycle::observeSuccess() { this->machine->states.process_event(internal::Succeeded {}); }
 
-bool EndpointLifecycle::observeFailure()
-{
-    return this->machine->turnsCold(internal::Failed {});
-}
+bool EndpointLifecycle::observeFailure() { return this->machine->turnsCold(internal::Failed {}); }
 
-void EndpointLifecycle::leave()
-{
-    this->machine->states.process_event(internal::LeaveRequested {});
-}
+void EndpointLifecycle::leave() { this->machine->states.process_event(internal::LeaveRequested {}); }
 
-void EndpointLifecycle::comeBack()
-{
-    this->machine->states.process_event(internal::Returned {});
-}
+void EndpointLifecycle::comeBack() { this->machine->states.process_event(internal::Returned {}); }
 
-void EndpointLifecycle::remove()
-{
-    this->machine->states.process_event(internal::Removed {});
-}
+void EndpointLifecycle::remove() { this->machine->states.process_event(internal::Removed {}); }
 
 void EndpointLifecycle::takeOver(const std::string& bootId, bool isWarm, std::uint32_t warmLimit)
 {
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -10,16 +10,16 @@
 
 namespace {
 
-    constexpr Duration kReviewInterval { 200 };
-    constexpr Duration kProbeTimeout { 1000 };
-    constexpr std::size_t kStandIns = 2;
-
-    AuthorityState firstPlace()
-    {
-        AuthorityState state;
-        state.holdsFirst = true;
-        return state;
-    }
+constexpr Duration kReviewInterval { 200 };
+constexpr Duration kProbeTimeout { 1000 };
+constexpr std::size_t kStandIns = 2;
+
+AuthorityState firstPlace()
+{
+    AuthorityState state;
+    state.holdsFirst = true;
+    return state;
+}
 
 } // namespace
 
@@ -31,8 +31,8 @@
     return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(multiple * mean)));
 }
 
-EndpointRegistry::EndpointRegistry(Clock& hostClock, Link& hostLink, Catalog& hostCatalog,
-    FailureDomain& failureDomain, Metrics& hostMetrics, EndpointAccess endpointAccess, double multiple)
+EndpointRegistry::EndpointRegistry(Clock& hostClock, Link& hostLink, Catalog& hostCatalog, FailureDomain& failureDomain,
+    Metrics& hostMetrics, EndpointAccess endpointAccess, double multiple)
     : clock { hostClock }
     , link { hostLink }
     , catalog { hostCatalog }
--- a/src/berylwing/routing/endpoint_registry.hpp
+++ b/src/berylwing/routing/endpoint_registry.hpp
@@ -2,12 +2,12 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/reasons.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
 #include "berylwing/routing/authority.hpp"
 #include "berylwing/routing/endpoint_connection.hpp"
 #include "berylwing/routing/owned_endpoint.hpp"
-#include "berylwing/core/reasons.hpp"
 #include <map>
 #include <optional>
 #include <string>
--- a/src/berylwing/routing/owned_endpoint.cpp
+++ b/src/berylwing/routing/owned_endpoint.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    constexpr std::size_t kMostPlacements = 20'000;
-    constexpr Duration kPlacementRetention = std::chrono::hours { 3 };
+constexpr std::size_t kMostPlacements = 20'000;
+constexpr Duration kPlacementRetention = std::chrono::hours { 3 };
 
 } // namespace
 
--- a/src/berylwing/routing/placement_table.cpp
+++ b/src/berylwing/routing/placement_table.cpp
@@ -10,10 +10,7 @@
 {
 }
 
-PlacementTable::~PlacementTable()
-{
-    this->byUse.clear();
-}
+PlacementTable::~PlacementTable() { this->byUse.clear(); }
 
 std::vector<Placement> PlacementTable::all() const
 {
--- a/src/berylwing/routing/placement_table.hpp
+++ b/src/berylwing/routing/placement_table.hpp
@@ -2,13 +2,13 @@
 
 #include "berylwing/core/clock.hpp"
 #include <boost/intrusive/list.hpp>
-#include <unordered_map>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace berylwing {
--- a/src/berylwing/telemetry/log.cpp
+++ b/src/berylwing/telemetry/log.cpp
@@ -10,36 +10,36 @@
 
 namespace {
 
-    /** Writes the message as a JSON string, so that no message can break its line. */
-    class EscapedMessage : public spdlog::custom_flag_formatter {
-    public:
-        void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& destination) override
-        {
-            const nlohmann::json text = std::string { message.payload.data(), message.payload.size() };
-            const auto escaped = text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-            destination.append(escaped.data(), escaped.data() + escaped.size());
-        }
-
-        std::unique_ptr<custom_flag_formatter> clone() const override
-        {
-            return spdlog::details::make_unique<EscapedMessage>();
-        }
-    };
-
-    spdlog::level::level_enum toSpdlog(LogLevel level)
+/** Writes the message as a JSON string, so that no message can break its line. */
+class EscapedMessage : public spdlog::custom_flag_formatter {
+public:
+    void format(const spdlog::details::log_msg& message, const std::tm&, spdlog::memory_buf_t& destination) override
     {
-        switch (level) {
-        case LogLevel::Debug:
-            return spdlog::level::debug;
-        case LogLevel::Info:
-            return spdlog::level::info;
-        case LogLevel::Warn:
-            return spdlog::level::warn;
-        case LogLevel::Error:
-            return spdlog::level::err;
-        }
+        const nlohmann::json text = std::string { message.payload.data(), message.payload.size() };
+        const auto escaped = text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        destination.append(escaped.data(), escaped.data() + escaped.size());
+    }
+
+    std::unique_ptr<custom_flag_formatter> clone() const override
+    {
+        return spdlog::details::make_unique<EscapedMessage>();
+    }
+};
+
+spdlog::level::level_enum toSpdlog(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return spdlog::level::debug;
+    case LogLevel::Info:
         return spdlog::level::info;
+    case LogLevel::Warn:
+        return spdlog::level::warn;
+    case LogLevel::Error:
+        return spdlog::level::err;
     }
+    return spdlog::level::info;
+}
 
 } // namespace
 
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -6,26 +6,23 @@
 
 namespace {
 
-    template <typename Enum, std::size_t Count>
-    std::array<prometheus::Counter*, Count> makeCounters(
-        prometheus::Registry& registry, const char* name, const char* help, const EnumNames<Enum, Count>& names)
-    {
-        std::array<prometheus::Counter*, Count> counters {};
-        auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
-        for (std::size_t index = 0; index < Count; ++index)
-            counters[index] = &family.Add({ { "reason", std::string { names.all()[index] } } });
-        return counters;
-    }
-
-    prometheus::Counter* makeCounter(prometheus::Registry& registry, const char* name, const char* help)
-    {
-        return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
-    }
-
-    std::uint64_t read(const prometheus::Counter* counter)
-    {
-        return static_cast<std::uint64_t>(counter->Value());
-    }
+template <typename Enum, std::size_t Count>
+std::array<prometheus::Counter*, Count> makeCounters(
+    prometheus::Registry& registry, const char* name, const char* help, const EnumNames<Enum, Count>& names)
+{
+    std::array<prometheus::Counter*, Count> counters {};
+    auto& family = prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+    for (std::size_t index = 0; index < Count; ++index)
+        counters[index] = &family.Add({ { "reason", std::string { names.all()[index] } } });
+    return counters;
+}
+
+prometheus::Counter* makeCounter(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
+}
+
+std::uint64_t read(const prometheus::Counter* counter) { return static_cast<std::uint64_t>(counter->Value()); }
 
 } // namespace
 
@@ -46,69 +43,33 @@
 {
 }
 
-std::uint64_t Metrics::count(Refusal reason) const
-{
-    return read(this->refusals[static_cast<std::size_t>(reason)]);
-}
+std::uint64_t Metrics::count(Refusal reason) const { return read(this->refusals[static_cast<std::size_t>(reason)]); }
 
-std::uint64_t Metrics::count(Retry reason) const
-{
-    return read(this->retries[static_cast<std::size_t>(reason)]);
-}
+std::uint64_t Metrics::count(Retry reason) const { return read(this->retries[static_cast<std::size_t>(reason)]); }
 
 std::uint64_t Metrics::count(Incident incident) const
 {
     return read(this->incidents[static_cast<std::size_t>(incident)]);
 }
 
-std::uint64_t Metrics::controlBytes() const
-{
-    return read(this->controlTraffic);
-}
+std::uint64_t Metrics::controlBytes() const { return read(this->controlTraffic); }
 
-std::string Metrics::text() const
-{
-    return prometheus::TextSerializer {}.Serialize(this->registry->Collect());
-}
+std::string Metrics::text() const { return prometheus::TextSerializer {}.Serialize(this->registry->Collect()); }
 
-void Metrics::add(Refusal reason)
-{
-    this->refusals[static_cast<std::size_t>(reason)]->Increment();
-}
+void Metrics::add(Refusal reason) { this->refusals[static_cast<std::size_t>(reason)]->Increment(); }
 
-void Metrics::add(Retry reason)
-{
-    this->retries[static_cast<std::size_t>(reason)]->Increment();
-}
+void Metrics::add(Retry reason) { this->retries[static_cast<std::size_t>(reason)]->Increment(); }
 
-void Metrics::add(Incident incident)
-{
-    this->incidents[static_cast<std::size_t>(incident)]->Increment();
-}
+void Metrics::add(Incident incident) { this->incidents[static_cast<std::size_t>(incident)]->Increment(); }
 
-void Metrics::addRequest()
-{
-    this->requests->Increment();
-}
+void Metrics::addRequest() { this->requests->Increment(); }
 
-void Metrics::addControlBytes(std::size_t bytes)
-{
-    this->controlTraffic->Increment(static_cast<double>(bytes));
-}
+void Metrics::addControlBytes(std::size_t bytes) { this->controlTraffic->Increment(static_cast<double>(bytes)); }
 
-void Metrics::addPlatformCall()
-{
-    this->platformCalls->Increment();
-}
+void Metrics::addPlatformCall() { this->platformCalls->Increment(); }
 
-void Metrics::addRelayedChunk()
-{
-    this->relayedChunks->Increment();
-}
+void Metrics::addRelayedChunk() { this->relayedChunks->Increment(); }
 
-void Metrics::setInFlight(std::size_t count)
-{
-    this->inFlight->Set(static_cast<double>(count));
-}
+void Metrics::setInFlight(std::size_t count) { this->inFlight->Set(static_cast<double>(count)); }
 
 } // namespace berylwing
--- a/src/berylwing/telemetry/metrics.hpp
+++ b/src/berylwing/telemetry/metrics.hpp
@@ -13,8 +13,7 @@
 
 /** @brief Counters and gauges of one host. */
 class Metrics {
-    template <std::size_t Count>
-    using Counters = std::array<prometheus::Counter*, Count>;
+    template <std::size_t Count> using Counters = std::array<prometheus::Counter*, Count>;
 
 public:
     /** @brief Creates all metrics with the value zero. */
--- /dev/null
+++ b/test/berylwing/ledger/at_most_once_test.cpp
@@ -0,0 +1,165 @@
+#include "support/fault_matrix.hpp"
+#include "support/test_fleet.hpp"
+
+#include <catch2/catch.hpp>
+#include <iostream>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+constexpr Duration kFaultTime { 6000 };
+constexpr Duration kAnswerLimit { 25'000 };
+constexpr int kMostResends = 40;
+
+/** Sends of one order and what became of them. */
+class OrderLog {
+public:
+    explicit OrderLog(TestFleet& testFleet)
+        : fleet { testFleet }
+        , key { testFleet.newKey() }
+    {
+    }
+
+    std::shared_ptr<CallerAnswer> send(const std::string& host)
+    {
+        auto request = orderRequest(this->key);
+        request.requestId += "-" + std::to_string(this->sends.size());
+        auto answer = this->fleet.request(host, request);
+        this->sends.push_back({ request.requestId, answer });
+        return answer;
+    }
+
+    /** Sends again, from host to host, until the answer is more than "not run". */
+    bool resendUntilDefinite()
+    {
+        for (int index = 0; index < kMostResends; ++index) {
+            const auto hosts = this->fleet.hosts();
+            const auto answer = this->send(hosts[static_cast<std::size_t>(index) % hosts.size()]);
+            if (!this->fleet.advanceUntil([&answer] { return answer->finished; }, kAnswerLimit))
+                return false;
+            if (!answer->isNotRun())
+                return true;
+            this->fleet.advance(Duration { 500 });
+        }
+        return false;
+    }
+
+    void check() const
+    {
+        CHECK(this->fleet.endpoints.runsOf(this->key) <= 1);
+        for (const auto& send : this->sends) {
+            const auto found = this->fleet.endpoints.attemptsOfRequest.find(send.requestId);
+            const int attempts = found == this->fleet.endpoints.attemptsOfRequest.end() ? 0 : found->second;
+            CHECK(attempts <= 1);
+            if (send.answer->isNotRun())
+                CHECK(attempts == 0);
+            if (send.answer->isWhole()) {
+                CHECK(this->fleet.endpoints.runsOf(this->key) == 1);
+                CHECK(send.answer->body == "recorded " + this->key);
+            }
+        }
+    }
+
+private:
+    struct Send {
+        std::string requestId;
+        std::shared_ptr<CallerAnswer> answer;
+    };
+
+    TestFleet& fleet;
+    std::string key;
+    std::vector<Send> sends;
+};
+
+FleetPlan orderPlan()
+{
+    FleetPlan plan;
+    plan.enginesPerDomain = 0;
+    return plan;
+}
+
+} // namespace
+
+TEST_CASE("An order runs at most once with any fault at any step", "[ledger][matrix]")
+{
+    int cells = 0;
+    int reached = 0;
+    forEachCell([&](Step step, Fault fault) {
+        INFO("step " << kStepNames[step] << ", fault " << kFaultNames[fault]);
+        TestFleet fleet;
+        startFleet(fleet, orderPlan());
+        OrderLog order { fleet };
+        {
+            FaultCell cell { fleet, step, fault, "knox-orders-0" };
+            const auto first = order.send("chatt-0");
+            fleet.advance(kFaultTime);
+            cell.end();
+            reached += cell.wasReached() ? 1 : 0;
+            fleet.advance(kFaultTime);
+        }
+        CHECK(order.resendUntilDefinite());
+        fleet.advance(kFaultTime);
+        order.check();
+        ++cells;
+    });
+    std::cout << "matrix at-most-once: " << cells << " cells run, " << reached << " reached their step\n";
+    CHECK(reached > cells / 2);
+}
+
+TEST_CASE("An order that is sent again while it runs waits for the same answer", "[ledger]")
+{
+    TestFleet fleet;
+    startFleet(fleet, orderPlan());
+    fleet.endpoints.serviceTime = Duration { 1000 };
+    OrderLog order { fleet };
+    const auto first = order.send("knox-0");
+    fleet.advance(Duration { 300 });
+    const auto second = order.send("chatt-1");
+    fleet.advance(Duration { 3000 });
+    CHECK(first->isWhole());
+    CHECK(second->isWhole());
+    order.check();
+}
+
+TEST_CASE("An order during a long platform outage is refused as not run and can run afterwards", "[ledger]")
+{
+    TestFleet fleet;
+    startFleet(fleet, orderPlan());
+    fleet.platform.trouble = PlatformTrouble::Down;
+    OrderLog order { fleet };
+    const auto refused = order.send("knox-0");
+    fleet.advance(Duration { 600'000 });
+    REQUIRE(refused->isNotRun());
+    CHECK(*refused->outcome.reason == Refusal::LedgerUnavailable);
+    CHECK(refused->outcome.retryAfter > Duration {});
+    fleet.platform.trouble = PlatformTrouble::None;
+    CHECK(order.resendUntilDefinite());
+    order.check();
+}
+
+TEST_CASE("A key that is reused for another request is refused", "[ledger]")
+{
+    TestFleet fleet;
+    startFleet(fleet, orderPlan());
+    const auto key = fleet.newKey();
+    const auto first = fleet.request("knox-0", orderRequest(key, "forty packs"));
+    fleet.advance(Duration { 2000 });
+    const auto second = fleet.request("knox-1", orderRequest(key, "fifty packs"));
+    fleet.advance(Duration { 2000 });
+    CHECK(first->isWhole());
+    REQUIRE(second->isNotRun());
+    CHECK(*second->outcome.reason == Refusal::KeyReusedForOtherRequest);
+    CHECK(fleet.endpoints.runsOf(key) == 1);
+}
+
+TEST_CASE("A key older than the retention is refused", "[ledger]")
+{
+    TestFleet fleet;
+    startFleet(fleet, orderPlan());
+    const auto answer = fleet.request("knox-0", orderRequest("00000000-0001-7000-8000-000000000001"));
+    fleet.advance(Duration { 2000 });
+    REQUIRE(answer->isNotRun());
+    CHECK(*answer->outcome.reason == Refusal::ExpiredIdempotencyKey);
+}
--- a/test/stand_ins/endpoints_main.cpp
+++ b/test/stand_ins/endpoints_main.cpp
@@ -23,108 +23,105 @@
 
 namespace {
 
-    namespace asio = boost::asio;
-    namespace http = boost::beast::http;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
 
-    /** Stand-in of a model engine: streams tokens, reports load, resumes at an offset, crashes on a marked request. */
-    class EngineStandIn {
-    public:
-        EngineStandIn(Clock& standInClock, std::string name)
-            : clock { standInClock }
-        {
-            this->model.name = std::move(name);
-        }
+/** Stand-in of a model engine: streams tokens, reports load, resumes at an offset, crashes on a marked request. */
+class EngineStandIn {
+public:
+    EngineStandIn(Clock& standInClock, std::string name)
+        : clock { standInClock }
+    {
+        this->model.name = std::move(name);
+    }
 
-        Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
-        {
-            if (request.target() == "/v1/load") {
-                StandInResponse response;
-                response.body() = nlohmann::json { { "boot_id", this->bootId() }, { "running", this->model.running },
-                    { "warm", this->model.warm }, { "age_ms", 0 } }
-                                      .dump();
-                co_await respond(stream, std::move(response));
-                co_return true;
-            }
-            if (request.body().find("crash-the-engine") != std::string::npos) {
-                this->model.restart();
-                this->model.warm = true;
-                co_return false;
-            }
-            const auto boot = this->model.boot;
-            this->model.begin();
-            const bool isWhole = co_await this->stream(stream, request);
-            if (this->model.boot == boot)
-                this->model.end();
-            co_return isWhole;
+    Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
+    {
+        if (request.target() == "/v1/load") {
+            StandInResponse response;
+            response.body() = nlohmann::json { { "boot_id", this->bootId() }, { "running", this->model.running },
+                { "warm", this->model.warm },
+                { "age_ms", 0 } }.dump();
+            co_await respond(stream, std::move(response));
+            co_return true;
         }
-
-    private:
-        [[nodiscard]] std::string bootId() const
-        {
-            return this->model.name + "-" + std::to_string(this->model.boot);
+        if (request.body().find("crash-the-engine") != std::string::npos) {
+            this->model.restart();
+            this->model.warm = true;
+            co_return false;
         }
+        const auto boot = this->model.boot;
+        this->model.begin();
+        const bool isWhole = co_await this->stream(stream, request);
+        if (this->model.boot == boot)
+            this->model.end();
+        co_return isWhole;
+    }
+
+private:
+    [[nodiscard]] std::string bootId() const { return this->model.name + "-" + std::to_string(this->model.boot); }
 
-        Task<bool> stream(boost::beast::tcp_stream& stream, const StandInRequest& request)
-        {
-            const auto document = nlohmann::json::parse(request.body(), nullptr, false);
-            const bool hasTokens = document.is_object() && document.contains("max_tokens");
-            const auto tokens = hasTokens ? document.at("max_tokens").get<std::size_t>()
-                                          : static_cast<std::size_t>(FLAGS_tokens);
-            const auto parts = EngineModel::answer(this->model.name, request.body(), tokens);
-            const auto offsetText = header(request, "X-Resume-Offset");
-            std::size_t skip = offsetText.empty() ? 0 : std::stoul(offsetText);
-            http::response<http::empty_body> head { skip > 0 ? http::status::partial_content : http::status::ok, 11 };
-            head.set(http::field::content_type, "text/event-stream");
-            head.set("X-Request-Id", header(request, "X-Request-Id"));
-            head.set("X-Boot-Id", this->bootId());
-            head.set("X-Stream-Id", this->model.name);
-            head.chunked(true);
-            http::response_serializer<http::empty_body> serializer { head };
-            boost::system::error_code error;
-            co_await this->clock.sleepFor(Duration { FLAGS_first_token_ms });
-            co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
-            for (const auto& part : parts) {
-                const auto cut = std::min(skip, part.size());
-                skip -= cut;
-                if (error)
-                    co_return false;
-                if (cut == part.size())
-                    continue;
-                co_await asio::async_write(stream, http::make_chunk(asio::buffer(part.substr(cut))),
-                    asio::redirect_error(asio::use_awaitable, error));
-                if (FLAGS_token_ms > 0)
-                    co_await this->clock.sleepFor(Duration { FLAGS_token_ms });
-            }
-            co_await asio::async_write(stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
-            co_return !error;
+    Task<bool> stream(boost::beast::tcp_stream& stream, const StandInRequest& request)
+    {
+        const auto document = nlohmann::json::parse(request.body(), nullptr, false);
+        const bool hasTokens = document.is_object() && document.contains("max_tokens");
+        const auto tokens
+            = hasTokens ? document.at("max_tokens").get<std::size_t>() : static_cast<std::size_t>(FLAGS_tokens);
+        const auto parts = EngineModel::answer(this->model.name, request.body(), tokens);
+        const auto offsetText = header(request, "X-Resume-Offset");
+        std::size_t skip = offsetText.empty() ? 0 : std::stoul(offsetText);
+        http::response<http::empty_body> head { skip > 0 ? http::status::partial_content : http::status::ok, 11 };
+        head.set(http::field::content_type, "text/event-stream");
+        head.set("X-Request-Id", header(request, "X-Request-Id"));
+        head.set("X-Boot-Id", this->bootId());
+        head.set("X-Stream-Id", this->model.name);
+        head.chunked(true);
+        http::response_serializer<http::empty_body> serializer { head };
+        boost::system::error_code error;
+        co_await this->clock.sleepFor(Duration { FLAGS_first_token_ms });
+        co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        for (const auto& part : parts) {
+            const auto cut = std::min(skip, part.size());
+            skip -= cut;
+            if (error)
+                co_return false;
+            if (cut == part.size())
+                continue;
+            co_await asio::async_write(stream, http::make_chunk(asio::buffer(part.substr(cut))),
+                asio::redirect_error(asio::use_awaitable, error));
+            if (FLAGS_token_ms > 0)
+                co_await this->clock.sleepFor(Duration { FLAGS_token_ms });
         }
+        co_await asio::async_write(stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        co_return !error;
+    }
 
-        Clock& clock;
-        EngineModel model;
-    };
+    Clock& clock;
+    EngineModel model;
+};
 
-    /** Stand-in of a plain service that records each run by its key; GET /runs lists them. */
-    class ServiceStandIn {
-    public:
-        Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
-        {
-            StandInResponse response;
-            if (request.target() == "/runs") {
-                response.body() = nlohmann::json(this->runs).dump();
-            } else if (request.target() != "/healthz") {
-                const auto key = header(request, "Idempotency-Key");
-                const auto count = ++this->runs[key.empty() ? "unkeyed" : key];
-                response.set("X-Request-Id", header(request, "X-Request-Id"));
-                response.set(http::field::content_type, "application/json");
-                response.body() = nlohmann::json { { "recorded", key }, { "run", count } }.dump();
-            }
-            co_await respond(stream, std::move(response));
-            co_return true;
+/** Stand-in of a plain service that records each run by its key; GET /runs lists them. */
+class ServiceStandIn {
+public:
+    Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
+    {
+        StandInResponse response;
+        if (request.target() == "/runs") {
+            response.body() = nlohmann::json(this->runs).dump();
+        } else if (request.target() != "/healthz") {
+            const auto key = header(request, "Idempotency-Key");
+            const auto count = ++this->runs[key.empty() ? "unkeyed" : key];
+            response.set("X-Request-Id", header(request, "X-Request-Id"));
+            response.set(http::field::content_type, "application/json");
+            response.body() = nlohmann::json { { "recorded", key }, { "run", count } }.dump();
         }
+        co_await respond(stream, std::move(response));
+        co_return true;
+    }
 
-    private:
-        std::map<std::string, int> runs;
-    };
+private:
+    std::map<std::string, int> runs;
+};
 
 } // namespace
 
--- a/test/support/engine_model.cpp
+++ b/test/support/engine_model.cpp
@@ -10,8 +10,8 @@
     std::vector<std::string> parts;
     for (std::size_t index = 0; index < tokens; ++index) {
         const auto token = hashText(body, index) % 100000;
-        parts.push_back("data: {\"engine\":\"" + engine + "\",\"index\":" + std::to_string(index)
-            + ",\"token\":\"t" + std::to_string(token) + "\"}\n\n");
+        parts.push_back("data: {\"engine\":\"" + engine + "\",\"index\":" + std::to_string(index) + ",\"token\":\"t"
+            + std::to_string(token) + "\"}\n\n");
     }
     parts.emplace_back("data: [DONE]\n\n");
     return parts;
--- a/test/support/engine_model.hpp
+++ b/test/support/engine_model.hpp
@@ -10,8 +10,8 @@
 /** @brief Behaviour of a stand-in engine that its HTTP and its in-process form share. */
 struct EngineModel {
     /** @brief Makes the answer to a request: one part for each token and the end mark. */
-    [[nodiscard]] static std::vector<std::string> answer(const std::string& engine, const std::string& body,
-        std::size_t tokens);
+    [[nodiscard]] static std::vector<std::string> answer(
+        const std::string& engine, const std::string& body, std::size_t tokens);
 
     /** @brief Counts a request that begins; false if the engine falls over because it is cold. */
     bool begin();
--- /dev/null
+++ b/test/support/fake_endpoints.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/routing/endpoint_connection.hpp"
+#include "support/engine_model.hpp"
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylwing::test {
+
+/** @brief In-process stand-ins of engines and plain services, which record everything that reaches them. */
+class FakeEndpoints {
+public:
+    struct Endpoint {
+        EngineModel model;
+        bool down = false;
+        /** The connections give no sign of life and never end. */
+        bool frozen = false;
+        /** Breaks the stream after this many parts; negative for never. */
+        int breakAfter = -1;
+        /** Does not report the load of its own that it bears. */
+        Duration reportLag {};
+        std::uint32_t reportedRunning = 0;
+        TimePoint reportedAt {};
+        /** Answers the next request with the bytes of another one. */
+        bool crossesNext = false;
+    };
+
+    /** @brief Makes the access of one host. */
+    [[nodiscard]] EndpointAccess accessOf(std::string host, Clock& clock);
+
+    /** @brief Ends all connections of a host that was killed. */
+    void dropHost(const std::string& host);
+
+    /** @brief Restarts an endpoint without warning: its connections break and it is cold. */
+    void restart(const std::string& name);
+
+    /** @brief Finds or makes an endpoint. */
+    [[nodiscard]] Endpoint& at(const std::string& name);
+
+    /** @brief Counts the runs of a key at all services. */
+    [[nodiscard]] int runsOf(const std::string& key) const;
+
+    /** @brief Most requests that an endpoint had at once. */
+    [[nodiscard]] std::uint32_t mostRunning(const std::string& name);
+
+    std::map<std::string, int> runs;
+    /** Bodies of the requests that reached an endpoint, by request id. */
+    std::map<std::string, int> attemptsOfRequest;
+    std::size_t tokens = 8;
+    Duration tokenTime { 20 };
+    Duration serviceTime { 50 };
+
+private:
+    struct Connection {
+        FakeEndpoints* owner = nullptr;
+        Clock* clock = nullptr;
+        std::string host;
+        std::string endpoint;
+        std::uint64_t boot = 0;
+        bool counted = false;
+        bool aborted = false;
+        std::vector<std::string> parts;
+        std::size_t next = 0;
+
+        ~Connection();
+        void finish();
+        [[nodiscard]] bool isBroken() const;
+        [[nodiscard]] Task<void> pass(Duration time, TimePoint deadline) const;
+    };
+
+    [[nodiscard]] Task<std::shared_ptr<EndpointConnection>> connect(
+        std::string host, Clock& clock, EndpointObject target);
+    [[nodiscard]] Task<LoadReport> probe(Clock& clock, EndpointObject target);
+    [[nodiscard]] Task<void> send(std::shared_ptr<Connection> connection, EndpointCall call, bool isEngine);
+    [[nodiscard]] Task<EndpointHead> readHead(std::shared_ptr<Connection> connection, TimePoint deadline);
+    [[nodiscard]] Task<std::optional<std::string>> readBody(std::shared_ptr<Connection> connection, TimePoint deadline);
+
+    std::map<std::string, Endpoint> endpoints;
+    std::set<Connection*> connections;
+    bool resumed = false;
+};
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/support/fake_platform.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/core/enum_names.hpp"
+#include "berylwing/platform/platform_client.hpp"
+#include "support/object_store.hpp"
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylwing::test {
+
+/** @brief Ways in which the platform's stand-in fails. */
+enum class PlatformTrouble {
+    None,
+    /** Calls are refused; nothing takes effect. */
+    Down,
+    /** Writes take effect, their answers are lost. */
+    AnswersLost,
+    /** Answers of writes are lost, and the writes take effect only later. */
+    WritesDelayed,
+    /** Each call takes nearly as long as its caller waits. */
+    Slow,
+};
+
+/** @brief In-process stand-in of the platform's object API. */
+class FakePlatform {
+public:
+    /** @brief Makes the exchange of one host; calls take time on the host's clock. */
+    [[nodiscard]] PlatformClient::Exchange exchangeOf(std::string host, Clock& clock);
+
+    /** @brief Lets delayed writes whose time has come take effect. */
+    void advanceTo(TimePoint now);
+
+    ObjectStore store;
+    PlatformTrouble trouble = PlatformTrouble::None;
+    /** Hosts that cannot reach the platform. */
+    std::set<std::string> cutOff;
+
+private:
+    struct DelayedWrite {
+        TimePoint at;
+        PlatformCall call;
+    };
+
+    [[nodiscard]] Task<PlatformReply> carry(std::string host, Clock& clock, PlatformCall call);
+    [[nodiscard]] bool isUnreachable(const std::string& host) const;
+
+    std::vector<DelayedWrite> delayed;
+};
+
+} // namespace berylwing::test
--- a/test/support/object_store.cpp
+++ b/test/support/object_store.cpp
@@ -28,10 +28,7 @@
     return {};
 }
 
-bool ObjectStore::hasChangesAfter(std::uint64_t after) const
-{
-    return this->configurationRevision > after;
-}
+bool ObjectStore::hasChangesAfter(std::uint64_t after) const { return this->configurationRevision > after; }
 
 std::string ObjectStore::body(ObjectKind kind, const std::string& name) const
 {
--- /dev/null
+++ b/test/support/test_fleet.cpp
@@ -0,0 +1,280 @@
+#include "support/test_fleet.hpp"
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace berylwing::test {
+
+namespace {
+
+constexpr Duration kTurn { 5 };
+constexpr Duration kSettleLimit { 10'000 };
+
+Task<void> ask(Host& host, CallerRequest request, std::shared_ptr<CallerAnswer> answer, Clock& clock)
+{
+    const ResponseSink sink {
+        [answer](unsigned status, const std::string&) -> Task<void> {
+            answer->status = status;
+            co_return;
+        },
+        [answer, &clock](std::string_view bytes) -> Task<void> {
+            if (answer->body.empty())
+                answer->firstByteAt = clock.now();
+            answer->body += bytes;
+            co_return;
+        },
+    };
+    answer->outcome = co_await host.handle(request, sink);
+    answer->finished = true;
+    answer->finishedAt = clock.now();
+}
+
+Task<void> stopHost(Host& host, Duration limit, std::shared_ptr<bool> stopped)
+{
+    co_await host.stop(limit);
+    *stopped = true;
+}
+
+} // namespace
+
+TestFleet::TestFleet() = default;
+
+TestFleet::~TestFleet()
+{
+    for (auto& [name, node] : this->nodes)
+        this->graveyard.push_back(std::move(node));
+    for (auto& node : this->graveyard)
+        this->destroy(*node);
+}
+
+void TestFleet::destroy(Node& node)
+{
+    // Suspended coroutines refer to the host, so they go first.
+    node.context.destroyPending();
+    node.host.reset();
+    node.clock.reset();
+}
+
+void TestFleet::start(const std::string& name, const std::string& domain)
+{
+    if (this->isAlive(name))
+        this->kill(name);
+    auto node = std::make_unique<Node>();
+    auto& own = *node;
+    own.name = name;
+    own.domain = domain;
+    own.clock = std::make_unique<Clock>(own.context.get_executor(), [this] { return this->time; });
+    HostDependencies dependencies;
+    dependencies.identity = { name, domain, this->nextIncarnation++, "127.0.0.1", 7100, 9100 };
+    for (const auto& [peer, other] : this->nodes)
+        dependencies.seeds.push_back(peer);
+    dependencies.wallClock = [this] { return this->wallMs(); };
+    dependencies.transport
+        = [this, &own](const std::string& to, const std::string& bytes) { return this->send(own, to, bytes); };
+    dependencies.platform = this->platform.exchangeOf(name, *own.clock);
+    dependencies.endpoints = this->endpoints.accessOf(name, *own.clock);
+    dependencies.stepHook = [this, &own](Step step) { return this->reach(own, step); };
+    own.host = std::make_unique<Host>(*own.clock, std::move(dependencies));
+    own.host->start();
+    this->platform.store.hosts.push_back({ name, false });
+    this->nodes[name] = std::move(node);
+}
+
+void TestFleet::kill(const std::string& name)
+{
+    auto& node = this->nodes.at(name);
+    node->dead = true;
+    this->endpoints.dropHost(name);
+    std::erase_if(this->platform.store.hosts, [&name](const HostListing& host) { return host.host == name; });
+    this->graveyard.push_back(std::move(node));
+    this->nodes.erase(name);
+}
+
+void TestFleet::cut(const std::string& left, const std::string& right, bool silent)
+{
+    this->cuts[{ left, right }] = silent;
+    this->cuts[{ right, left }] = silent;
+}
+
+void TestFleet::healAll() { this->cuts.clear(); }
+
+void TestFleet::advance(Duration length)
+{
+    const auto end = this->time + length;
+    while (this->time < end) {
+        this->time += kTurn;
+        this->platform.advanceTo(this->time);
+        for (auto& [name, node] : this->nodes) {
+            if (!node->paused)
+                node->clock->fireDue();
+        }
+        this->runReady();
+        if (this->invariant)
+            this->invariant();
+    }
+}
+
+bool TestFleet::advanceUntil(const std::function<bool()>& condition, Duration limit)
+{
+    const auto end = this->time + limit;
+    while (!condition() && this->time < end)
+        this->advance(kTurn);
+    return condition();
+}
+
+void TestFleet::runReady()
+{
+    bool progressed = true;
+    while (progressed) {
+        progressed = false;
+        for (const auto& name : this->hosts()) {
+            const auto found = this->nodes.find(name);
+            if (found == this->nodes.end() || found->second->paused)
+                continue;
+            auto& context = found->second->context;
+            context.restart();
+            progressed = context.poll_one() > 0 || progressed;
+        }
+    }
+}
+
+std::shared_ptr<CallerAnswer> TestFleet::request(const std::string& host, CallerRequest request)
+{
+    auto answer = std::make_shared<CallerAnswer>();
+    auto& node = *this->nodes.at(host);
+    spawn(node.context.get_executor(), "caller", ask(*node.host, std::move(request), answer, *node.clock));
+    return answer;
+}
+
+std::shared_ptr<bool> TestFleet::stop(const std::string& host, Duration limit)
+{
+    auto stopped = std::make_shared<bool>(false);
+    auto& node = *this->nodes.at(host);
+    spawn(node.context.get_executor(), "stop", stopHost(*node.host, limit, stopped));
+    return stopped;
+}
+
+std::vector<std::string> TestFleet::hosts() const
+{
+    std::vector<std::string> names;
+    names.reserve(this->nodes.size());
+    for (const auto& [name, node] : this->nodes)
+        names.push_back(name);
+    return names;
+}
+
+std::string TestFleet::newKey()
+{
+    const auto ms = this->wallMs();
+    return fmt::format("{:08x}-{:04x}-7000-8000-{:012x}", ms >> 16, ms & 0xFFFF, this->nextKey++);
+}
+
+std::string TestFleet::ownerOf(const std::string& endpoint)
+{
+    for (const auto& [name, node] : this->nodes) {
+        const auto state = node->host->registry().find(endpoint);
+        if (state && state->authority.holdsFirst)
+            return name;
+    }
+    return {};
+}
+
+bool TestFleet::isSettled()
+{
+    for (const auto& [name, node] : this->nodes) {
+        const auto& domain = node->host->domain();
+        if (!node->host->isReady() || !domain.isMember() || !domain.isConfirmedByAll())
+            return false;
+        for (const auto& [endpoint, state] : node->host->registry().all()) {
+            const auto owner = this->ownerOf(endpoint);
+            if (owner.empty())
+                return false;
+            // Engines warm up with their first requests; here they count as settled once they may take any.
+            if (state->authority.holdsFirst && node->host->registry().allowance(*state) == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+bool TestFleet::send(Node& from, const std::string& to, const std::string& bytes)
+{
+    const auto found = this->nodes.find(to);
+    const auto cut = this->cuts.find({ from.name, to });
+    if (cut != this->cuts.end())
+        return cut->second;
+    if (found == this->nodes.end() || from.dead)
+        return false;
+    ++this->messagesSent;
+    auto& node = *found->second;
+    boost::asio::post(node.context, [&node, bytes] { node.host->receive(bytes); });
+    return true;
+}
+
+Task<void> TestFleet::reach(Node& node, Step step)
+{
+    if (!this->onStep)
+        co_return;
+    this->onStep(node.name, step);
+    // A host that was killed or paused at this step goes no further.
+    co_await yieldTurn();
+}
+
+void startFleet(TestFleet& fleet, const FleetPlan& plan)
+{
+    auto& store = fleet.platform.store;
+    store.write(ObjectKind::Contract, "coop",
+        { { "workspace", "coop" }, { "key", "coop-key" }, { "home", plan.home }, { "requests_per_second", 100000 },
+            { "concurrency", 100000 }, { "deadline_ms", 20000 } });
+    store.write(ObjectKind::Service, "orders",
+        { { "name", "orders" }, { "deadline_ms", 10000 },
+            { "once_only", { { { "method", "POST" }, { "prefix", "/bulk" } } } } });
+    for (const auto& domain : plan.domains) {
+        for (int index = 0; index < plan.enginesPerDomain; ++index) {
+            const auto name = domain + "-engine-" + std::to_string(index);
+            store.write(ObjectKind::Endpoint, name,
+                { { "name", name }, { "kind", "engine" }, { "model", "m" }, { "domain", domain },
+                    { "address", "127.0.0.1" }, { "port", 9000 }, { "capacity", plan.capacity },
+                    { "cold_capacity", plan.coldCapacity } });
+            fleet.endpoints.at(name).model.coldLimit = static_cast<std::uint32_t>(plan.coldCapacity);
+        }
+        for (int index = 0; index < plan.servicesPerDomain; ++index) {
+            const auto name = domain + "-orders-" + std::to_string(index);
+            store.write(ObjectKind::Endpoint, name,
+                { { "name", name }, { "kind", "service" }, { "service", "orders" }, { "domain", domain },
+                    { "address", "127.0.0.1" }, { "port", 9000 }, { "capacity", 32 }, { "cold_capacity", 4 } });
+            fleet.endpoints.at(name).model.coldLimit = 1000;
+        }
+        for (int index = 0; index < plan.hostsPerDomain; ++index)
+            fleet.start(domain + "-" + std::to_string(index), domain);
+    }
+    if (!fleet.advanceUntil([&fleet] { return fleet.isSettled(); }, kSettleLimit))
+        throw std::runtime_error { "the fleet did not settle" };
+}
+
+CallerRequest chatRequest(const std::string& chat, const std::string& id)
+{
+    CallerRequest request;
+    request.requestId = id;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.bearerToken = "coop-key";
+    request.chat = chat;
+    request.body = "{\"model\":\"m\",\"chat\":\"" + chat + "\"}";
+    return request;
+}
+
+CallerRequest orderRequest(const std::string& key, const std::string& body)
+{
+    CallerRequest request;
+    request.requestId = "order-" + key;
+    request.method = "POST";
+    request.target = "/v1/services/orders/bulk";
+    request.bearerToken = "coop-key";
+    request.idempotencyKey = key;
+    request.body = body;
+    return request;
+}
+
+} // namespace berylwing::test
