Count what others have in flight while in doubt, and tell new hosts what endpoints bear

Ruled out by the trace: two holders of the first place, a stand-in beside a confirmed owner. Change: a handoff carries the number in flight; in doubt the holder keeps back for each other host the larger of its share and its known requests. Second cause, found by the recovery test: a restarted stand-in did not know that the endpoint was warm; owners now tell their endpoints' states again at each roster.

--- a/src/berylwing/membership/failure_domain.cpp
+++ b/src/berylwing/membership/failure_domain.cpp
@@ -83,6 +83,17 @@
         [version](const auto& entry) { return entry.second.rosterVersion >= version; });
 }
 
+void FailureDomain::noteResidual(std::string_view host, const wire::Residual& residual)
+{
+    const auto peer = this->peersByHost.find(host);
+    if (peer == this->peersByHost.end())
+        return;
+    auto& residuals = peer->second.residuals;
+    std::erase_if(
+        residuals, [&residual](const wire::Residual& known) { return known.endpoint() == residual.endpoint(); });
+    residuals.push_back(residual);
+}
+
 void FailureDomain::describeBeatsWith(DescribeBeat describe) { this->describeBeat = std::move(describe); }
 
 void FailureDomain::listen(Listener listener) { this->listeners.push_back(std::move(listener)); }
@@ -109,6 +120,7 @@
     peer.host = member.host;
     peer.incarnation = member.incarnation;
     peer.heardAt = this->clock.now();
+    peer.knownSince = peer.heardAt;
     return peer;
 }
 
--- a/src/berylwing/membership/failure_domain.hpp
+++ b/src/berylwing/membership/failure_domain.hpp
@@ -79,6 +79,13 @@
     /** @brief Lists the other members of the roster. @return Peers by host. */
     [[nodiscard]] const std::map<std::string, Peer, std::less<>>& peers() const noexcept { return this->peersByHost; }
 
+    /**
+     * @brief Takes note of requests that a peer has in flight, until its next beat tells.
+     * @param host Peer.
+     * @param residual Requests at an endpoint of this host.
+     */
+    void noteResidual(std::string_view host, const wire::Residual& residual);
+
     /** @brief Sets the function that adds to beats. @param describe Function. */
     void describeBeatsWith(DescribeBeat describe);
 
--- a/src/berylwing/membership/peer.hpp
+++ b/src/berylwing/membership/peer.hpp
@@ -17,6 +17,8 @@
 
     /** Time at which the last beat arrived, or at which the peer became known. */
     TimePoint heardAt;
+    /** Time at which this host first saw this incarnation in a roster. */
+    TimePoint knownSince;
     /** Sending time of the last beat that arrived, on the peer's clock. */
     std::int64_t lastSentMs = 0;
     /** Sending time of this host's latest beat that the peer has received, on this host's clock. */
--- a/src/berylwing/membership/registrar.cpp
+++ b/src/berylwing/membership/registrar.cpp
@@ -85,9 +85,11 @@
 Task<void> Registrar::removeGoneMembers()
 {
     std::vector<std::string> silent;
-    for (const auto& member : this->domain.roster().members) {
-        if (this->domain.silence(member.host) > kRemovalSilence)
-            silent.push_back(member.host);
+    for (const auto& [host, peer] : this->domain.peers()) {
+        // A host that is new may be missing in the list although it lives.
+        const bool isOld = this->clock.now() - peer.knownSince > kHostListLag;
+        if (isOld && this->domain.silence(host) > kRemovalSilence)
+            silent.push_back(host);
     }
     if (silent.empty())
         co_return;
--- a/src/berylwing/membership/timing.hpp
+++ b/src/berylwing/membership/timing.hpp
@@ -16,6 +16,9 @@
 /** @brief Silence after which a member that the platform no longer lists is removed from the roster. */
 inline constexpr Duration kRemovalSilence { 3000 };
 
+/** @brief Time for which the platform's list of hosts may not yet show a new host. */
+inline constexpr Duration kHostListLag { 10'000 };
+
 /** @brief Interval of the platform's maintenance: host list and roster. */
 inline constexpr Duration kRegistrarInterval { 1000 };
 
--- a/src/berylwing/routing/authority.cpp
+++ b/src/berylwing/routing/authority.cpp
@@ -46,10 +46,10 @@
     if (!this->domain.isMember() || state.handingOff)
         return 0;
     if (state.holdsFirst) {
-        if (!this->isFirst(endpoint) || !this->domain.isConfirmedByAll())
-            return doubtShare(limit, 0);
-        const auto others = this->othersInFlight(endpoint);
-        return limit > others ? limit - others : 0;
+        const bool isSure = this->isFirst(endpoint) && this->domain.isConfirmedByAll();
+        const auto reserved = this->reservedForOthers(endpoint, isSure ? 0 : limit);
+        const auto free = limit > reserved ? limit - reserved : 0;
+        return isSure ? free : std::min(free, doubtShare(limit, 0));
     }
     if (!state.firstDrained || !this->isStandIn(endpoint))
         return 0;
@@ -79,14 +79,19 @@
     return false;
 }
 
-std::uint32_t Authority::othersInFlight(std::string_view endpoint) const
+std::uint32_t Authority::reservedForOthers(std::string_view endpoint, std::uint32_t sharedLimit) const
 {
+    const auto& ranking = this->domain.ranking(endpoint);
     std::uint32_t total = 0;
     for (const auto& [host, peer] : this->domain.peers()) {
+        std::uint32_t inFlight = 0;
         for (const auto& residual : peer.residuals) {
             if (residual.endpoint() == endpoint)
-                total += residual.in_flight();
+                inFlight += residual.in_flight();
         }
+        const auto rank = static_cast<std::size_t>(std::find(ranking.begin(), ranking.end(), host) - ranking.begin());
+        const bool mayStandIn = rank > 0 && rank < ranking.size();
+        total += std::max(inFlight, mayStandIn ? doubtShare(sharedLimit, rank) : 0);
     }
     return total;
 }
--- a/src/berylwing/routing/authority.hpp
+++ b/src/berylwing/routing/authority.hpp
@@ -39,7 +39,8 @@
 class Authority {
     [[nodiscard]] std::size_t rankOf(std::string_view endpoint) const;
     [[nodiscard]] bool betterRanksSilent(std::string_view endpoint) const;
-    [[nodiscard]] std::uint32_t othersInFlight(std::string_view endpoint) const;
+    /** Requests that other hosts have in flight or may send on shares of a limit; zero to count no shares. */
+    [[nodiscard]] std::uint32_t reservedForOthers(std::string_view endpoint, std::uint32_t sharedLimit) const;
     [[nodiscard]] bool someoneHoldsFirst(std::string_view endpoint) const;
 
 public:
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -216,6 +216,10 @@
 
 void EndpointRegistry::reviewAll()
 {
+    // Hosts that are new in the roster know nothing yet.
+    if (this->toldAtRoster != this->domain.roster().version)
+        this->toldStates.clear();
+    this->toldAtRoster = this->domain.roster().version;
     for (const auto& [name, endpoint] : this->endpoints)
         this->review(*endpoint);
 }
@@ -235,6 +239,7 @@
     if (endpoint.authority.holdsFirst && !this->authority.isFirst(name))
         this->offerHandoff(endpoint);
     this->noteDoubt(endpoint);
+    this->tellState(endpoint);
 }
 
 void EndpointRegistry::noteDoubt(OwnedEndpoint& endpoint)
@@ -265,6 +270,7 @@
     auto& handoff = *envelope.mutable_handoff();
     handoff.set_endpoint(name);
     handoff.set_roster_version(this->domain.roster().version);
+    handoff.set_in_flight(endpoint.inFlight());
     *handoff.mutable_state() = this->describe(endpoint);
     for (const auto& placement : endpoint.placements.all()) {
         auto& entry = *handoff.add_placements();
@@ -286,6 +292,10 @@
     answer.mutable_handoff_taken()->set_roster_version(handoff.roster_version());
     if (!endpoint->authority.holdsFirst) {
         endpoint->authority = firstPlace();
+        wire::Residual residual;
+        residual.set_endpoint(handoff.endpoint());
+        residual.set_in_flight(handoff.in_flight());
+        this->domain.noteResidual(envelope.from(), residual);
         const auto& state = handoff.state();
         endpoint->lifecycle.takeOver(state.boot_id(), state.warm(), state.warm_limit());
         for (const auto& placement : handoff.placements())
@@ -332,10 +342,12 @@
     if (!endpoint.authority.holdsFirst)
         return;
     const auto state = this->describe(endpoint);
-    auto& told = this->toldStates[name];
-    if (told.boot_id() == state.boot_id() && told.warm() == state.warm() && told.warm_limit() == state.warm_limit())
+    const auto told = this->toldStates.find(name);
+    const bool isKnown = told != this->toldStates.end() && told->second.boot_id() == state.boot_id()
+        && told->second.warm() == state.warm() && told->second.warm_limit() == state.warm_limit();
+    if (isKnown)
         return;
-    told = state;
+    this->toldStates[name] = state;
     const auto& ranking = this->domain.ranking(name);
     for (std::size_t rank = 1; rank <= kStandIns && rank < ranking.size(); ++rank) {
         wire::Envelope envelope;
--- a/src/berylwing/routing/endpoint_registry.hpp
+++ b/src/berylwing/routing/endpoint_registry.hpp
@@ -116,6 +116,7 @@
     double loadMultiple;
     std::map<std::string, OwnedEndpointPtr, std::less<>> endpoints;
     std::map<std::string, wire::EndpointState, std::less<>> toldStates;
+    std::uint64_t toldAtRoster = 0;
 };
 
 } // namespace berylwing
--- a/test/support/engine_model.cpp
+++ b/test/support/engine_model.cpp
@@ -19,6 +19,7 @@
 
 bool EngineModel::begin()
 {
+    ++this->begun;
     ++this->running;
     auto& most = this->warm ? this->mostWarm : this->mostCold;
     most = std::max(most, this->running);
--- a/test/support/engine_model.hpp
+++ b/test/support/engine_model.hpp
@@ -28,6 +28,8 @@
     std::uint64_t boot = 1;
     std::uint32_t running = 0;
     bool warm = true;
+    /** Requests that have begun since the start of the test. */
+    std::uint64_t begun = 0;
     /** Highest numbers of requests seen at once, while warm and while cold. */
     std::uint32_t mostWarm = 0;
     std::uint32_t mostCold = 0;
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr Duration kListLag { 2000 };
 constexpr Duration kTurn { 5 };
 constexpr Duration kSettleLimit { 10'000 };
 
@@ -77,6 +78,8 @@
     dependencies.stepHook = [this, &own](Step step) { return this->reach(own, step); };
     own.host = std::make_unique<Host>(*own.clock, std::move(dependencies));
     own.host->start();
+    std::erase_if(this->unlisted, [&name](const Unlisting& entry) { return entry.host == name; });
+    std::erase_if(this->platform.store.hosts, [&name](const HostListing& entry) { return entry.host == name; });
     this->platform.store.hosts.push_back({ name, false });
     this->nodes[name] = std::move(node);
 }
@@ -86,7 +89,7 @@
     auto& node = this->nodes.at(name);
     node->dead = true;
     this->endpoints.dropHost(name);
-    std::erase_if(this->platform.store.hosts, [&name](const HostListing& host) { return host.host == name; });
+    this->unlisted.push_back({ this->time + kListLag, name });
     this->graveyard.push_back(std::move(node));
     this->nodes.erase(name);
 }
@@ -105,6 +108,7 @@
     while (this->time < end) {
         this->time += kTurn;
         this->platform.advanceTo(this->time);
+        this->updateHostList();
         for (auto& [name, node] : this->nodes) {
             if (!node->paused)
                 node->clock->fireDue();
@@ -115,6 +119,16 @@
     }
 }
 
+void TestFleet::updateHostList()
+{
+    for (const auto& entry : this->unlisted) {
+        if (entry.at <= this->time)
+            std::erase_if(
+                this->platform.store.hosts, [&entry](const HostListing& host) { return host.host == entry.host; });
+    }
+    std::erase_if(this->unlisted, [this](const Unlisting& entry) { return entry.at <= this->time; });
+}
+
 bool TestFleet::advanceUntil(const std::function<bool()>& condition, Duration limit)
 {
     const auto end = this->time + limit;
--- a/test/support/test_fleet.hpp
+++ b/test/support/test_fleet.hpp
@@ -104,6 +104,13 @@
         bool dead = false;
     };
 
+    /** Host that the platform's list will show until then. */
+    struct Unlisting {
+        TimePoint at;
+        std::string host;
+    };
+
+    void updateHostList();
     [[nodiscard]] bool send(Node& from, const std::string& to, const std::string& bytes);
     [[nodiscard]] Task<void> reach(Node& node, Step step);
     void runReady();
@@ -115,6 +122,7 @@
     std::map<std::string, std::unique_ptr<Node>> nodes;
     std::list<std::unique_ptr<Node>> graveyard;
     std::map<std::pair<std::string, std::string>, bool> cuts;
+    std::vector<Unlisting> unlisted;
     std::uint64_t nextIncarnation = 1;
     std::uint64_t nextKey = 1;
 };
