Bound retries, quarantine deadly requests and keep shares for workspaces that do not surge

Cause: an additional attempt had no budget, a request that crashes its endpoint could be sent again without end, and a surging workspace could fill an endpoint. Change: RetryBudget, CrashRegister, FairShares; stand-ins count in the load mean; silent links have a budget of their own.

--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -44,10 +44,13 @@
     Quarantined,
     RetryBudgetSpent,
     CallerGone,
+    OverFairShare,
+    SuspectRunning,
+    SameRequestRunning,
 };
 
 /** @brief Names of the refusal reasons, as they stand in answers, logs and metrics. */
-inline constexpr EnumNames<Refusal, 38> kRefusalNames { {
+inline constexpr EnumNames<Refusal, 41> kRefusalNames { {
     "missing_key",
     "unknown_workspace",
     "bad_request",
@@ -86,6 +89,9 @@
     "quarantined",
     "retry_budget_spent",
     "caller_gone",
+    "over_fair_share",
+    "suspect_running",
+    "same_request_running",
 } };
 
 /** @brief Reasons for which one more attempt is made. */
--- a/src/berylwing/host/host.cpp
+++ b/src/berylwing/host/host.cpp
@@ -26,8 +26,9 @@
     , registrar { this->clock, this->link, this->hostCatalog, this->failureDomain, this->platform }
     , endpointRegistry { this->clock, this->link, this->hostCatalog, this->failureDomain, this->hostMetrics,
         dependencies.endpoints, dependencies.loadMultiple }
-    , attemptServer { this->clock, this->link, this->endpointRegistry, this->hostMetrics, dependencies.endpoints,
-        this->steps }
+    , crashRegister { this->clock, this->link, this->failureDomain, this->hostMetrics }
+    , attemptServer { this->clock, this->link, this->endpointRegistry, this->crashRegister, this->hostMetrics,
+        dependencies.endpoints, this->steps }
     , dispatcher { this->clock, this->link, this->hostCatalog, this->failureDomain, this->hostMetrics, this->steps }
     , ledgerOwner { this->clock, std::move(dependencies.wallClock), this->link, this->hostCatalog, this->failureDomain,
         this->platform, this->dispatcher, this->hostMetrics, this->steps }
--- a/src/berylwing/host/host.hpp
+++ b/src/berylwing/host/host.hpp
@@ -7,6 +7,7 @@
 #include "berylwing/ledger/ledger_owner.hpp"
 #include "berylwing/ledger/order_client.hpp"
 #include "berylwing/limits/contract_limits.hpp"
+#include "berylwing/limits/crash_register.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/configuration_watcher.hpp"
 #include "berylwing/membership/failure_domain.hpp"
@@ -102,6 +103,7 @@
     ConfigurationWatcher watcher;
     Registrar registrar;
     EndpointRegistry endpointRegistry;
+    CrashRegister crashRegister;
     AttemptServer attemptServer;
     Dispatcher dispatcher;
     LedgerOwner ledgerOwner;
--- a/src/berylwing/limits/fwd.hpp
+++ b/src/berylwing/limits/fwd.hpp
@@ -3,6 +3,9 @@
 namespace berylwing {
 
 class ContractLimits;
+class CrashRegister;
+class FairShares;
+class RetryBudget;
 class TokenBucket;
 
 } // namespace berylwing
--- a/src/berylwing/relay/attempt_server.cpp
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr unsigned kPartialContent = 206;
+constexpr std::ptrdiff_t kMostSameRequests = 2;
 
 Duration remaining(const wire::Request& request) { return Duration { request.remaining_ms() }; }
 
@@ -31,14 +32,16 @@
     , window { envelope.open().window_bytes() }
     , offset { envelope.open().resume_offset() }
     , toldAt { clock.now() }
+    , fingerprint { CrashRegister::fingerprintOf(envelope.open().request()) }
 {
 }
 
-AttemptServer::AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry, Metrics& hostMetrics,
-    EndpointAccess endpointAccess, const Steps& pathSteps)
+AttemptServer::AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry,
+    CrashRegister& crashRegister, Metrics& hostMetrics, EndpointAccess endpointAccess, const Steps& pathSteps)
     : clock { hostClock }
     , link { hostLink }
     , registry { endpointRegistry }
+    , crashes { crashRegister }
     , metrics { hostMetrics }
     , access { std::move(endpointAccess) }
     , steps { pathSteps }
@@ -117,10 +120,11 @@
 
 Task<Outcome> AttemptServer::run(Attempt& attempt, OwnedEndpoint& endpoint)
 {
-    const LoadMean observed { attempt.open.observed_in_flight(), attempt.open.observed_engines() };
-    if (const auto reason = this->registry.refusal(endpoint, observed))
+    if (const auto reason = this->refusal(attempt, endpoint))
         co_return NotRun { *reason };
-    const Admission admission { &endpoint };
+    const Admission admission { &endpoint, attempt.open.request().workspace(),
+        this->crashes.isSuspect(attempt.fingerprint) };
+    attempt.admitted = true;
     co_await this->steps.reach(Step::OwnerAdmitted);
     try {
         attempt.connection = co_await this->access.connect(endpoint.configuration, attempt.deadline);
@@ -139,19 +143,48 @@
     co_return co_await this->exchange(attempt, endpoint);
 }
 
+std::optional<Refusal> AttemptServer::refusal(const Attempt& attempt, OwnedEndpoint& endpoint) const
+{
+    if (this->crashes.isQuarantined(attempt.fingerprint))
+        return Refusal::Quarantined;
+    // Only one suspect runs at an endpoint, so that the next crash tells which request it was.
+    if (this->crashes.isSuspect(attempt.fingerprint) && endpoint.suspects > 0)
+        return Refusal::SuspectRunning;
+    if (this->isRunningAlready(attempt))
+        return Refusal::SameRequestRunning;
+    const LoadMean observed { attempt.open.observed_in_flight(), attempt.open.observed_engines() };
+    return this->registry.refusal(endpoint, attempt.open.request(), observed);
+}
+
+bool AttemptServer::isRunningAlready(const Attempt& attempt) const
+{
+    const auto& request = attempt.open.request();
+    const auto same = std::count_if(this->attempts.begin(), this->attempts.end(), [&](const Attempt& other) {
+        return other.admitted && other.fingerprint == attempt.fingerprint
+            && other.open.request().chat() == request.chat();
+    });
+    // Two callers may well ask the same without a chat; within one chat it is the same request, sent again.
+    const auto allowed = request.chat().empty() ? kMostSameRequests : 1;
+    return request.is_engine_call() && same >= allowed;
+}
+
 Task<Outcome> AttemptServer::exchange(Attempt& attempt, OwnedEndpoint& endpoint)
 {
     try {
         const auto outcome = co_await this->stream(attempt, endpoint);
-        if (outcome.isWhole())
+        if (outcome.isWhole()) {
             this->registry.observeSuccess(endpoint);
+            this->crashes.recordSuccess(attempt.fingerprint);
+        }
         co_return outcome;
     } catch (const EndpointError& error) {
         logRequest(LogLevel::Warn, attempt.open.request().request_id(), error.what());
         if (attempt.cancelled)
             co_return OutcomeUnknown { Refusal::CallerGone };
-        if (error.fault() == EndpointFault::Broken)
+        if (error.fault() == EndpointFault::Broken) {
             this->registry.observeFailure(endpoint);
+            this->crashes.recordCrash(attempt.fingerprint);
+        }
         co_return outcomeOf(error);
     }
 }
--- a/src/berylwing/relay/attempt_server.hpp
+++ b/src/berylwing/relay/attempt_server.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
+#include "berylwing/limits/crash_register.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/routing/endpoint_connection.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
@@ -32,6 +33,8 @@
         std::uint64_t offset = 0;
         TimePoint toldAt;
         bool cancelled = false;
+        std::uint64_t fingerprint;
+        bool admitted = false;
         std::shared_ptr<EndpointConnection> connection;
     };
 
@@ -46,6 +49,8 @@
     [[nodiscard]] Task<void> waitForWindow(Attempt& attempt);
     void refuse(const Attempt& attempt, const Outcome& outcome, std::uint32_t inFlight, const std::string& placedAt);
     void sendChunk(Attempt& attempt, std::string bytes);
+    [[nodiscard]] std::optional<Refusal> refusal(const Attempt& attempt, OwnedEndpoint& endpoint) const;
+    [[nodiscard]] bool isRunningAlready(const Attempt& attempt) const;
 
 public:
     /**
@@ -53,12 +58,13 @@
      * @param hostClock Clock of the host.
      * @param hostLink Link of the host.
      * @param endpointRegistry Endpoints of the host's failure domain.
+     * @param crashRegister Requests that were running when endpoints died.
      * @param hostMetrics Metrics of the host.
      * @param endpointAccess Access to the endpoints.
      * @param pathSteps Steps announced on the way.
      */
-    AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry, Metrics& hostMetrics,
-        EndpointAccess endpointAccess, const Steps& pathSteps);
+    AttemptServer(Clock& hostClock, Link& hostLink, EndpointRegistry& endpointRegistry, CrashRegister& crashRegister,
+        Metrics& hostMetrics, EndpointAccess endpointAccess, const Steps& pathSteps);
 
     /** @brief Tells whether an attempt is running. @return True if none is. */
     [[nodiscard]] bool isIdle() const noexcept { return this->attempts.empty(); }
@@ -75,6 +81,7 @@
     Clock& clock;
     Link& link;
     EndpointRegistry& registry;
+    CrashRegister& crashes;
     Metrics& metrics;
     EndpointAccess access;
     const Steps& steps;
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -97,7 +97,8 @@
         if (!run.finished && !run.placedAt.empty())
             co_await this->tryEndpoint(run, std::exchange(run.placedAt, {}));
         // After an attempt that may have run, the order is made anew.
-        if (run.finished || run.delivered > 0 || run.mayHaveRun != mayHaveRun)
+        const bool isElsewhere = run.last.reason == Refusal::SameRequestRunning;
+        if (run.finished || run.delivered > 0 || run.mayHaveRun != mayHaveRun || isElsewhere)
             co_return;
     }
 }
@@ -105,7 +106,7 @@
 std::vector<std::string> Dispatcher::candidates(const wire::Request& request) const
 {
     std::vector<std::pair<double, std::string>> scores;
-    const auto key = hashText(request.chat().empty() ? request.request_id() : request.chat());
+    const auto key = hashText(request.chat().empty() ? request.body() : request.chat());
     const auto kind = request.is_engine_call() ? EndpointKind::Engine : EndpointKind::Service;
     for (const auto& [name, endpoint] : this->catalog.endpoints()) {
         const bool isUsable = endpoint.kind == kind && endpoint.serves == request.serves() && !endpoint.leaving
@@ -289,17 +290,27 @@
 {
     run.creditDue = 0;
     if (run.last.isWhole()) {
+        this->endpointRetries.recordSuccess();
+        this->linkRetries.recordSuccess();
         run.finished = true;
         return;
     }
-    if (run.last.execution == Execution::NotRun)
+    if (run.last.execution == Execution::NotRun) {
+        run.finished = run.last.reason == Refusal::Quarantined;
         return;
+    }
     run.mayHaveRun = true;
     const bool isResumable = run.delivered == 0 || !run.resumeToken.empty();
     if (run.repeatability == Repeatability::OnceOnly || run.reruns > 0 || !isResumable) {
         run.finished = true;
         return;
     }
+    auto& budget = run.last.reason == Refusal::LinkSilent ? this->linkRetries : this->endpointRetries;
+    if (!budget.take()) {
+        this->metrics.add(Refusal::RetryBudgetSpent);
+        run.finished = true;
+        return;
+    }
     ++run.reruns;
     this->metrics.add(run.delivered == 0 ? Retry::RunAgainElsewhere : Retry::ResumeAtOffset);
     if (run.delivered == 0)
--- a/src/berylwing/relay/dispatcher.hpp
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -4,9 +4,11 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/core/outcome.hpp"
 #include "berylwing/core/step.hpp"
+#include "berylwing/limits/retry_budget.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
 #include "berylwing/relay/response_sink.hpp"
+#include "berylwing/relay/timing.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
 #include <boost/intrusive/list.hpp>
 #include <deque>
@@ -99,6 +101,10 @@
     Metrics& metrics;
     const Steps& steps;
     Inboxes inboxes;
+    RetryBudget endpointRetries { kEndpointRetriesAtStart };
+    /** Attempts after a silent link, which ends as soon as the link is known to be silent, have a budget of their own.
+     */
+    RetryBudget linkRetries { kLinkRetriesAtStart };
     std::uint64_t nextAttempt;
 };
 
--- a/src/berylwing/relay/timing.hpp
+++ b/src/berylwing/relay/timing.hpp
@@ -23,6 +23,12 @@
 /** @brief Bytes after which an entry host allows its owner to send more. */
 inline constexpr std::uint32_t kCreditBytes = kWindowBytes / 4;
 
+/** @brief Additional attempts after failures of endpoints that a host may make before its first success. */
+inline constexpr double kEndpointRetriesAtStart = 2;
+
+/** @brief Additional attempts after silent links that a host may make before its first success. */
+inline constexpr double kLinkRetriesAtStart = 10;
+
 /** @brief Pause after all candidates have refused. */
 inline constexpr Duration kWalkPause { 40 };
 
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -95,7 +95,8 @@
     return this->authority.allowance(endpoint.configuration.name, endpoint.authority, endpoint.lifecycle.limit());
 }
 
-std::optional<Refusal> EndpointRegistry::refusal(const OwnedEndpoint& endpoint, const LoadMean& observed) const
+std::optional<Refusal> EndpointRegistry::refusal(
+    OwnedEndpoint& endpoint, const wire::Request& request, const LoadMean& observed) const
 {
     const auto& name = endpoint.configuration.name;
     if (endpoint.lifecycle.limit() == 0 || this->catalog.isDomainOut(endpoint.configuration.domain))
@@ -107,6 +108,9 @@
         return Refusal::OwnerInDoubt;
     if (endpoint.inFlight() >= allowed)
         return endpoint.lifecycle.state() == LifecycleState::Warm ? Refusal::EndpointAtBound : Refusal::EndpointCold;
+    const auto now = this->clock.now();
+    if (!endpoint.shares.allows(request.workspace(), request.weight(), endpoint.inFlight(), allowed, now))
+        return Refusal::OverFairShare;
     if (endpoint.configuration.kind == EndpointKind::Service)
         return std::nullopt;
     auto mean = this->loadMean(endpoint.configuration.serves);
@@ -129,7 +133,8 @@
 {
     LoadMean mean;
     for (const auto& [name, endpoint] : this->endpoints) {
-        if (endpoint->configuration.serves != model || !endpoint->authority.holdsFirst)
+        const bool isSender = endpoint->authority.holdsFirst || this->authority.isStandIn(name);
+        if (endpoint->configuration.serves != model || !isSender)
             continue;
         mean.inFlight += endpoint->inFlight();
         ++mean.engines;
--- a/src/berylwing/routing/endpoint_registry.hpp
+++ b/src/berylwing/routing/endpoint_registry.hpp
@@ -73,10 +73,12 @@
     /**
      * @brief Tells why one more request cannot be admitted.
      * @param endpoint Endpoint.
+     * @param request Request.
      * @param observed Load that the request's entry host saw at other engines.
      * @return Reason, or nothing if the request can be admitted.
      */
-    [[nodiscard]] std::optional<Refusal> refusal(const OwnedEndpoint& endpoint, const LoadMean& observed) const;
+    [[nodiscard]] std::optional<Refusal> refusal(
+        OwnedEndpoint& endpoint, const wire::Request& request, const LoadMean& observed) const;
 
     /**
      * @brief Checks again, right before a request is sent, that this host may still send it.
--- a/src/berylwing/routing/owned_endpoint.hpp
+++ b/src/berylwing/routing/owned_endpoint.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/config/objects.hpp"
 #include "berylwing/core/clock.hpp"
+#include "berylwing/limits/fair_shares.hpp"
 #include "berylwing/routing/authority.hpp"
 #include "berylwing/routing/endpoint_lifecycle.hpp"
 #include "berylwing/routing/placement_table.hpp"
@@ -37,6 +38,9 @@
     bool wasInDoubt = false;
     bool wasStandIn = false;
     bool probing = false;
+    FairShares shares;
+    /** Requests in flight that were running when another endpoint died. */
+    std::uint32_t suspects = 0;
 
 private:
     std::uint32_t requests = 0;
@@ -48,19 +52,36 @@
 /** @brief Place of one request in its endpoint's limit; given back when it goes out of scope. */
 class Admission {
 public:
-    /** @brief Takes a place. @param endpoint Endpoint. */
-    explicit Admission(OwnedEndpointPtr endpoint)
+    /**
+     * @brief Takes a place.
+     * @param endpoint Endpoint.
+     * @param workspaceName Workspace of the request.
+     * @param isSuspectRequest Whether the request was running when another endpoint died.
+     */
+    Admission(OwnedEndpointPtr endpoint, std::string workspaceName, bool isSuspectRequest)
         : place { std::move(endpoint) }
+        , workspace { std::move(workspaceName) }
+        , isSuspect { isSuspectRequest }
     {
         this->place->addRequest();
+        this->place->shares.add(this->workspace);
+        this->place->suspects += this->isSuspect ? 1 : 0;
+    }
+
+    ~Admission()
+    {
+        this->place->removeRequest();
+        this->place->shares.remove(this->workspace);
+        this->place->suspects -= this->isSuspect ? 1 : 0;
     }
 
-    ~Admission() { this->place->removeRequest(); }
     Admission(const Admission&) = delete;
     Admission& operator=(const Admission&) = delete;
 
 private:
     OwnedEndpointPtr place;
+    std::string workspace;
+    bool isSuspect;
 };
 
 } // namespace berylwing
--- /dev/null
+++ b/test/berylwing/client/object_commands_test.cpp
@@ -0,0 +1,86 @@
+#include "berylwing/client/object_commands.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include "support/object_store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <sstream>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+/** Operators' client against an object store, with a hook before each write. */
+struct ClientFixture {
+    ClientFixture()
+        : platform { [this](const PlatformCall& call) { return this->carry(call); }, metrics }
+        , commands { options, platform, out, err }
+    {
+    }
+
+    Task<PlatformReply> carry(PlatformCall call)
+    {
+        const bool isWrite = call.operation == PlatformOperation::Put || call.operation == PlatformOperation::Remove;
+        if (isWrite && this->beforeWrite)
+            this->beforeWrite();
+        auto reply = this->store.apply(call);
+        if (isWrite && this->loseAnswers)
+            throw PlatformError { PlatformFault::OutcomeUnknown, "no answer" };
+        co_return reply;
+    }
+
+    ExitCode run(Task<ExitCode> task)
+    {
+        boost::asio::io_context context;
+        ExitCode code {};
+        boost::asio::co_spawn(
+            context, std::move(task), [&code](const std::exception_ptr&, ExitCode result) { code = result; });
+        context.run();
+        return code;
+    }
+
+    ObjectStore store;
+    std::function<void()> beforeWrite;
+    bool loseAnswers = false;
+    Metrics metrics;
+    ClientOptions options;
+    std::ostringstream out;
+    std::ostringstream err;
+    PlatformClient platform;
+    ObjectCommands commands;
+};
+
+} // namespace
+
+TEST_CASE("Of two racing operators one is told that it lost", "[client]")
+{
+    ClientFixture client;
+    client.beforeWrite = [&client] {
+        client.store.write(ObjectKind::FailureDomain, "knox", { { "name", "knox" }, { "out", false } });
+    };
+    CHECK(client.run(client.commands.setOut(ObjectKind::FailureDomain, "knox", true)) == ExitCode::Race);
+    CHECK(client.store.body(ObjectKind::FailureDomain, "knox").find("true") == std::string::npos);
+    client.beforeWrite = {};
+    CHECK(client.run(client.commands.setOut(ObjectKind::FailureDomain, "knox", true)) == ExitCode::Done);
+    CHECK(client.store.body(ObjectKind::FailureDomain, "knox").find("true") != std::string::npos);
+}
+
+TEST_CASE("A lost answer is settled by reading the object", "[client]")
+{
+    ClientFixture client;
+    client.loseAnswers = true;
+    CHECK(client.run(client.commands.setOut(ObjectKind::Host, "knox-0", true)) == ExitCode::Done);
+    CHECK(client.out.str().find("the answer was lost") != std::string::npos);
+}
+
+TEST_CASE("A write over another version than the given one is refused", "[client]")
+{
+    ClientFixture client;
+    client.store.write(ObjectKind::Host, "knox-0", { { "name", "knox-0" }, { "out", false } });
+    client.options.expectedVersion = 17;
+    CHECK(client.run(client.commands.setOut(ObjectKind::Host, "knox-0", true)) == ExitCode::Race);
+}
--- /dev/null
+++ b/test/berylwing/limits/overload_test.cpp
@@ -0,0 +1,191 @@
+#include "support/chat_load.hpp"
+#include "support/test_fleet.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <iostream>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+constexpr Duration kWarmUp { 4000 };
+
+/** Chats of one workspace that begin at a steady rate. */
+class SteadyCallers {
+public:
+    SteadyCallers(TestFleet& testFleet, std::string workspaceKey, Duration between)
+        : fleet { testFleet }
+        , key { std::move(workspaceKey) }
+        , interval { between }
+        , next { testFleet.now() }
+    {
+    }
+
+    void tick()
+    {
+        const auto hosts = this->fleet.hosts();
+        while (this->fleet.now() >= this->next) {
+            this->next += this->interval;
+            const auto id = this->key + "-" + std::to_string(this->sent.size());
+            auto request = chatRequest(id, id);
+            request.bearerToken = this->key;
+            const auto& host = hosts[this->sent.size() % hosts.size()];
+            this->sent.push_back({ this->fleet.now(), this->fleet.request(host, std::move(request)) });
+        }
+    }
+
+    /** Time to the first byte for 95 in 100; chats without a byte count as a minute. */
+    [[nodiscard]] Duration firstByteP95() const
+    {
+        std::vector<Duration> times;
+        for (const auto& chat : this->sent) {
+            const bool hasByte = !chat.answer->body.empty();
+            times.push_back(hasByte ? chat.answer->firstByteAt - chat.sentAt : Duration { 60'000 });
+        }
+        std::sort(times.begin(), times.end());
+        return times.at(times.size() * 95 / 100);
+    }
+
+    void setInterval(Duration between) { this->interval = between; }
+    void forget() { this->sent.clear(); }
+
+    struct Chat {
+        TimePoint sentAt;
+        std::shared_ptr<CallerAnswer> answer;
+    };
+
+    std::vector<Chat> sent;
+
+private:
+    TestFleet& fleet;
+    std::string key;
+    Duration interval;
+    TimePoint next;
+};
+
+void run(TestFleet& fleet, SteadyCallers& first, SteadyCallers& second, Duration length)
+{
+    const auto end = fleet.now() + length;
+    while (fleet.now() < end) {
+        first.tick();
+        second.tick();
+        fleet.advance(Duration { 10 });
+    }
+}
+
+void setContract(TestFleet& fleet, const std::string& workspace, double rate, int concurrency)
+{
+    fleet.platform.store.write(ObjectKind::Contract, workspace,
+        { { "workspace", workspace }, { "key", workspace + "-key" }, { "home", "knox" },
+            { "requests_per_second", rate }, { "concurrency", concurrency }, { "deadline_ms", 20000 } });
+}
+
+} // namespace
+
+TEST_CASE("A tenfold surge of one workspace leaves the others' time to the first token as it was", "[limits][surge]")
+{
+    TestFleet fleet;
+    FleetPlan plan;
+    plan.domains = { "knox" };
+    plan.enginesPerDomain = 4;
+    startFleet(fleet, plan);
+    SteadyCallers calm { fleet, "coop-key", Duration { 60 } };
+    SteadyCallers surging { fleet, "shop-key", Duration { 60 } };
+    run(fleet, calm, surging, kWarmUp);
+    calm.forget();
+    run(fleet, calm, surging, Duration { 10'000 });
+    const auto before = calm.firstByteP95();
+    surging.setInterval(Duration { 6 });
+    run(fleet, calm, surging, Duration { 1000 });
+    calm.forget();
+    run(fleet, calm, surging, Duration { 10'000 });
+    fleet.advance(Duration { 1000 });
+    const auto during = calm.firstByteP95();
+    std::cout << "first token p95 calm " << before.count() << " ms, during a tenfold surge " << during.count()
+              << " ms\n";
+    CHECK(during.count() <= before.count() * 1.1);
+}
+
+TEST_CASE("The fleet admits no more than a contract and one grant for each host", "[limits][contract]")
+{
+    TestFleet fleet;
+    startFleet(fleet, {});
+    setContract(fleet, "shop", 12, 100'000);
+    fleet.advance(Duration { 2000 });
+    SteadyCallers shop { fleet, "shop-key", Duration { 10 } };
+    SteadyCallers none { fleet, "coop-key", std::chrono::hours { 1 } };
+    for (const bool isCut : { false, true }) {
+        if (isCut) {
+            for (const auto* left : { "knox-0", "knox-1", "knox-2" }) {
+                for (const auto* right : { "chatt-0", "chatt-1", "chatt-2" })
+                    fleet.cut(left, right, false);
+            }
+        }
+        run(fleet, shop, none, Duration { 5000 });
+        shop.forget();
+        constexpr int kSeconds = 10;
+        run(fleet, shop, none, Duration { kSeconds * 1000 });
+        const auto admitted = std::count_if(shop.sent.begin(), shop.sent.end(), [](const auto& chat) {
+            const bool isLimited = chat.answer->finished && chat.answer->outcome.reason == Refusal::RateLimit;
+            return !isLimited;
+        });
+        const int hosts = 6;
+        CHECK(admitted <= 12 * kSeconds + hosts * kSeconds);
+        CHECK(admitted >= 12 * kSeconds / 2);
+    }
+}
+
+TEST_CASE("Attempts stay within a tenth above requests during an outage of engines", "[limits][retries]")
+{
+    TestFleet fleet;
+    FleetPlan plan;
+    plan.enginesPerDomain = 3;
+    startFleet(fleet, plan);
+    ChatLoad load { fleet, 12, 1 };
+    load.run(kWarmUp);
+    for (int index = 0; index < 3; ++index)
+        fleet.endpoints.at("knox-engine-" + std::to_string(index)).breakAfter = 0;
+    for (int round = 0; round < 60; ++round) {
+        for (int index = 0; index < 3; ++index)
+            fleet.endpoints.at("knox-engine-" + std::to_string(index)).breakAfter = 0;
+        load.run(Duration { 500 });
+    }
+    std::size_t attempts = 0;
+    for (const auto& [request, count] : fleet.endpoints.attemptsOfRequest)
+        attempts += static_cast<std::size_t>(count);
+    const auto requests = fleet.endpoints.attemptsOfRequest.size();
+    std::cout << "attempts " << attempts << " for " << requests << " requests during an outage\n";
+    CHECK(static_cast<double>(attempts) <= static_cast<double>(requests) * 1.1);
+}
+
+TEST_CASE("A request that crashes endpoints takes down at most two in each failure domain", "[limits][quarantine]")
+{
+    TestFleet fleet;
+    FleetPlan plan;
+    plan.enginesPerDomain = 4;
+    startFleet(fleet, plan);
+    ChatLoad load { fleet, 8, 1 };
+    load.run(kWarmUp);
+    auto deadly = chatRequest("deadly", "deadly");
+    deadly.body = R"({"model":"m","prompt":"crash-the-engine"})";
+    std::shared_ptr<CallerAnswer> last;
+    for (int send = 0; send < 60; ++send) {
+        const auto hosts = fleet.hosts();
+        deadly.requestId = "deadly-" + std::to_string(send);
+        last = fleet.request(hosts[static_cast<std::size_t>(send) % hosts.size()], deadly);
+        load.run(Duration { send % 3 == 0 ? 20 : 400 });
+    }
+    load.run(Duration { 3000 });
+    CHECK(fleet.endpoints.crashes["knox"] <= 2);
+    CHECK(fleet.endpoints.crashes["chatt"] <= 2);
+    REQUIRE(last->finished);
+    CHECK(*last->outcome.reason == Refusal::Quarantined);
+    CHECK(last->isNotRun());
+    // The requests that ran beside it are cleared as soon as they are answered.
+    std::size_t quarantined = 0;
+    for (const auto& chat : load.ended)
+        quarantined += chat.answer->outcome.reason == Refusal::Quarantined ? 1 : 0;
+    CHECK(quarantined == 0);
+}
--- a/test/support/fake_endpoints.cpp
+++ b/test/support/fake_endpoints.cpp
@@ -172,6 +172,7 @@
         ++this->runs[call.request.idempotency_key()];
         connection->parts = { "recorded " + call.request.idempotency_key() };
     }
+    connection->crashes = call.request.body().find(this->crashMark) != std::string::npos;
     connection->resumed = call.resumeOffset > 0;
     if (std::exchange(endpoint.crossesNext, false))
         connection->parts = { "bytes of another request" };
@@ -185,6 +186,12 @@
 {
     const bool isPartial = connection->resumed;
     co_await connection->pass(this->serviceTime, deadline);
+    if (connection->crashes) {
+        ++this->crashes[connection->endpoint.substr(0, connection->endpoint.find('-'))];
+        this->restart(connection->endpoint);
+        this->at(connection->endpoint).model.warm = true;
+        throw EndpointError { EndpointFault::Broken, "connection reset" };
+    }
     EndpointHead head;
     head.status = isPartial ? 206 : 200;
     head.contentType = "text/event-stream";
--- a/test/support/fake_endpoints.hpp
+++ b/test/support/fake_endpoints.hpp
@@ -51,6 +51,10 @@
     /** @brief Most requests that an endpoint had at once. */
     [[nodiscard]] std::uint32_t mostRunning(const std::string& name);
 
+    /** Requests whose body has this text crash their endpoint. */
+    std::string crashMark = "crash-the-engine";
+    /** Crashes by marked requests, by failure domain's part of the endpoint's name. */
+    std::map<std::string, int> crashes;
     std::map<std::string, int> runs;
     /** Bodies of the requests that reached an endpoint, by request id. */
     std::map<std::string, int> attemptsOfRequest;
@@ -70,6 +74,7 @@
         bool aborted = false;
         bool resumed = false;
         TimePoint endsAt {};
+        bool crashes = false;
         std::vector<std::string> parts;
         std::size_t next = 0;
 
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -58,7 +58,8 @@
         co_await clock.sleepFor(kLostAnswerTime);
         throw PlatformError { PlatformFault::OutcomeUnknown, "no answer" };
     }
-    auto reply = this->store.apply(call);
+    auto& source = this->lagging.contains(host) && !isWrite(call) ? this->oldStore : this->store;
+    auto reply = source.apply(call);
     if (isWrite(call) && this->trouble == PlatformTrouble::AnswersLost) {
         co_await clock.sleepFor(kLostAnswerTime);
         throw PlatformError { PlatformFault::OutcomeUnknown, "no answer" };
--- a/test/support/fake_platform.hpp
+++ b/test/support/fake_platform.hpp
@@ -36,6 +36,11 @@
     PlatformTrouble trouble = PlatformTrouble::None;
     /** Hosts that cannot reach the platform. */
     std::set<std::string> cutOff;
+    /** Hosts whose reads come from a copy that lags behind, made by freezeReads(). */
+    std::set<std::string> lagging;
+
+    /** @brief Makes the copy from which lagging hosts read. */
+    void freezeReads() { this->oldStore = this->store; }
 
 private:
     struct DelayedWrite {
@@ -47,6 +52,7 @@
     [[nodiscard]] bool isUnreachable(const std::string& host) const;
 
     std::vector<DelayedWrite> delayed;
+    ObjectStore oldStore;
 };
 
 } // namespace berylwing::test
--- a/test/support/test_fleet.cpp
+++ b/test/support/test_fleet.cpp
@@ -251,6 +251,9 @@
     store.write(ObjectKind::Service, "orders",
         { { "name", "orders" }, { "deadline_ms", 10000 },
             { "once_only", { { { "method", "POST" }, { "prefix", "/bulk" } } } } });
+    store.write(ObjectKind::Contract, "shop",
+        { { "workspace", "shop" }, { "key", "shop-key" }, { "home", plan.home }, { "requests_per_second", 100000 },
+            { "concurrency", 100000 }, { "deadline_ms", 20000 } });
     for (const auto& domain : plan.domains) {
         for (int index = 0; index < plan.enginesPerDomain; ++index) {
             const auto name = domain + "-engine-" + std::to_string(index);
@@ -282,7 +285,7 @@
     request.target = "/v1/chat/completions";
     request.bearerToken = "coop-key";
     request.chat = chat;
-    request.body = "{\"model\":\"m\",\"chat\":\"" + chat + "\"}";
+    request.body = R"({"model":"m","chat":")" + chat + R"("})";
     return request;
 }
 
