--- /dev/null
+++ b/measure/placement.cpp
@@ -0,0 +1,7 @@
+#include "scenarios.hpp"
+
+namespace berylwing::measure {
+
+void measurePlacement(Report&) { }
+
+} // namespace berylwing::measure
--- /dev/null
+++ b/measure/recovery.cpp
@@ -0,0 +1,7 @@
+#include "scenarios.hpp"
+
+namespace berylwing::measure {
+
+void measureRecovery(Report&) { }
+
+} // namespace berylwing::measure
--- a/src/berylwing/membership/configuration_watcher.cpp
+++ b/src/berylwing/membership/configuration_watcher.cpp
@@ -32,7 +32,7 @@
     });
     this->link.handle(wire::Envelope::kConfiguration,
         [this](const wire::Envelope& envelope) { this->onConfiguration(envelope.configuration(), envelope.from()); });
-    this->domain.listen([this] { this->pullFromNewerPeer(); });
+    this->domain.onBeat([this](const Peer& peer) { this->pullIfNewer(peer); });
 }
 
 Task<void> ConfigurationWatcher::load()
@@ -122,13 +122,11 @@
     this->link.send(host, std::move(envelope));
 }
 
-void ConfigurationWatcher::pullFromNewerPeer()
+void ConfigurationWatcher::pullIfNewer(const Peer& peer)
 {
-    for (const auto& [host, peer] : this->domain.peers()) {
-        const bool hasNewerRoster = peer.rosterVersion > this->domain.roster().version;
-        if (peer.configuration > this->catalog.completeThrough() || hasNewerRoster)
-            return this->pull(host);
-    }
+    const bool hasNewerRoster = peer.rosterVersion > this->domain.roster().version;
+    if (peer.configuration > this->catalog.completeThrough() || hasNewerRoster)
+        this->pull(peer.host);
 }
 
 void ConfigurationWatcher::sendConfiguration(const std::string& host, std::uint64_t after)
--- a/src/berylwing/membership/failure_domain.cpp
+++ b/src/berylwing/membership/failure_domain.cpp
@@ -22,10 +22,10 @@
     , link { hostLink }
     , catalog { hostCatalog }
     , metrics { hostMetrics }
-    , describeBeat { [](const std::string&) { return BeatContent {}; } }
+    , describeBeat { [] { return BeatContent {}; } }
 {
     this->link.readRosterVersionFrom([this] { return this->roster().version; });
-    this->link.handle(wire::Envelope::kBeat, [this](const wire::Envelope& envelope) { this->onBeat(envelope); });
+    this->link.handle(wire::Envelope::kBeat, [this](const wire::Envelope& envelope) { this->takeBeat(envelope); });
     this->catalog.listen([this](const VersionedObject& object) {
         if (object.kind == ObjectKind::Roster && object.name == this->link.identity().domain)
             this->takeRoster();
@@ -96,7 +96,9 @@
 
 void FailureDomain::describeBeatsWith(DescribeBeat describe) { this->describeBeat = std::move(describe); }
 
-void FailureDomain::listen(Listener listener) { this->listeners.push_back(std::move(listener)); }
+void FailureDomain::onRoster(RosterListener listener) { this->rosterListeners.push_back(std::move(listener)); }
+
+void FailureDomain::onBeat(BeatListener listener) { this->beatListeners.push_back(std::move(listener)); }
 
 void FailureDomain::setWatching(bool isWatching) noexcept { this->watching = isWatching; }
 
@@ -138,11 +140,11 @@
     }
     this->metrics.add(Incident::RosterTaken);
     this->beat();
-    for (const auto& listener : this->listeners)
+    for (const auto& listener : this->rosterListeners)
         listener();
 }
 
-void FailureDomain::onBeat(const wire::Envelope& envelope)
+void FailureDomain::takeBeat(const wire::Envelope& envelope)
 {
     const auto found = this->peersByHost.find(envelope.from());
     if (found == this->peersByHost.end() || found->second.incarnation != envelope.incarnation())
@@ -163,12 +165,13 @@
     peer.leaving = beat.leaving();
     peer.residuals.assign(beat.residuals().begin(), beat.residuals().end());
     peer.loads.assign(beat.loads().begin(), beat.loads().end());
-    for (const auto& listener : this->listeners)
-        listener();
+    for (const auto& listener : this->beatListeners)
+        listener(peer);
 }
 
 void FailureDomain::beat()
 {
+    const auto content = this->describeBeat();
     for (const auto& [host, peer] : this->peersByHost) {
         wire::Envelope envelope;
         auto& message = *envelope.mutable_beat();
@@ -180,9 +183,8 @@
         message.set_configuration(this->catalog.completeThrough());
         message.set_watching(this->watching);
         message.set_leaving(this->leaving);
-        const auto content = this->describeBeat(host);
-        for (const auto& residual : content.residuals)
-            *message.add_residuals() = residual;
+        if (const auto residuals = content.residuals.find(host); residuals != content.residuals.end())
+            message.mutable_residuals()->Add(residuals->second.begin(), residuals->second.end());
         for (const auto& load : content.loads)
             *message.add_loads() = load;
         this->link.send(host, std::move(envelope));
--- a/src/berylwing/membership/failure_domain.hpp
+++ b/src/berylwing/membership/failure_domain.hpp
@@ -23,22 +23,26 @@
 class FailureDomain {
     [[nodiscard]] Peer& peerOf(const RosterMember& member);
     void takeRoster();
-    void onBeat(const wire::Envelope& envelope);
+    void takeBeat(const wire::Envelope& envelope);
     void beat();
     void reportSilence();
 
 public:
-    /** @brief What the endpoint owner adds to a beat. */
+    /** @brief What the endpoint owner adds to a round of beats. */
     struct BeatContent {
-        std::vector<wire::Residual> residuals;
+        /** Requests of this host at endpoints of the others, by their owner. */
+        std::map<std::string, std::vector<wire::Residual>, std::less<>> residuals;
         std::vector<wire::ModelLoad> loads;
     };
 
-    /** @brief Function that gives the content of a beat to a host. */
-    using DescribeBeat = std::function<BeatContent(const std::string& host)>;
+    /** @brief Function that gives the content of a round of beats. */
+    using DescribeBeat = std::function<BeatContent()>;
 
-    /** @brief Function called after a roster was taken or a beat arrived. */
-    using Listener = std::function<void()>;
+    /** @brief Function called after a roster was taken. */
+    using RosterListener = std::function<void()>;
+
+    /** @brief Function called after a beat arrived. */
+    using BeatListener = std::function<void(const Peer&)>;
 
     /**
      * @brief Creates the domain from the catalog's roster.
@@ -89,8 +93,11 @@
     /** @brief Sets the function that adds to beats. @param describe Function. */
     void describeBeatsWith(DescribeBeat describe);
 
-    /** @brief Registers a listener for rosters and beats. @param listener Function. */
-    void listen(Listener listener);
+    /** @brief Registers a listener for rosters. @param listener Function. */
+    void onRoster(RosterListener listener);
+
+    /** @brief Registers a listener for beats. @param listener Function. */
+    void onBeat(BeatListener listener);
 
     /** @brief Sets whether this host tells its peers that it watches the platform. @param isWatching True if it does.
      */
@@ -111,7 +118,8 @@
     Catalog& catalog;
     Metrics& metrics;
     DescribeBeat describeBeat;
-    std::vector<Listener> listeners;
+    std::vector<RosterListener> rosterListeners;
+    std::vector<BeatListener> beatListeners;
     std::map<std::string, Peer, std::less<>> peersByHost;
     mutable std::map<std::string, std::vector<std::string>, std::less<>> rankings;
     std::uint64_t takenVersion = 0;
--- a/src/berylwing/routing/authority.cpp
+++ b/src/berylwing/routing/authority.cpp
@@ -31,9 +31,11 @@
 
 bool Authority::isStandIn(std::string_view endpoint) const
 {
-    const auto rank = this->rankOf(endpoint);
-    return rank != kUnranked && rank > 0 && this->domain.isMember() && this->domain.isSettled()
-        && this->betterRanksSilent(endpoint);
+    // Nearly always the first host is not silent, which is found out at little cost.
+    const auto& ranking = this->domain.ranking(endpoint);
+    if (ranking.empty() || !this->domain.isSilent(ranking.front()))
+        return false;
+    return this->betterRanksSilent(endpoint) && this->domain.isMember() && this->domain.isSettled();
 }
 
 bool Authority::canClaimFirst(std::string_view endpoint) const
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -47,7 +47,7 @@
             this->endpoints.emplace(name, new OwnedEndpoint { object });
     }
     this->catalog.listen([this](const VersionedObject& object) { this->onCatalogChange(object); });
-    this->domain.listen([this] { this->reviewAll(); });
+    this->domain.onRoster([this] { this->reviewAll(); });
     this->link.handle(wire::Envelope::kHandoff, [this](const wire::Envelope& envelope) { this->onHandoff(envelope); });
     this->link.handle(wire::Envelope::kHandoffTaken,
         [this](const wire::Envelope& envelope) { this->onHandoffTaken(envelope.handoff_taken()); });
@@ -58,30 +58,35 @@
         if (const auto endpoint = this->find(placed.first_endpoint()))
             endpoint->placements.remember({ placed.chat(), placed.endpoint() }, this->clock.now());
     });
-    this->domain.describeBeatsWith([this](const std::string& host) {
-        FailureDomain::BeatContent content;
-        std::map<std::string, wire::ModelLoad, std::less<>> loads;
-        for (const auto& [name, endpoint] : this->endpoints) {
-            const bool holdsFirst = endpoint->authority.holdsFirst;
-            const auto& ranking = this->domain.ranking(name);
-            if ((endpoint->inFlight() > 0 || holdsFirst) && !ranking.empty() && ranking.front() == host) {
-                wire::Residual residual;
-                residual.set_endpoint(name);
-                residual.set_in_flight(endpoint->inFlight());
-                residual.set_holds_first(holdsFirst);
-                content.residuals.push_back(residual);
-            }
-            if (!holdsFirst || endpoint->configuration.kind != EndpointKind::Engine)
-                continue;
-            auto& load = loads[endpoint->configuration.serves];
-            load.set_model(endpoint->configuration.serves);
-            load.set_in_flight(load.in_flight() + endpoint->inFlight());
-            load.set_engines(load.engines() + 1);
+    this->domain.describeBeatsWith([this] { return this->describeBeat(); });
+}
+
+FailureDomain::BeatContent EndpointRegistry::describeBeat() const
+{
+    FailureDomain::BeatContent content;
+    std::map<std::string, wire::ModelLoad, std::less<>> loads;
+    for (const auto& [name, endpoint] : this->endpoints) {
+        const bool holdsFirst = endpoint->authority.holdsFirst;
+        if (!holdsFirst && endpoint->inFlight() == 0)
+            continue;
+        const auto& ranking = this->domain.ranking(name);
+        if (!ranking.empty() && ranking.front() != this->domain.selfHost()) {
+            wire::Residual residual;
+            residual.set_endpoint(name);
+            residual.set_in_flight(endpoint->inFlight());
+            residual.set_holds_first(holdsFirst);
+            content.residuals[ranking.front()].push_back(std::move(residual));
         }
-        for (auto& [model, load] : loads)
-            content.loads.push_back(std::move(load));
-        return content;
-    });
+        if (!holdsFirst || endpoint->configuration.kind != EndpointKind::Engine)
+            continue;
+        auto& load = loads[endpoint->configuration.serves];
+        load.set_model(endpoint->configuration.serves);
+        load.set_in_flight(load.in_flight() + endpoint->inFlight());
+        load.set_engines(load.engines() + 1);
+    }
+    for (auto& [model, load] : loads)
+        content.loads.push_back(std::move(load));
+    return content;
 }
 
 OwnedEndpointPtr EndpointRegistry::find(std::string_view name) const
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -33,7 +33,7 @@
     , incidents { makeCounters(*this->registry, "berylwing_incidents_total", "Events of the fleet.", kIncidentNames) }
     , requests { makeCounter(*this->registry, "berylwing_requests_total", "Accepted requests.") }
     , controlTraffic { makeCounter(*this->registry, "berylwing_control_bytes_total", "Bytes sent for control.") }
-    , platformCalls { makeCounter(*this->registry, "berylwing_platform_calls_total", "Calls to the platform.") }
+    , platformCallCount { makeCounter(*this->registry, "berylwing_platform_calls_total", "Calls to the platform.") }
     , relayedChunks { makeCounter(*this->registry, "berylwing_relayed_chunks_total", "Relayed chunks of answers.") }
     , inFlight { &prometheus::BuildGauge()
                       .Name("berylwing_in_flight")
@@ -54,6 +54,11 @@
 
 std::uint64_t Metrics::controlBytes() const { return read(this->controlTraffic); }
 
+std::uint64_t Metrics::platformCalls() const
+{
+    return read(this->platformCallCount);
+}
+
 std::string Metrics::text() const { return prometheus::TextSerializer {}.Serialize(this->registry->Collect()); }
 
 void Metrics::add(Refusal reason) { this->refusals[static_cast<std::size_t>(reason)]->Increment(); }
@@ -66,7 +71,7 @@
 
 void Metrics::addControlBytes(std::size_t bytes) { this->controlTraffic->Increment(static_cast<double>(bytes)); }
 
-void Metrics::addPlatformCall() { this->platformCalls->Increment(); }
+void Metrics::addPlatformCall() { this->platformCallCount->Increment(); }
 
 void Metrics::addRelayedChunk() { this->relayedChunks->Increment(); }
 
--- a/src/berylwing/telemetry/metrics.hpp
+++ b/src/berylwing/telemetry/metrics.hpp
@@ -31,6 +31,9 @@
     /** @brief Reads the control traffic. @return Bytes sent for control so far. */
     [[nodiscard]] std::uint64_t controlBytes() const;
 
+    /** @brief Reads the calls to the platform. @return Calls so far. */
+    [[nodiscard]] std::uint64_t platformCalls() const;
+
     /** @brief Formats all metrics. @return Text in the Prometheus exposition format. */
     [[nodiscard]] std::string text() const;
 
@@ -65,7 +68,7 @@
     Counters<kIncidentNames.size()> incidents;
     prometheus::Counter* requests;
     prometheus::Counter* controlTraffic;
-    prometheus::Counter* platformCalls;
+    prometheus::Counter* platformCallCount;
     prometheus::Counter* relayedChunks;
     prometheus::Gauge* inFlight;
 };
