Let a returning chat wait shortly where its prefix is; ask few seeds for configuration

Change: an owner that remembers a chat lets it wait up to 250 ms for a place. What an engine forgets by a restart is forgotten by its owner, too. Cause of control bytes after a return: a starting host asked all its seeds and each sent the whole configuration. Change: two seeds at a time.

--- a/src/berylwing/membership/configuration_watcher.cpp
+++ b/src/berylwing/membership/configuration_watcher.cpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/hash.hpp"
 #include "berylwing/membership/timing.hpp"
 #include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr Duration kPeerAnswerWait { 300 };
+constexpr std::size_t kSeedsAsked = 2;
 constexpr Duration kWatcherCheckInterval { 500 };
 
 } // namespace
@@ -38,8 +40,7 @@
 Task<void> ConfigurationWatcher::load()
 {
     while (true) {
-        for (const auto& seed : this->seeds)
-            this->pull(seed);
+        this->pullFromSeeds();
         try {
             const auto batch = co_await this->platform.watch(0, Duration {});
             this->catalog.takeAll(batch.changes, batch.through);
@@ -115,6 +116,14 @@
     }
 }
 
+void ConfigurationWatcher::pullFromSeeds()
+{
+    // Each asked host sends the whole configuration, so only few are asked at a time.
+    std::shuffle(this->seeds.begin(), this->seeds.end(), this->random);
+    for (std::size_t index = 0; index < std::min(this->seeds.size(), kSeedsAsked); ++index)
+        this->pull(this->seeds[index]);
+}
+
 void ConfigurationWatcher::pull(const std::string& host)
 {
     wire::Envelope envelope;
--- a/src/berylwing/membership/configuration_watcher.hpp
+++ b/src/berylwing/membership/configuration_watcher.hpp
@@ -25,6 +25,7 @@
     [[nodiscard]] Task<void> watchOnce();
     void push(std::uint64_t after);
     void pull(const std::string& host);
+    void pullFromSeeds();
     void pullIfNewer(const Peer& peer);
     void sendConfiguration(const std::string& host, std::uint64_t after);
     void onConfiguration(const wire::Configuration& configuration, const std::string& from);
--- a/src/berylwing/relay/attempt_server.cpp
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -120,8 +120,10 @@
 
 Task<Outcome> AttemptServer::run(Attempt& attempt, OwnedEndpoint& endpoint)
 {
-    if (const auto reason = this->refusal(attempt, endpoint))
+    if (const auto reason = co_await this->waitForPlace(attempt, endpoint))
         co_return NotRun { *reason };
+    if (!attempt.open.request().chat().empty())
+        endpoint.recentChats.remember({ attempt.open.request().chat(), attempt.open.endpoint() }, this->clock.now());
     const Admission admission { &endpoint, attempt.open.request().workspace(),
         this->crashes.isSuspect(attempt.fingerprint) };
     attempt.admitted = true;
@@ -143,6 +145,23 @@
     co_return co_await this->exchange(attempt, endpoint);
 }
 
+Task<std::optional<Refusal>> AttemptServer::waitForPlace(Attempt& attempt, OwnedEndpoint& endpoint)
+{
+    auto reason = this->refusal(attempt, endpoint);
+    // A chat that comes back is served sooner where its prefix is, even after a short wait; a new one gains nothing.
+    const bool isKnown = endpoint.recentChats.lookUp(attempt.open.request().chat(), this->clock.now()).has_value();
+    if (reason != Refusal::EndpointAtBound || !isKnown || endpoint.waiting >= endpoint.lifecycle.limit())
+        co_return reason;
+    const auto until = std::min(attempt.deadline, this->clock.now() + kPreferredWait);
+    ++endpoint.waiting;
+    while (reason == Refusal::EndpointAtBound && this->clock.now() < until && !attempt.cancelled) {
+        co_await endpoint.freed.waitUntil(until);
+        reason = this->refusal(attempt, endpoint);
+    }
+    --endpoint.waiting;
+    co_return reason;
+}
+
 std::optional<Refusal> AttemptServer::refusal(const Attempt& attempt, OwnedEndpoint& endpoint) const
 {
     if (this->crashes.isQuarantined(attempt.fingerprint))
--- a/src/berylwing/relay/attempt_server.hpp
+++ b/src/berylwing/relay/attempt_server.hpp
@@ -50,6 +50,7 @@
     void refuse(const Attempt& attempt, const Outcome& outcome, std::uint32_t inFlight, const std::string& placedAt);
     void sendChunk(Attempt& attempt, std::string bytes);
     [[nodiscard]] std::optional<Refusal> refusal(const Attempt& attempt, OwnedEndpoint& endpoint) const;
+    [[nodiscard]] Task<std::optional<Refusal>> waitForPlace(Attempt& attempt, OwnedEndpoint& endpoint);
     [[nodiscard]] bool isRunningAlready(const Attempt& attempt) const;
 
 public:
--- a/src/berylwing/relay/timing.hpp
+++ b/src/berylwing/relay/timing.hpp
@@ -29,6 +29,9 @@
 /** @brief Additional attempts after silent links that a host may make before its first success. */
 inline constexpr double kLinkRetriesAtStart = 10;
 
+/** @brief Longest time for which a returning chat waits at the engine that holds its prefix. */
+inline constexpr Duration kPreferredWait { 250 };
+
 /** @brief Pause after all candidates have refused. */
 inline constexpr Duration kWalkPause { 40 };
 
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -44,7 +44,7 @@
 {
     for (const auto& [name, object] : this->catalog.endpoints()) {
         if (object.domain == this->link.identity().domain)
-            this->endpoints.emplace(name, new OwnedEndpoint { object });
+            this->endpoints.emplace(name, new OwnedEndpoint { object, this->clock });
     }
     this->catalog.listen([this](const VersionedObject& object) { this->onCatalogChange(object); });
     this->domain.onRoster([this] { this->reviewAll(); });
@@ -166,7 +166,7 @@
 void EndpointRegistry::observeHead(OwnedEndpoint& endpoint, const EndpointHead& head)
 {
     if (endpoint.lifecycle.observeBoot(head.bootId))
-        this->metrics.add(Incident::EndpointColdAgain);
+        this->noteCold(endpoint);
     this->tellState(endpoint);
 }
 
@@ -182,10 +182,16 @@
 {
     this->metrics.add(Incident::EndpointDied);
     if (endpoint.lifecycle.observeFailure())
-        this->metrics.add(Incident::EndpointColdAgain);
+        this->noteCold(endpoint);
     this->tellState(endpoint);
 }
 
+void EndpointRegistry::noteCold(OwnedEndpoint& endpoint)
+{
+    endpoint.recentChats.clear();
+    this->metrics.add(Incident::EndpointColdAgain);
+}
+
 Task<void> EndpointRegistry::run()
 {
     while (true) {
@@ -220,7 +226,7 @@
     } else if (known) {
         known->configure(*configured);
     } else {
-        this->endpoints.emplace(object.name, new OwnedEndpoint { *configured });
+        this->endpoints.emplace(object.name, new OwnedEndpoint { *configured, this->clock });
     }
 }
 
@@ -412,7 +418,7 @@
     else
         turnedCold = endpoint.lifecycle.observeCold() || turnedCold;
     if (turnedCold)
-        this->metrics.add(Incident::EndpointColdAgain);
+        this->noteCold(endpoint);
     this->tellState(endpoint);
     if (endpoint.authority.holdsFirst)
         return;
--- a/src/berylwing/routing/endpoint_registry.hpp
+++ b/src/berylwing/routing/endpoint_registry.hpp
@@ -37,6 +37,7 @@
     void review(OwnedEndpoint& endpoint);
     void reviewAll();
     void noteDoubt(OwnedEndpoint& endpoint);
+    void noteCold(OwnedEndpoint& endpoint);
     [[nodiscard]] FailureDomain::BeatContent describeBeat() const;
     void offerHandoff(OwnedEndpoint& endpoint);
     [[nodiscard]] std::string successorOf(const OwnedEndpoint& endpoint) const;
--- a/src/berylwing/routing/owned_endpoint.hpp
+++ b/src/berylwing/routing/owned_endpoint.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "berylwing/config/objects.hpp"
-#include "berylwing/core/clock.hpp"
+#include "berylwing/core/event.hpp"
 #include "berylwing/limits/fair_shares.hpp"
 #include "berylwing/routing/authority.hpp"
 #include "berylwing/routing/endpoint_lifecycle.hpp"
@@ -15,8 +15,12 @@
 /** @brief Endpoint of this host's failure domain, with all that this host knows about it. */
 class OwnedEndpoint : public boost::intrusive_ref_counter<OwnedEndpoint, boost::thread_unsafe_counter> {
 public:
-    /** @brief Creates the state of an endpoint of which nothing is known. @param object Configuration. */
-    explicit OwnedEndpoint(EndpointObject object);
+    /**
+     * @brief Creates the state of an endpoint of which nothing is known.
+     * @param object Configuration.
+     * @param hostClock Clock of the host.
+     */
+    OwnedEndpoint(EndpointObject object, Clock& hostClock);
 
     /** @brief Counts the requests that this host has in flight at the endpoint. @return Requests. */
     [[nodiscard]] std::uint32_t inFlight() const noexcept { return this->requests; }
@@ -33,7 +37,14 @@
     EndpointObject configuration;
     EndpointLifecycle lifecycle;
     AuthorityState authority;
+    /** Chats whose first-ranked engine this is and that were placed elsewhere. */
     PlacementTable placements;
+    /** Chats that ran here since the engine last lost its memory, so that it likely holds their prefixes. */
+    PlacementTable recentChats;
+    /** Chats that wait for a place. */
+    std::uint32_t waiting = 0;
+    /** Notified when a place may be free. */
+    Event freed;
     TimePoint standInSince {};
     bool wasInDoubt = false;
     bool wasStandIn = false;
@@ -73,6 +84,7 @@
         this->place->removeRequest();
         this->place->shares.remove(this->workspace);
         this->place->suspects -= this->isSuspect ? 1 : 0;
+        this->place->freed.notifyAll();
     }
 
     Admission(const Admission&) = delete;
--- a/src/berylwing/routing/placement_table.cpp
+++ b/src/berylwing/routing/placement_table.cpp
@@ -57,6 +57,12 @@
         this->erase(*entry);
 }
 
+void PlacementTable::clear()
+{
+    this->byUse.clear();
+    this->buckets.clear();
+}
+
 PlacementTable::Entry* PlacementTable::find(std::string_view chat)
 {
     const auto found = this->buckets.find(hashText(chat));
--- a/src/berylwing/routing/placement_table.hpp
+++ b/src/berylwing/routing/placement_table.hpp
@@ -59,6 +59,9 @@
     /** @brief Forgets the place of a chat. @param chat Chat. */
     void forget(std::string_view chat);
 
+    /** @brief Forgets all places. */
+    void clear();
+
 private:
     std::size_t capacity;
     Duration retention;
--- a/test/support/fake_endpoints.cpp
+++ b/test/support/fake_endpoints.cpp
@@ -158,6 +158,8 @@
     if (connection->isBroken())
         throw EndpointError { EndpointFault::Broken, "connection reset" };
     ++this->attemptsOfRequest[call.request.request_id()];
+    if (this->onRequest)
+        this->onRequest(connection->endpoint, call.request);
     connection->counted = true;
     const auto parts = isEngine ? this->tokens + 1 : 1;
     connection->endsAt = connection->clock->now() + this->serviceTime + static_cast<int>(parts) * this->tokenTime;
--- a/test/support/fake_endpoints.hpp
+++ b/test/support/fake_endpoints.hpp
@@ -4,6 +4,7 @@
 #include "berylwing/routing/endpoint_connection.hpp"
 #include "support/engine_model.hpp"
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -55,6 +56,8 @@
     std::string crashMark = "crash-the-engine";
     /** Crashes by marked requests, by failure domain's part of the endpoint's name. */
     std::map<std::string, int> crashes;
+    /** Called when a request reaches an endpoint. */
+    std::function<void(const std::string& endpoint, const wire::Request& request)> onRequest;
     std::map<std::string, int> runs;
     /** Bodies of the requests that reached an endpoint, by request id. */
     std::map<std::string, int> attemptsOfRequest;
