--- /dev/null
+++ b/measure/path_load.cpp
@@ -0,0 +1,172 @@
+#include "berylwing/http/http_call.hpp"
+#include "figure.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+#include <vector>
+
+DEFINE_string(direct, "127.0.2.1:9000", "Address and port of an engine.");
+DEFINE_string(fleet, "127.0.1.1:8080", "Address and port of an entry host.");
+DEFINE_string(daemons, "", "Process ids of the daemons, separated by commas.");
+DEFINE_int32(requests, 400, "Streaming requests of each comparison.");
+DEFINE_int32(streams, 20, "Streams at once while processor time is measured.");
+DEFINE_int32(stream_tokens, 2000, "Tokens of each such stream.");
+
+namespace berylwing::measure {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr double kMostAddedMs = 1.0;
+constexpr double kMostChunkMicroseconds = 10.0;
+constexpr double kLeastShortRequests = 5000;
+constexpr double kMilli = 1e3;
+constexpr double kMicro = 1e6;
+
+/** Times of one or more streams. */
+struct Times {
+    std::vector<double> firstMs;
+    std::vector<double> betweenMs;
+    std::size_t chunks = 0;
+    std::size_t failed = 0;
+};
+
+SocketAddress parse(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    return { text.substr(0, colon), static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1))) };
+}
+
+double millisecondsSince(SteadyClock::time_point begin)
+{
+    return std::chrono::duration<double, std::milli>(SteadyClock::now() - begin).count();
+}
+
+Task<void> streamOnce(SocketAddress address, int index, int tokens, Times& times)
+{
+    beast::tcp_stream stream { co_await asio::this_coro::executor };
+    co_await connectHttp(stream, address);
+    HttpRequest request { http::verb::post, "/v1/chat/completions", 11 };
+    request.set(http::field::host, "measure");
+    request.set(http::field::authorization, "Bearer hill-key");
+    request.set("X-Chat-Id", "measure-" + std::to_string(index));
+    request.body() = R"({"model":"shelf-7b","max_tokens":)" + std::to_string(tokens) + R"(,"n":)"
+        + std::to_string(index) + "}";
+    request.prepare_payload();
+    const auto begin = SteadyClock::now();
+    boost::system::error_code error;
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    std::string bytes(16 * 1024, '\0');
+    std::string end;
+    bool isFirst = true;
+    auto last = begin;
+    while (!error && !parser.is_done()) {
+        parser.get().body() = { bytes.data(), bytes.size(), true };
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error == http::error::need_buffer)
+            error = {};
+        const auto size = bytes.size() - parser.get().body().size;
+        if (size == 0)
+            continue;
+        (isFirst ? times.firstMs : times.betweenMs).push_back(millisecondsSince(isFirst ? begin : last));
+        isFirst = false;
+        last = SteadyClock::now();
+        end = bytes.substr(0, size);
+        ++times.chunks;
+    }
+    times.failed += error || !end.ends_with("data: [DONE]\n\n") ? 1 : 0;
+}
+
+Task<void> streamMany(SocketAddress address, int count, int tokens, Times& times)
+{
+    for (int index = 0; index < count; ++index)
+        co_await streamOnce(address, index, tokens, times);
+}
+
+Times compare(const std::string& target, int parallel, int count, int tokens)
+{
+    asio::io_context context { 1 };
+    Times times;
+    for (int lane = 0; lane < parallel; ++lane)
+        asio::co_spawn(context, streamMany(parse(target), count, tokens, times), asio::detached);
+    context.run();
+    return times;
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    std::sort(values.begin(), values.end());
+    return values.empty() ? 0 : values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+/** Processor seconds that the daemons have used, from the process table. */
+double daemonSeconds()
+{
+    double ticks = 0;
+    std::istringstream list { FLAGS_daemons };
+    std::string process;
+    while (std::getline(list, process, ',')) {
+        std::ifstream file { "/proc/" + process + "/stat" };
+        std::string word;
+        for (int field = 1; field <= 15 && file >> word; ++field)
+            ticks += field >= 14 ? std::stod(word) : 0;
+    }
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+void measurePath(Report& report)
+{
+    constexpr int kTokens = 20;
+    static_cast<void>(compare(FLAGS_fleet, 1, FLAGS_requests / 4, kTokens));
+    const auto direct = compare(FLAGS_direct, 1, FLAGS_requests, kTokens);
+    const auto fleet = compare(FLAGS_fleet, 1, FLAGS_requests, kTokens);
+    for (const double part : { 0.5, 0.95, 0.99 }) {
+        const auto suffix = ".p" + std::to_string(static_cast<int>(part * 100));
+        const auto first = quantile(direct.firstMs, part);
+        report.add({ "path.first_token_added" + suffix, quantile(fleet.firstMs, part) - first, "ms", kMostAddedMs, {},
+            first });
+        const auto between = quantile(direct.betweenMs, part);
+        report.add({ "path.between_tokens_added" + suffix, quantile(fleet.betweenMs, part) - between, "ms",
+            kMostAddedMs, {}, between });
+    }
+    report.add({ "path.failed", static_cast<double>(fleet.failed), "of " + std::to_string(FLAGS_requests), 0.0 });
+    auto before = daemonSeconds();
+    const auto streams = compare(FLAGS_fleet, FLAGS_streams, 1, FLAGS_stream_tokens);
+    report.add({ "path.chunk", (daemonSeconds() - before) / static_cast<double>(streams.chunks) * kMicro,
+        "us of CPU a relayed chunk, both hops", kMostChunkMicroseconds });
+    report.add({ "path.chunks", static_cast<double>(streams.chunks), "chunks relayed" });
+    before = daemonSeconds();
+    const auto shortOnes = compare(FLAGS_fleet, FLAGS_streams, FLAGS_requests, 1);
+    report.add({ "path.short_requests", static_cast<double>(shortOnes.firstMs.size()) / (daemonSeconds() - before),
+        "requests/s a core of the daemons, both hops", {}, kLeastShortRequests });
+}
+
+} // namespace
+
+} // namespace berylwing::measure
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    berylwing::measure::Report report;
+    berylwing::measure::measurePath(report);
+    return report.misses() == 0 ? 0 : 1;
+}
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -37,7 +37,10 @@
     std::string resumeEndpoint;
     std::string placedAt;
     std::string answeredBy;
+    /** Load of all candidates as the last walk saw it. */
     LoadMean observed;
+    /** Requests at the engines that refused in this walk. */
+    std::uint32_t seenInFlight = 0;
     unsigned reruns = 0;
     /** Whether an attempt ended in a way that may have left a run behind. */
     bool mayHaveRun = false;
@@ -79,7 +82,9 @@
             this->tellPlacement(run, order);
         if (run.finished || this->clock.now() + kWalkPause >= deadline || order.empty())
             break;
-        co_await this->clock.sleepFor(kWalkPause);
+        const bool hasNewerLoad = run.seenInFlight > run.observed.inFlight;
+        if (!hasNewerLoad)
+            co_await this->clock.sleepFor(kWalkPause);
     }
     if (!run.last.isWhole() && run.mayHaveRun)
         co_return OutcomeUnknown { *run.last.reason };
@@ -88,7 +93,9 @@
 
 Task<void> Dispatcher::walk(Run& run, const std::vector<std::string>& order)
 {
-    run.observed = LoadMean {};
+    // What the last walk saw is a lower bound of the load of all candidates, and newer than the owners' digests.
+    run.observed = LoadMean { run.seenInFlight, static_cast<std::uint32_t>(order.size()) };
+    run.seenInFlight = 0;
     const bool mayHaveRun = run.mayHaveRun;
     for (std::size_t index = 0; index < std::min(order.size(), kMostCandidates); ++index) {
         if (index > 0)
@@ -281,8 +288,7 @@
     run.last = NotRun { reason, Duration { refused.retry_after_ms() } };
     run.placedAt = refused.placed_at();
     if (reason == Refusal::EndpointAtBound) {
-        run.observed.inFlight += refused.in_flight();
-        ++run.observed.engines;
+        run.seenInFlight += refused.in_flight();
     }
 }
 
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -118,9 +118,9 @@
         return Refusal::OverFairShare;
     if (endpoint.configuration.kind == EndpointKind::Service)
         return std::nullopt;
-    auto mean = this->loadMean(endpoint.configuration.serves);
-    mean.inFlight = std::max(mean.inFlight, observed.inFlight);
-    if (endpoint.inFlight() >= mean.bound(this->loadMultiple))
+    const auto mean = this->loadMean(endpoint.configuration.serves);
+    const auto bound = std::max(mean.bound(this->loadMultiple), observed.bound(this->loadMultiple));
+    if (endpoint.inFlight() >= bound)
         return Refusal::EndpointAtBound;
     return std::nullopt;
 }
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -54,10 +54,7 @@
 
 std::uint64_t Metrics::controlBytes() const { return read(this->controlTraffic); }
 
-std::uint64_t Metrics::platformCalls() const
-{
-    return read(this->platformCallCount);
-}
+std::uint64_t Metrics::platformCalls() const { return read(this->platformCallCount); }
 
 std::string Metrics::text() const { return prometheus::TextSerializer {}.Serialize(this->registry->Collect()); }
 
