--- a/measure/control.cpp
+++ b/measure/control.cpp
@@ -69,7 +69,7 @@
 
 void measureControl(Report& report)
 {
-    for (const int hosts : { 52 })
+    for (const int hosts : { 7, 13, 26, 52 })
         measureAt(report, hosts);
 }
 
--- a/src/berylwing/config/catalog.cpp
+++ b/src/berylwing/config/catalog.cpp
@@ -63,8 +63,10 @@
 {
     std::vector<VersionedObject> newer;
     for (const auto& [key, object] : this->objects) {
-        if (object.version > version)
-            newer.push_back(object);
+        if (object.version <= version)
+            continue;
+        auto value = object.text.empty() ? nlohmann::json {} : nlohmann::json::parse(object.text);
+        newer.push_back({ key.kind, key.name, object.version, std::move(value) });
     }
     return newer;
 }
@@ -77,7 +79,8 @@
         return false;
     if (!object.value.empty())
         checkObject(object.kind, object.name, object.value).throwIfAny();
-    this->objects[{ object.kind, object.name }] = object;
+    this->objects[{ object.kind, object.name }]
+        = { object.version, object.value.empty() ? std::string {} : object.value.dump() };
     this->install(object);
     for (const auto& listener : this->listeners)
         listener(object);
--- a/src/berylwing/config/catalog.hpp
+++ b/src/berylwing/config/catalog.hpp
@@ -32,6 +32,11 @@
 
         auto operator<=>(const Key&) const = default;
     };
+    /** Version of an object whose document is kept as text, which takes a fraction of the parsed form's memory. */
+    struct KeptObject {
+        std::uint64_t version = 0;
+        std::string text;
+    };
 
     void install(const VersionedObject& object);
 
@@ -98,7 +103,7 @@
     std::size_t takeAll(const std::vector<VersionedObject>& batch, std::uint64_t through);
 
 private:
-    std::map<Key, VersionedObject> objects;
+    std::map<Key, KeptObject> objects;
     ByName<Contract> contracts;
     std::map<std::string, std::string, std::less<>> workspaceOfKey;
     ByName<ServiceObject> services;
