Let time pass between walks over candidates that are all at their bound

Cause: a walk that saw more load than the one before it was followed by another at once; under saturation two walks could take turns for ever without a wait, and the tests of the capacity did not end. Change: at most one walk follows at once.

--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -71,6 +71,7 @@
     const wire::Request& request, Repeatability repeatability, TimePoint deadline, const ResponseSink& sink)
 {
     Run run { request, repeatability, deadline, sink };
+    bool isFollowUp = false;
     while (!run.finished) {
         const auto order = this->candidates(request);
         const auto candidates = run.mayHaveRun ? this->reachable(order) : order;
@@ -82,8 +83,9 @@
             this->tellPlacement(run, order);
         if (run.finished || this->clock.now() + kWalkPause >= deadline || order.empty())
             break;
-        const bool hasNewerLoad = run.seenInFlight > run.observed.inFlight;
-        if (!hasNewerLoad)
+        // One walk may follow at once with the load that the last one saw; then time has to pass.
+        isFollowUp = !isFollowUp && run.seenInFlight > run.observed.inFlight;
+        if (!isFollowUp)
             co_await this->clock.sleepFor(kWalkPause);
     }
     if (!run.last.isWhole() && run.mayHaveRun)
