Measure streams and short requests of different chats

Cause of most of path.chunk: the load sent the same request in the same chat on all of its 20 connections, and the fleet runs such requests one after another (same_request_running), so the figure was that of one stream and of the retries of 19. Found by sampling the processor time of the daemons: 1,600 chunks a second where 20,000 were meant. Change: each connection has chats of its own; bounds are as they were.

--- a/measure/path_load.cpp
+++ b/measure/path_load.cpp
@@ -95,9 +95,9 @@
     times.failed += error || !end.ends_with("data: [DONE]\n\n") ? 1 : 0;
 }
 
-Task<void> streamMany(SocketAddress address, int count, int tokens, Times& times)
+Task<void> streamMany(SocketAddress address, int first, int count, int tokens, Times& times)
 {
-    for (int index = 0; index < count; ++index)
+    for (int index = first; index < first + count; ++index)
         co_await streamOnce(address, index, tokens, times);
 }
 
@@ -106,7 +106,7 @@
     asio::io_context context { 1 };
     Times times;
     for (int lane = 0; lane < parallel; ++lane)
-        asio::co_spawn(context, streamMany(parse(target), count, tokens, times), asio::detached);
+        asio::co_spawn(context, streamMany(parse(target), lane * count, count, tokens, times), asio::detached);
     context.run();
     return times;
 }
