Send the chunks that are ready in one turn together

Cause: each token was an envelope of its own: a wake-up of both transports, an encryption and a look through all open attempts for each. Engines batch continuously, so the tokens of many streams are ready at the same time. Change: a link keeps chunks until the end of the turn and sends one message for each host, before any other message to it; attempts are found by a tree; received messages are moved, not copied; the events of the socket are read once a turn.

--- a/src/berylwing/ledger/ledger_owner.cpp
+++ b/src/berylwing/ledger/ledger_owner.cpp
@@ -42,7 +42,7 @@
     , steps { pathSteps }
 {
     this->link.handle(wire::Envelope::kOrder,
-        [this](const wire::Envelope& envelope) { spawn(this->clock.executor(), "order", this->serve(envelope)); });
+        [this](wire::Envelope& envelope) { spawn(this->clock.executor(), "order", this->serve(std::move(envelope))); });
 }
 
 Task<void> LedgerOwner::run()
--- a/src/berylwing/link/link.cpp
+++ b/src/berylwing/link/link.cpp
@@ -85,15 +85,15 @@
 
 bool Link::send(const std::string& host, wire::Envelope envelope)
 {
+    // A message must not overtake the chunks that were sent before it.
+    this->flushChunks(host);
     envelope.set_from(this->self.host);
     envelope.set_incarnation(this->self.incarnation);
     envelope.set_domain(this->self.domain);
     envelope.set_roster_version(this->rosterVersion());
     if (host == this->self.host) {
-        boost::asio::post(this->clock.executor(), [this, message = std::move(envelope)] {
-            if (const auto handler = this->handlers.find(message.message_case()); handler != this->handlers.end())
-                handler->second(message);
-        });
+        boost::asio::post(
+            this->clock.executor(), [this, message = std::move(envelope)]() mutable { this->dispatch(message); });
         return true;
     }
     const auto bytes = envelope.SerializeAsString();
@@ -104,6 +104,37 @@
     return this->transport(host, bytes);
 }
 
+void Link::sendChunk(const std::string& host, wire::Chunk chunk)
+{
+    *this->waitingChunks[host].mutable_chunks()->add_chunks() = std::move(chunk);
+    if (std::exchange(this->isFlushDue, true))
+        return;
+    boost::asio::post(this->clock.executor(), [this] { this->flushAllChunks(); });
+}
+
+void Link::flushAllChunks()
+{
+    this->isFlushDue = false;
+    auto due = std::exchange(this->waitingChunks, {});
+    for (auto& [host, envelope] : due)
+        this->send(host, std::move(envelope));
+}
+
+void Link::flushChunks(const std::string& host)
+{
+    if (this->waitingChunks.empty())
+        return;
+    if (auto waiting = this->waitingChunks.extract(host))
+        this->send(host, std::move(waiting.mapped()));
+}
+
+void Link::dispatch(wire::Envelope& envelope)
+{
+    const auto handler = this->handlers.find(envelope.message_case());
+    if (handler != this->handlers.end())
+        handler->second(envelope);
+}
+
 void Link::receive(std::string_view bytes)
 {
     wire::Envelope envelope;
@@ -113,8 +144,7 @@
     }
     this->unansweredSince.erase(envelope.from());
     this->heardAt[envelope.from()] = this->clock.now();
-    if (const auto handler = this->handlers.find(envelope.message_case()); handler != this->handlers.end())
-        handler->second(envelope);
+    this->dispatch(envelope);
 }
 
 void Link::handle(wire::Envelope::MessageCase kind, Handler handler) { this->handlers[kind] = std::move(handler); }
--- a/src/berylwing/link/link.hpp
+++ b/src/berylwing/link/link.hpp
@@ -28,12 +28,16 @@
  * A message to the host itself takes the same way, so that no caller has to tell the two apart.
  */
 class Link {
+    void flushChunks(const std::string& host);
+    void flushAllChunks();
+    void dispatch(wire::Envelope& envelope);
+
 public:
     /** @brief Function that sends bytes to a host; false if the bytes surely never left this host. */
     using Transport = std::function<bool(const std::string& host, const std::string& bytes)>;
 
-    /** @brief Function that handles one kind of message. */
-    using Handler = std::function<void(const wire::Envelope&)>;
+    /** @brief Function that handles one kind of message, from which it may move. */
+    using Handler = std::function<void(wire::Envelope&)>;
 
     /** @brief Function that reads the version of the roster of this host's failure domain. */
     using RosterVersion = std::function<std::uint64_t()>;
@@ -76,6 +80,13 @@
      */
     bool send(const std::string& host, wire::Envelope envelope);
 
+    /**
+     * @brief Sends a part of an answer, together with the others to the same host that are ready in this turn.
+     * @param host Receiver.
+     * @param chunk Part of an answer.
+     */
+    void sendChunk(const std::string& host, wire::Chunk chunk);
+
     /** @brief Handles received bytes; anything that is not a message is dropped. @param bytes Bytes of one message. */
     void receive(std::string_view bytes);
 
@@ -92,6 +103,9 @@
     Metrics& metrics;
     RosterVersion rosterVersion;
     std::map<wire::Envelope::MessageCase, Handler> handlers;
+    /** Parts of answers that wait for the end of this turn, by receiver. */
+    std::map<std::string, wire::Envelope, std::less<>> waitingChunks;
+    bool isFlushDue = false;
     /** Time of the first message to each host that awaits an answer. */
     std::map<std::string, TimePoint, std::less<>> unansweredSince;
     std::map<std::string, TimePoint, std::less<>> heardAt;
--- a/src/berylwing/link/zmq_transport.cpp
+++ b/src/berylwing/link/zmq_transport.cpp
@@ -155,13 +155,16 @@
     Readiness readiness { this->sockets->executor, incoming };
     while (true) {
         std::size_t received = 0;
-        while (received < kMostMessagesPerTurn && isReadable(incoming)) {
+        while (received < kMostMessagesPerTurn) {
             const auto parts = receiveParts(incoming);
+            if (parts.empty())
+                break;
             if (parts.size() == 2)
                 receiver(parts.back().to_string_view());
             ++received;
         }
-        if (received == kMostMessagesPerTurn)
+        // Reading the events takes note of what the descriptor signalled, so that it signals anew.
+        if (received == kMostMessagesPerTurn || isReadable(incoming))
             co_await yieldTurn();
         else
             co_await readiness.wait();
--- a/src/berylwing/relay/attempt_server.cpp
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -46,8 +46,9 @@
     , access { std::move(endpointAccess) }
     , steps { pathSteps }
 {
-    this->link.handle(wire::Envelope::kOpen,
-        [this](const wire::Envelope& envelope) { spawn(this->clock.executor(), "attempt", this->serve(envelope)); });
+    this->link.handle(wire::Envelope::kOpen, [this](wire::Envelope& envelope) {
+        spawn(this->clock.executor(), "attempt", this->serve(std::move(envelope)));
+    });
     this->link.handle(wire::Envelope::kCredit, [this](const wire::Envelope& envelope) {
         if (auto* attempt = this->find(envelope.credit().attempt())) {
             attempt->window += static_cast<std::int64_t>(envelope.credit().bytes());
@@ -263,8 +264,7 @@
 
 void AttemptServer::sendChunk(Attempt& attempt, std::string bytes)
 {
-    wire::Envelope envelope;
-    auto& chunk = *envelope.mutable_chunk();
+    wire::Chunk chunk;
     chunk.set_attempt(attempt.open.attempt());
     chunk.set_offset(attempt.offset);
     attempt.offset += bytes.size();
@@ -273,7 +273,7 @@
     if (!bytes.empty())
         this->metrics.addRelayedChunk();
     chunk.set_data(std::move(bytes));
-    this->link.send(attempt.from, std::move(envelope));
+    this->link.sendChunk(attempt.from, std::move(chunk));
 }
 
 } // namespace berylwing
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -58,13 +58,12 @@
     , nextAttempt { hashText(hostLink.identity().host, hostLink.identity().incarnation) }
 {
     this->link.handle(wire::Envelope::kHead,
-        [this](const wire::Envelope& envelope) { this->deliver(envelope.head().attempt(), envelope); });
-    this->link.handle(wire::Envelope::kChunk,
-        [this](const wire::Envelope& envelope) { this->deliver(envelope.chunk().attempt(), envelope); });
-    this->link.handle(wire::Envelope::kEnd,
-        [this](const wire::Envelope& envelope) { this->deliver(envelope.end().attempt(), envelope); });
+        [this](wire::Envelope& envelope) { this->deliver(envelope.head().attempt(), envelope); });
+    this->link.handle(wire::Envelope::kChunks, [this](wire::Envelope& envelope) { this->deliverChunks(envelope); });
+    this->link.handle(
+        wire::Envelope::kEnd, [this](wire::Envelope& envelope) { this->deliver(envelope.end().attempt(), envelope); });
     this->link.handle(wire::Envelope::kRefused,
-        [this](const wire::Envelope& envelope) { this->deliver(envelope.refused().attempt(), envelope); });
+        [this](wire::Envelope& envelope) { this->deliver(envelope.refused().attempt(), envelope); });
 }
 
 Task<Outcome> Dispatcher::run(
@@ -179,7 +178,7 @@
 Task<void> Dispatcher::tryOwner(Run& run, const EndpointObject& endpoint, const std::string& owner)
 {
     Inbox inbox { this->clock, this->nextAttempt++, owner };
-    this->inboxes.push_back(inbox);
+    this->inboxes.insert(inbox);
     if (!this->link.send(owner, this->openMessage(run, endpoint, inbox.attempt))) {
         run.last = NotRun { Refusal::LinkDown, kDefaultRetryAfter };
         co_return;
@@ -325,17 +324,27 @@
         run.head.reset();
 }
 
-void Dispatcher::deliver(std::uint64_t attempt, const wire::Envelope& envelope)
+void Dispatcher::deliverChunks(wire::Envelope& envelope)
 {
-    const auto found = std::find_if(this->inboxes.begin(), this->inboxes.end(),
-        [&](const Inbox& inbox) { return inbox.attempt == attempt && inbox.owner == envelope.from(); });
-    if (found == this->inboxes.end()) {
+    for (auto& chunk : *envelope.mutable_chunks()->mutable_chunks()) {
+        const auto attempt = chunk.attempt();
+        wire::Envelope part;
+        part.set_from(envelope.from());
+        *part.mutable_chunk() = std::move(chunk);
+        this->deliver(attempt, part);
+    }
+}
+
+void Dispatcher::deliver(std::uint64_t attempt, wire::Envelope& envelope)
+{
+    const auto found = this->inboxes.find(attempt);
+    if (found == this->inboxes.end() || found->owner != envelope.from()) {
         this->metrics.add(Incident::StaleAttemptDropped);
         if (!envelope.has_refused() && !envelope.has_end())
             this->cancel(envelope.from(), attempt);
         return;
     }
-    found->messages.push_back(envelope);
+    found->messages.push_back(std::move(envelope));
     found->arrived.notifyAll();
 }
 
--- a/src/berylwing/relay/dispatcher.hpp
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -10,7 +10,7 @@
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/relay/timing.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
-#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
 #include <deque>
 #include <optional>
 #include <string>
@@ -33,7 +33,7 @@
  * endpoint is tried again only if it is repeatable, and only in a way that gives the caller each byte once.
  */
 class Dispatcher {
-    struct Inbox : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    struct Inbox : boost::intrusive::set_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
         Inbox(Clock& clock, std::uint64_t attemptId, std::string ownerHost)
             : attempt { attemptId }
             , owner { std::move(ownerHost) }
@@ -49,9 +49,16 @@
 
     struct Run;
 
-    using Inboxes = boost::intrusive::list<Inbox, boost::intrusive::constant_time_size<false>>;
+    struct AttemptOfInbox {
+        using type = std::uint64_t;
+        type operator()(const Inbox& inbox) const noexcept { return inbox.attempt; }
+    };
+
+    using Inboxes = boost::intrusive::set<Inbox, boost::intrusive::key_of_value<AttemptOfInbox>,
+        boost::intrusive::constant_time_size<false>>;
 
-    void deliver(std::uint64_t attempt, const wire::Envelope& envelope);
+    void deliver(std::uint64_t attempt, wire::Envelope& envelope);
+    void deliverChunks(wire::Envelope& envelope);
     void cancel(const std::string& owner, std::uint64_t attempt);
     [[nodiscard]] std::vector<std::string> candidates(const wire::Request& request) const;
     /** Keeps the endpoints whose owners have lately been heard, as far as there are any. */
