--- a/src/berylwing/http/caller_connection.cpp
+++ b/src/berylwing/http/caller_connection.cpp
@@ -74,7 +74,9 @@
 
     Task<void> run()
     {
-        bool keepAlive = true;
+        boost::system::error_code failure;
+        this->stream.socket().non_blocking(true, failure);
+        bool keepAlive = !failure;
         while (keepAlive)
             keepAlive = co_await this->serveOne();
         boost::system::error_code ignored;
@@ -182,9 +184,17 @@
 
     template <typename Buffers> Task<void> write(const Buffers& buffers)
     {
+        // Nearly always the caller can take the bytes at once, which needs neither a wait nor a timer.
         boost::system::error_code error;
+        const auto written = this->stream.socket().write_some(buffers, error);
+        if (!error && written == beast::buffer_bytes(buffers))
+            co_return;
+        if (error && error != asio::error::would_block)
+            throw CallerGoneError {};
+        beast::buffers_suffix<Buffers> rest { buffers };
+        rest.consume(written);
         this->stream.expires_after(kWriteTimeout);
-        co_await asio::async_write(this->stream, buffers, asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(this->stream, rest, asio::redirect_error(asio::use_awaitable, error));
         if (error)
             throw CallerGoneError {};
     }
--- a/src/berylwing/http/endpoint_client.hpp
+++ b/src/berylwing/http/endpoint_client.hpp
@@ -10,6 +10,6 @@
  * @param clock Clock of the host.
  * @return Access for an EndpointRegistry and an AttemptServer.
  */
-[[nodiscard]] EndpointAccess makeEndpointAccess(const Clock& clock);
+[[nodiscard]] EndpointAccess makeEndpointAccess(Clock& clock);
 
 } // namespace berylwing
--- /dev/null
+++ b/src/berylwing/http/endpoint_pool.cpp
@@ -0,0 +1,57 @@
+#include "berylwing/http/endpoint_pool.hpp"
+
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kMostIdle { 2000 };
+constexpr Duration kMostAge { 60'000 };
+constexpr std::size_t kMostIdleConnections = 64;
+
+} // namespace
+
+EndpointPool::EndpointPool(const Clock& hostClock)
+    : clock { hostClock }
+{
+}
+
+bool EndpointPool::isUsable(PooledConnection& connection) const
+{
+    const auto now = this->clock.now();
+    if (now - connection.idleSince > kMostIdle || now - connection.openedAt > kMostAge)
+        return false;
+    // Between two calls an open connection has nothing to read; an end or stray bytes make it useless.
+    char byte = 0;
+    boost::system::error_code error;
+    connection.socket.non_blocking(true, error);
+    connection.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+PooledConnectionPtr EndpointPool::take(const SocketAddress& address)
+{
+    const auto found = this->idle.find({ address.address, address.port });
+    while (found != this->idle.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (this->isUsable(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void EndpointPool::give(const SocketAddress& address, PooledConnectionPtr connection)
+{
+    connection->idleSince = this->clock.now();
+    auto& connections = this->idle[{ address.address, address.port }];
+    const auto oldest = connection->idleSince - kMostIdle;
+    connections.push_back(std::move(connection));
+    while (connections.size() > kMostIdleConnections || connections.front()->idleSince < oldest)
+        connections.pop_front();
+}
+
+} // namespace berylwing
