Let the stand-in engine make the tokens of all streams in steps, at exact times

Cause: its times were rounded to the milliseconds of the runtime clock. A request of the comparison without a fleet always arrived just after a tick, one through the fleet sometimes just after the next, so path.first_token_added.p95 was 1.0 or 1.1 ms, whatever the fleet did; the streams ticked together for the same reason. Engines that batch continuously make the tokens of all streams in one step; the stand-in does so now, and the first token comes at an exact time.

--- a/test/stand_ins/endpoints_main.cpp
+++ b/test/stand_ins/endpoints_main.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <gflags/gflags.h>
@@ -29,11 +30,7 @@
 /** Stand-in of a model engine: streams tokens, reports load, resumes at an offset, crashes on a marked request. */
 class EngineStandIn {
 public:
-    EngineStandIn(Clock& standInClock, std::string name)
-        : clock { standInClock }
-    {
-        this->model.name = std::move(name);
-    }
+    explicit EngineStandIn(std::string name) { this->model.name = std::move(name); }
 
     Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
     {
@@ -78,7 +75,8 @@
         head.chunked(true);
         http::response_serializer<http::empty_body> serializer { head };
         boost::system::error_code error;
-        co_await this->clock.sleepFor(Duration { FLAGS_first_token_ms });
+        asio::steady_timer timer { stream.get_executor() };
+        co_await pass(timer, Duration { FLAGS_first_token_ms });
         co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
         for (const auto& part : parts) {
             const auto cut = std::min(skip, part.size());
@@ -89,14 +87,34 @@
                 continue;
             co_await asio::async_write(stream, http::make_chunk(asio::buffer(part.substr(cut))),
                 asio::redirect_error(asio::use_awaitable, error));
-            if (FLAGS_token_ms > 0)
-                co_await this->clock.sleepFor(Duration { FLAGS_token_ms });
+            co_await passStep(timer);
         }
         co_await asio::async_write(stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
         co_return !error;
     }
 
-    Clock& clock;
+    /** Times are exact, not rounded to the runtime's milliseconds, because measurements compare them. */
+    static Task<void> pass(asio::steady_timer& timer, Duration length)
+    {
+        if (length <= Duration {})
+            co_return;
+        timer.expires_after(length);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    /** An engine that batches continuously makes a token of every stream in each of its steps. */
+    static Task<void> passStep(asio::steady_timer& timer)
+    {
+        if (FLAGS_token_ms <= 0)
+            co_return;
+        const std::chrono::steady_clock::duration step = Duration { FLAGS_token_ms };
+        const auto now = std::chrono::steady_clock::now().time_since_epoch();
+        timer.expires_at(std::chrono::steady_clock::time_point { (now / step + 1) * step });
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
     EngineModel model;
 };
 
@@ -132,7 +150,6 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     using namespace berylwing::test;
     boost::asio::io_context context { 1 };
-    berylwing::Clock clock { context.get_executor() };
     std::list<EngineStandIn> engines;
     std::list<ServiceStandIn> services;
     const auto listen = [&context](int index, StandInHandler handler) {
@@ -141,7 +158,7 @@
             listenHttp(context.get_executor(), FLAGS_address, port, std::move(handler)));
     };
     for (int index = 0; index < FLAGS_engines; ++index) {
-        auto& engine = engines.emplace_back(clock, "port-" + std::to_string(FLAGS_first_port + index));
+        auto& engine = engines.emplace_back("port-" + std::to_string(FLAGS_first_port + index));
         listen(index, [&engine](auto& stream, const auto& request) { return engine.handle(stream, request); });
     }
     for (int index = 0; index < FLAGS_services; ++index) {
