Replay recorded traces against stated outcomes

Their headers state the outcomes; for every trace also hold: own bytes or an explicit error, "not run" is true, an order runs at most once and ends in a definite answer, versions only grow and all hosts end at the newest. Seen failing on a scratch copy with one rule taken out each: orders (claims that are found are ignored: 544 findings), domain out and back (the out mark is ignored: 77), deadly request (quarantine off: 48 crashes), flapping hosts (shares and the wait of a stand-in off: 653). Not seen failing: configuration during outages (dropping the version check alone changes nothing).

--- /dev/null
+++ b/test/support/trace_recorder.cpp
@@ -0,0 +1,86 @@
+#include "support/trace_recorder.hpp"
+
+namespace berylwing::test {
+
+namespace {
+
+constexpr std::size_t kLeastHosts = 3;
+constexpr unsigned kPlatformTroubles = 5;
+
+} // namespace
+
+TraceRecorder::TraceRecorder(const Trace& header, unsigned seed)
+    : trace { header }
+    , run { header }
+    , random { seed }
+{
+}
+
+std::string TraceRecorder::anyHost()
+{
+    const auto hosts = this->run.fleet.hosts();
+    return hosts[this->draw(static_cast<unsigned>(hosts.size()))];
+}
+
+void TraceRecorder::note(TraceEvent event)
+{
+    event.at = this->run.elapsed();
+    this->run.apply(event);
+    this->trace.events.push_back(std::move(event));
+}
+
+void TraceRecorder::chat(const std::string& chat, const std::string& body)
+{
+    TraceEvent event;
+    event.host = this->anyHost();
+    event.name = chat;
+    event.text = body;
+    this->note(std::move(event));
+}
+
+void TraceRecorder::order()
+{
+    if (this->keys.empty() || this->draw(3) > 0)
+        this->keys.push_back(this->run.fleet.newKey());
+    TraceEvent event;
+    event.action = TraceAction::Order;
+    event.host = this->anyHost();
+    event.name
+        = this->draw(2) == 0 ? this->keys.back() : this->keys[this->draw(static_cast<unsigned>(this->keys.size()))];
+    this->note(std::move(event));
+}
+
+void TraceRecorder::anyFault(bool mayKill)
+{
+    constexpr TraceAction kFaults[] { TraceAction::Pause, TraceAction::ResumeAll, TraceAction::Cut, TraceAction::Heal,
+        TraceAction::Platform, TraceAction::CutPlatform, TraceAction::ReachPlatform, TraceAction::Kill,
+        TraceAction::Start };
+    TraceEvent event;
+    event.action = kFaults[this->draw(mayKill ? 9 : 7)];
+    event.host = this->anyHost();
+    event.other = event.action == TraceAction::Cut ? this->anyHost() : "";
+    if (event.action == TraceAction::Platform)
+        event.number = static_cast<int>(this->draw(kPlatformTroubles));
+    if (event.action == TraceAction::Cut)
+        event.number = static_cast<int>(this->draw(2));
+    if (event.action == TraceAction::Kill && this->run.fleet.hosts().size() <= kLeastHosts)
+        return;
+    if (event.action == TraceAction::Start) {
+        event.name = this->trace.plan.domains[this->draw(static_cast<unsigned>(this->trace.plan.domains.size()))];
+        event.host
+            = event.name + "-" + std::to_string(this->draw(static_cast<unsigned>(this->trace.plan.hostsPerDomain)));
+    }
+    this->note(std::move(event));
+}
+
+void TraceRecorder::happen(TraceAction action, const std::string& name, int number, const std::string& text)
+{
+    TraceEvent event;
+    event.action = action;
+    event.name = name;
+    event.number = number;
+    event.text = text;
+    this->note(std::move(event));
+}
+
+} // namespace berylwing::test
