Take the load seen by a walk by failure domain, and check the bound at the admission itself

Cause: an owner raised its bound by the load that the entry host had seen at engines of all domains, although the bound is that of the domain, and an engine that was asked twice counted twice. Change: a walk keeps the last load of each engine and tells an owner only those of its domain; the measure compares at the step of the admission, with what all hosts of the domain have in flight. What is left: digests are up to 400 ms old, and at a mean of 6 one request more or less moves the bound.

--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -6,10 +6,49 @@
 #include "berylwing/telemetry/log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace berylwing {
 
+namespace {
+
+/** Load of one engine that refused because it is at its bound. */
+struct SeenLoad {
+    std::string endpoint;
+    std::string domain;
+    std::uint32_t inFlight = 0;
+};
+
+/** Loads that one walk over the candidates has seen; of each engine only the last one counts. */
+class SeenLoads {
+public:
+    [[nodiscard]] std::uint32_t total() const
+    {
+        return std::accumulate(this->loads.begin(), this->loads.end(), 0U,
+            [](std::uint32_t sum, const SeenLoad& load) { return sum + load.inFlight; });
+    }
+
+    [[nodiscard]] std::uint32_t totalOf(std::string_view domain) const
+    {
+        return std::accumulate(
+            this->loads.begin(), this->loads.end(), 0U, [domain](std::uint32_t sum, const SeenLoad& load) {
+                return load.domain == domain ? sum + load.inFlight : sum;
+            });
+    }
+
+    void note(SeenLoad load)
+    {
+        std::erase_if(this->loads, [&load](const SeenLoad& known) { return known.endpoint == load.endpoint; });
+        this->loads.push_back(std::move(load));
+    }
+
+private:
+    std::vector<SeenLoad> loads;
+};
+
+} // namespace
+
 /** @brief Progress of one request through its attempts. */
 struct Dispatcher::Run {
     Run(const wire::Request& work, Repeatability repeatable, TimePoint until, const ResponseSink& destination)
@@ -37,10 +76,10 @@
     std::string resumeEndpoint;
     std::string placedAt;
     std::string answeredBy;
-    /** Load of all candidates as the last walk saw it. */
-    LoadMean observed;
-    /** Requests at the engines that refused in this walk. */
-    std::uint32_t seenInFlight = 0;
+    std::string answeredIn;
+    /** What the last walk and this one have seen. */
+    SeenLoads observed;
+    SeenLoads seen;
     unsigned reruns = 0;
     /** Whether an attempt ended in a way that may have left a run behind. */
     bool mayHaveRun = false;
@@ -83,7 +122,7 @@
         if (run.finished || this->clock.now() + kWalkPause >= deadline || order.empty())
             break;
         // One walk may follow at once with the load that the last one saw; then time has to pass.
-        isFollowUp = !isFollowUp && run.seenInFlight > run.observed.inFlight;
+        isFollowUp = !isFollowUp && run.seen.total() > run.observed.total();
         if (!isFollowUp)
             co_await this->clock.sleepFor(kWalkPause);
     }
@@ -94,9 +133,7 @@
 
 Task<void> Dispatcher::walk(Run& run, const std::vector<std::string>& order)
 {
-    // What the last walk saw is a lower bound of the load of all candidates, and newer than the owners' digests.
-    run.observed = LoadMean { run.seenInFlight, static_cast<std::uint32_t>(order.size()) };
-    run.seenInFlight = 0;
+    run.observed = std::exchange(run.seen, {});
     const bool mayHaveRun = run.mayHaveRun;
     for (std::size_t index = 0; index < std::min(order.size(), kMostCandidates); ++index) {
         if (index > 0)
@@ -130,6 +167,15 @@
     return order;
 }
 
+std::uint32_t Dispatcher::enginesLike(const EndpointObject& endpoint) const
+{
+    const auto& endpoints = this->catalog.endpoints();
+    return static_cast<std::uint32_t>(std::count_if(endpoints.begin(), endpoints.end(), [&endpoint](const auto& entry) {
+        const auto& other = entry.second;
+        return other.kind == endpoint.kind && other.serves == endpoint.serves && other.domain == endpoint.domain;
+    }));
+}
+
 std::vector<std::string> Dispatcher::reachable(const std::vector<std::string>& order) const
 {
     std::vector<std::string> heard;
@@ -184,6 +230,7 @@
         co_return;
     }
     run.answeredBy = endpoint.name;
+    run.answeredIn = endpoint.domain;
     try {
         co_await this->steps.reach(Step::EntryForwarded);
         co_await this->receive(run, inbox);
@@ -207,8 +254,11 @@
     open.set_window_bytes(kWindowBytes);
     open.set_once_only(run.repeatability == Repeatability::OnceOnly);
     open.set_follow_placement(!run.request.chat().empty() && run.reruns == 0);
-    open.set_observed_in_flight(run.observed.inFlight);
-    open.set_observed_engines(run.observed.engines);
+    // What was seen is a lower bound of the load of the domain's engines, and newer than their owner's digests.
+    if (const auto seen = run.observed.totalOf(endpoint.domain); seen > 0) {
+        open.set_observed_in_flight(seen);
+        open.set_observed_engines(this->enginesLike(endpoint));
+    }
     if (run.delivered > 0) {
         open.set_resume_offset(run.delivered);
         open.set_resume_token(run.resumeToken);
@@ -288,9 +338,8 @@
     }
     run.last = NotRun { reason, Duration { refused.retry_after_ms() } };
     run.placedAt = refused.placed_at();
-    if (reason == Refusal::EndpointAtBound) {
-        run.seenInFlight += refused.in_flight();
-    }
+    if (reason == Refusal::EndpointAtBound)
+        run.seen.note({ run.answeredBy, run.answeredIn, refused.in_flight() });
 }
 
 void Dispatcher::finishAttempt(Run& run)
--- a/src/berylwing/relay/dispatcher.hpp
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -61,6 +61,8 @@
     void deliverChunks(wire::Envelope& envelope);
     void cancel(const std::string& owner, std::uint64_t attempt);
     [[nodiscard]] std::vector<std::string> candidates(const wire::Request& request) const;
+    /** Counts the endpoints that serve the same in the same failure domain. */
+    [[nodiscard]] std::uint32_t enginesLike(const EndpointObject& endpoint) const;
     /** Keeps the endpoints whose owners have lately been heard, as far as there are any. */
     [[nodiscard]] std::vector<std::string> reachable(const std::vector<std::string>& order) const;
     [[nodiscard]] std::vector<std::string> ownersOf(const EndpointObject& endpoint) const;
--- a/src/berylwing/routing/owned_endpoint.hpp
+++ b/src/berylwing/routing/owned_endpoint.hpp
@@ -25,11 +25,18 @@
     /** @brief Counts the requests that this host has in flight at the endpoint. @return Requests. */
     [[nodiscard]] std::uint32_t inFlight() const noexcept { return this->requests; }
 
+    /** @brief Counts the requests that this host has admitted so far. @return Requests. */
+    [[nodiscard]] std::uint64_t admitted() const noexcept { return this->admissions; }
+
     /** @brief Takes over a changed configuration. @param object Configuration. */
     void configure(EndpointObject object);
 
     /** @brief Counts a request that was admitted. */
-    void addRequest() noexcept { ++this->requests; }
+    void addRequest() noexcept
+    {
+        ++this->requests;
+        ++this->admissions;
+    }
 
     /** @brief Counts a request that has ended. */
     void removeRequest() noexcept { --this->requests; }
@@ -55,6 +62,7 @@
 
 private:
     std::uint32_t requests = 0;
+    std::uint64_t admissions = 0;
 };
 
 /** @brief Reference to an endpoint's state. */
