Limit the generated tokens of a workspace

Cause: tokens_per_second of a contract was read and checked, but not limited. Change: the entry host counts the events of streamed answers against the share of the contract that it holds; a request is refused as token_limit, not run, with a time to try again, while the share is overspent. An answer that has begun goes on. Seen failing with nothing spent: no refusal, and more tokens than the contract allows.

--- a/src/berylwing/entry/entry.cpp
+++ b/src/berylwing/entry/entry.cpp
@@ -12,8 +12,21 @@
 namespace {
 
 constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kEventPrefix = "data: ";
+constexpr std::string_view kLastEvent = "[DONE]";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 
+/** Counts the tokens in a part of a streamed answer; each event but the last holds one. */
+std::size_t countTokens(std::string_view bytes)
+{
+    std::size_t count = 0;
+    for (auto at = bytes.find(kEventPrefix); at != std::string_view::npos; at = bytes.find(kEventPrefix, at)) {
+        at += kEventPrefix.size();
+        count += bytes.substr(at).starts_with(kLastEvent) ? 0 : 1;
+    }
+    return count;
+}
+
 bool isOnceOnly(const ServiceObject& service, std::string_view method, std::string_view path)
 {
     return std::any_of(service.onceOnly.begin(), service.onceOnly.end(),
@@ -79,7 +92,11 @@
     co_await this->steps.reach(Step::EntryAccepted);
     if (route.isOnceOnly)
         co_return co_await this->orders.run(request, contract.home, deadline, sink);
-    co_return co_await this->dispatcher.run(request, Repeatability::Repeatable, deadline, sink);
+    const ResponseSink counted { sink.head, [&](std::string_view bytes) {
+                                    this->limits.spendTokens(contract, countTokens(bytes));
+                                    return sink.body(bytes);
+                                } };
+    co_return co_await this->dispatcher.run(request, Repeatability::Repeatable, deadline, isChat ? counted : sink);
 }
 
 Entry::Route Entry::routeChat(const CallerRequest& caller, wire::Request& request) const
--- a/src/berylwing/limits/contract_limits.cpp
+++ b/src/berylwing/limits/contract_limits.cpp
@@ -23,12 +23,20 @@
     const auto now = this->clock.now();
     if (static_cast<double>(usage.inFlight) >= this->share(static_cast<double>(contract.concurrency)))
         return NotRun { Refusal::ConcurrencyLimit, kConcurrencyRetryAfter };
+    usage.tokens.setRate(this->share(contract.tokensPerSecond), now);
+    if (!usage.tokens.take(0, now))
+        return NotRun { Refusal::TokenLimit, usage.tokens.waitFor(0, now) };
     usage.requests.setRate(this->share(contract.requestsPerSecond), now);
     if (!usage.requests.take(1, now))
         return NotRun { Refusal::RateLimit, usage.requests.waitFor(1, now) };
     return std::nullopt;
 }
 
+void ContractLimits::spendTokens(const Contract& contract, std::size_t tokens)
+{
+    this->usageOf(contract).tokens.spend(static_cast<double>(tokens), this->clock.now());
+}
+
 double ContractLimits::share(double limit) const
 {
     return std::min(limit, std::floor(limit / static_cast<double>(this->hosts())) + 1);
@@ -39,8 +47,10 @@
     const auto known = this->usages.find(contract.workspace);
     if (known != this->usages.end())
         return known->second;
-    TokenBucket bucket { this->share(contract.requestsPerSecond), this->clock.now() };
-    return this->usages.emplace(contract.workspace, Usage { bucket }).first->second;
+    const auto now = this->clock.now();
+    const TokenBucket requests { this->share(contract.requestsPerSecond), now };
+    const TokenBucket tokens { this->share(contract.tokensPerSecond), now };
+    return this->usages.emplace(contract.workspace, Usage { requests, tokens }).first->second;
 }
 
 std::size_t ContractLimits::hosts() const
--- a/src/berylwing/limits/contract_limits.hpp
+++ b/src/berylwing/limits/contract_limits.hpp
@@ -19,6 +19,8 @@
 class ContractLimits {
     struct Usage {
         TokenBucket requests;
+        /** Generated tokens, which are spent as they are made; no request is admitted while they are overspent. */
+        TokenBucket tokens;
         std::size_t inFlight = 0;
     };
 
@@ -55,6 +57,13 @@
      */
     [[nodiscard]] std::optional<NotRun> admit(const Contract& contract);
 
+    /**
+     * @brief Counts generated tokens against a contract.
+     * @param contract Contract of the workspace.
+     * @param tokens Tokens that a part of an answer holds.
+     */
+    void spendTokens(const Contract& contract, std::size_t tokens);
+
     /** @brief Takes a place for a request that was admitted. @param contract Contract. @return Place. */
     [[nodiscard]] Grant hold(const Contract& contract) { return Grant { this->usageOf(contract).inFlight }; }
 
--- a/src/berylwing/limits/token_bucket.cpp
+++ b/src/berylwing/limits/token_bucket.cpp
@@ -28,6 +28,12 @@
     return true;
 }
 
+void TokenBucket::spend(double count, TimePoint now)
+{
+    this->refill(now);
+    this->available -= count;
+}
+
 Duration TokenBucket::waitFor(double count, TimePoint now)
 {
     this->refill(now);
--- a/src/berylwing/limits/token_bucket.hpp
+++ b/src/berylwing/limits/token_bucket.hpp
@@ -24,6 +24,10 @@
      */
     [[nodiscard]] bool take(double count, TimePoint now);
 
+    /** @brief Takes tokens even if there are too few, so that later ones have to wait. @param count Tokens. @param now
+     * Time. */
+    void spend(double count, TimePoint now);
+
     /** @brief Tells when tokens will be there. @param count Tokens. @param now Current time. @return Time to wait. */
     [[nodiscard]] Duration waitFor(double count, TimePoint now);
 
--- a/test/berylwing/limits/overload_test.cpp
+++ b/test/berylwing/limits/overload_test.cpp
@@ -137,6 +137,40 @@
     }
 }
 
+TEST_CASE("Chats of a workspace get no more tokens than its contract allows", "[limits][contract]")
+{
+    constexpr int kSeconds = 20;
+    constexpr double kTokensPerSecond = 60;
+    TestFleet fleet;
+    FleetPlan plan;
+    plan.enginesPerDomain = 4;
+    startFleet(fleet, plan);
+    fleet.platform.store.write(ObjectKind::Contract, "shop",
+        { { "workspace", "shop" }, { "key", "shop-key" }, { "home", "knox" }, { "requests_per_second", 1000 },
+            { "tokens_per_second", kTokensPerSecond }, { "concurrency", 6 }, { "deadline_ms", 20000 } });
+    fleet.advance(Duration { 2000 });
+    SteadyCallers calm { fleet, "coop-key", Duration { 500 } };
+    SteadyCallers greedy { fleet, "shop-key", Duration { 20 } };
+    run(fleet, calm, greedy, std::chrono::seconds { kSeconds });
+    fleet.advance(Duration { 2000 });
+    std::size_t whole = 0;
+    std::size_t limited = 0;
+    for (const auto& chat : greedy.sent) {
+        whole += chat.answer->isWhole() ? 1 : 0;
+        const bool isLimited = chat.answer->isNotRun() && chat.answer->outcome.reason == Refusal::TokenLimit;
+        limited += isLimited ? 1 : 0;
+        if (isLimited)
+            CHECK(chat.answer->outcome.retryAfter > Duration {});
+    }
+    CHECK(limited > 0);
+    // Beside the rate: a second's tokens at the start, one grant for each host, and what was in flight at the limit.
+    const auto hosts = static_cast<double>(fleet.hosts().size());
+    const auto inFlight = hosts * 2 * static_cast<double>(fleet.endpoints.tokens);
+    const auto most = kTokensPerSecond * (kSeconds + 1) + hosts * (kSeconds + 1) + inFlight;
+    CHECK(static_cast<double>(whole * fleet.endpoints.tokens) <= most);
+    CHECK(static_cast<double>(whole * fleet.endpoints.tokens) >= kTokensPerSecond * kSeconds / 2);
+}
+
 TEST_CASE("Attempts stay within a tenth above requests during an outage of engines", "[limits][retries]")
 {
     TestFleet fleet;
