--- /dev/null
+++ b/test/berylwing/http/endpoint_pool_test.cpp
@@ -0,0 +1,87 @@
+#include "berylwing/http/endpoint_pool.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <utility>
+
+namespace {
+
+using namespace berylwing;
+using Tcp = boost::asio::ip::tcp;
+
+const SocketAddress kAddress { "127.0.0.1", 9000 };
+
+/** Pool on a clock that stands still, and a listener in place of an endpoint. */
+class PoolFixture {
+public:
+    /** Opens a connection and keeps the endpoint's end of it. */
+    PooledConnectionPtr open()
+    {
+        auto connection = std::make_unique<PooledConnection>(this->context.get_executor());
+        connection->socket.connect(this->acceptor.local_endpoint());
+        connection->openedAt = this->time;
+        this->farEnd = this->acceptor.accept();
+        return connection;
+    }
+
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    Tcp::acceptor acceptor { this->context, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+    Tcp::socket farEnd { this->context };
+    EndpointPool pool { this->clock };
+};
+
+} // namespace
+
+TEST_CASE("EndpointPool gives a connection back once", "[http][pool]")
+{
+    PoolFixture fixture;
+    auto connection = fixture.open();
+    const auto* given = connection.get();
+    fixture.pool.give(kAddress, std::move(connection));
+    CHECK(fixture.pool.take({ "127.0.0.1", 9001 }) == nullptr);
+    const auto taken = fixture.pool.take(kAddress);
+    CHECK(taken.get() == given);
+    CHECK(fixture.pool.take(kAddress) == nullptr);
+}
+
+TEST_CASE("EndpointPool drops a connection that its endpoint has closed", "[http][pool]")
+{
+    PoolFixture fixture;
+    auto connection = fixture.open();
+    auto& socket = connection->socket;
+    fixture.farEnd.close();
+    socket.wait(Tcp::socket::wait_read);
+    fixture.pool.give(kAddress, std::move(connection));
+    CHECK(fixture.pool.take(kAddress) == nullptr);
+}
+
+TEST_CASE("EndpointPool drops a connection with bytes that nobody asked for", "[http][pool]")
+{
+    PoolFixture fixture;
+    auto connection = fixture.open();
+    auto& socket = connection->socket;
+    boost::asio::write(fixture.farEnd, boost::asio::buffer("late answer", 11));
+    socket.wait(Tcp::socket::wait_read);
+    fixture.pool.give(kAddress, std::move(connection));
+    CHECK(fixture.pool.take(kAddress) == nullptr);
+}
+
+TEST_CASE("EndpointPool drops a connection that was idle or open for too long", "[http][pool]")
+{
+    constexpr Duration kIdle { 2000 };
+    constexpr Duration kAge { 60'000 };
+    PoolFixture fixture;
+    fixture.pool.give(kAddress, fixture.open());
+    fixture.time += kIdle + Duration { 1 };
+    CHECK(fixture.pool.take(kAddress) == nullptr);
+    auto old = fixture.open();
+    fixture.time += kAge + Duration { 1 };
+    fixture.pool.give(kAddress, std::move(old));
+    CHECK(fixture.pool.take(kAddress) == nullptr);
+    fixture.pool.give(kAddress, fixture.open());
+    fixture.time += kIdle;
+    CHECK(fixture.pool.take(kAddress) != nullptr);
+}
