Give each process of the transport test an address of its own

Cause: the two cases run in processes side by side and listened on the same port ("Address already in use", 52 of 53 cases passed). Change: the loopback address is made from the process id.

--- a/test/berylwing/link/zmq_transport_test.cpp
+++ b/test/berylwing/link/zmq_transport_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <unistd.h>
 #include <vector>
 #include <zmq.h>
 
@@ -18,6 +19,17 @@
 constexpr int kMoreTurns = 50;
 constexpr std::chrono::milliseconds kTurn { 10 };
 
+constexpr std::uint16_t kReceiverPort = 17100;
+
+/** Loopback address of this process alone, because test cases run in processes side by side. */
+std::string ownAddress()
+{
+    constexpr int kOctets = 250;
+    const auto id = static_cast<int>(getpid());
+    const auto octet = [](int value) { return "." + std::to_string(value % kOctets + 1); };
+    return "127" + octet(id / kOctets / kOctets) + octet(id / kOctets) + octet(id);
+}
+
 struct KeyPair {
     std::string publicKey;
     std::string secretKey;
@@ -52,19 +64,20 @@
         this->context.run_for(kTurn);
     }
 
-    [[nodiscard]] std::unique_ptr<ZmqTransport> sender(const FleetKeys& keys, const std::string& address)
+    [[nodiscard]] std::unique_ptr<ZmqTransport> sender(const FleetKeys& keys, std::uint16_t port)
     {
         return std::make_unique<ZmqTransport>(
-            this->context.get_executor(), SocketAddress { address, 17100 }, keys, [](const std::string&) {
-                return SocketAddress { "127.0.9.1", 17100 };
+            this->context.get_executor(), SocketAddress { this->address, port }, keys, [this](const std::string&) {
+                return SocketAddress { this->address, kReceiverPort };
             });
     }
 
+    std::string address = ownAddress();
     KeyPair server = newKeys();
     KeyPair client = newKeys();
     boost::asio::io_context context { 1 };
-    ZmqTransport receiver { this->context.get_executor(), { "127.0.9.1", 17100 }, fleetKeys(this->server, this->client),
-        [](const std::string&) { return std::nullopt; } };
+    ZmqTransport receiver { this->context.get_executor(), { this->address, kReceiverPort },
+        fleetKeys(this->server, this->client), [](const std::string&) { return std::nullopt; } };
     std::vector<std::string> received;
 };
 
@@ -74,10 +87,10 @@
 {
     TransportFixture fixture;
     fixture.start();
-    const auto member = fixture.sender(fleetKeys(fixture.server, fixture.client), "127.0.9.2");
+    const auto member = fixture.sender(fleetKeys(fixture.server, fixture.client), kReceiverPort + 1);
     // One stranger knows the public key of the servers, the other one not even that.
-    const auto stranger = fixture.sender(fleetKeys(fixture.server, newKeys()), "127.0.9.3");
-    const auto outsider = fixture.sender(fleetKeys(newKeys(), newKeys()), "127.0.9.4");
+    const auto stranger = fixture.sender(fleetKeys(fixture.server, newKeys()), kReceiverPort + 2);
+    const auto outsider = fixture.sender(fleetKeys(newKeys(), newKeys()), kReceiverPort + 3);
     int turns = 0;
     int left = kMoreTurns;
     bool isMemberSent = false;
@@ -95,7 +108,7 @@
 TEST_CASE("ZmqTransport says that nothing was sent while there is no connection", "[link]")
 {
     TransportFixture fixture;
-    const auto member = fixture.sender(fleetKeys(fixture.server, fixture.client), "127.0.9.2");
+    const auto member = fixture.sender(fleetKeys(fixture.server, fixture.client), kReceiverPort + 1);
     CHECK_FALSE(member->send("receiver", "too early"));
     CHECK_FALSE(fixture.receiver.send("unknown", "to nobody"));
 }
