--- a/src/berylwing/http/endpoint_client.cpp
+++ b/src/berylwing/http/endpoint_client.cpp
@@ -1,13 +1,13 @@
 #include "berylwing/http/endpoint_client.hpp"
 
 #include "berylwing/http/endpoint_pool.hpp"
+#include "berylwing/http/endpoint_probe.hpp"
 #include "berylwing/http/http_call.hpp"
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/intrusive/list.hpp>
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace berylwing {
@@ -273,40 +273,6 @@
     co_return connection;
 }
 
-LoadReport readReport(const std::string& body)
-{
-    const auto document = nlohmann::json::parse(body, nullptr, false);
-    if (!document.is_object())
-        throw EndpointError { EndpointFault::Silent, "the load report is not JSON" };
-    LoadReport report;
-    report.bootId = document.value("boot_id", std::string {});
-    report.running = document.value("running", 0U);
-    report.warm = document.value("warm", false);
-    report.age = Duration { document.value("age_ms", std::int64_t { 0 }) };
-    return report;
-}
-
-Task<LoadReport> probe(const Clock& clock, const EndpointObject& endpoint, TimePoint deadline)
-{
-    const SocketAddress address { endpoint.address, endpoint.port };
-    const bool isEngine = endpoint.kind == EndpointKind::Engine;
-    HttpRequest request { http::verb::get, isEngine ? "/v1/load" : "/healthz", kHttpVersion };
-    const auto timeout = std::max<Duration>(deadline - clock.now(), Duration { 1 });
-    try {
-        const auto response = co_await callHttp(address, std::move(request), timeout);
-        if (isEngine)
-            co_return readReport(response.body());
-        LoadReport report;
-        report.bootId = textOf(response["X-Boot-Id"]);
-        report.reportsLoad = false;
-        report.warm = response.result() == http::status::ok;
-        co_return report;
-    } catch (const HttpCallError& error) {
-        const bool isSilent = error.fault() == HttpFault::TimedOut;
-        throw EndpointError { isSilent ? EndpointFault::Silent : EndpointFault::Broken, error.what() };
-    }
-}
-
 } // namespace
 
 EndpointAccess makeEndpointAccess(Clock& clock)
@@ -314,8 +280,9 @@
     const auto client = std::make_shared<EndpointClient>(clock);
     EndpointAccess access;
     access.connect = [client](const EndpointObject& endpoint, TimePoint) { return client->connect(endpoint); };
-    access.probe
-        = [&clock](const EndpointObject& endpoint, TimePoint deadline) { return probe(clock, endpoint, deadline); };
+    access.probe = [&clock](const EndpointObject& endpoint, TimePoint deadline) {
+        return probeEndpoint(clock, endpoint, deadline);
+    };
     return access;
 }
 
--- a/src/berylwing/link/fwd.hpp
+++ b/src/berylwing/link/fwd.hpp
@@ -4,6 +4,6 @@
 
 class Link;
 class ZmqTransport;
-struct PeerAddress;
+struct Identity;
 
 } // namespace berylwing
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -1,53 +1,15 @@
 #include "berylwing/relay/dispatcher.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/relay/seen_loads.hpp"
 #include "berylwing/relay/timing.hpp"
 #include "berylwing/telemetry/log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace berylwing {
 
-namespace {
-
-/** Load of one engine that refused because it is at its bound. */
-struct SeenLoad {
-    std::string endpoint;
-    std::string domain;
-    std::uint32_t inFlight = 0;
-};
-
-/** Loads that one walk over the candidates has seen; of each engine only the last one counts. */
-class SeenLoads {
-public:
-    [[nodiscard]] std::uint32_t total() const
-    {
-        return std::accumulate(this->loads.begin(), this->loads.end(), 0U,
-            [](std::uint32_t sum, const SeenLoad& load) { return sum + load.inFlight; });
-    }
-
-    [[nodiscard]] std::uint32_t totalOf(std::string_view domain) const
-    {
-        return std::accumulate(
-            this->loads.begin(), this->loads.end(), 0U, [domain](std::uint32_t sum, const SeenLoad& load) {
-                return load.domain == domain ? sum + load.inFlight : sum;
-            });
-    }
-
-    void note(SeenLoad load)
-    {
-        std::erase_if(this->loads, [&load](const SeenLoad& known) { return known.endpoint == load.endpoint; });
-        this->loads.push_back(std::move(load));
-    }
-
-private:
-    std::vector<SeenLoad> loads;
-};
-
-} // namespace
-
 /** @brief Progress of one request through its attempts. */
 struct Dispatcher::Run {
     Run(const wire::Request& work, Repeatability repeatable, TimePoint until, const ResponseSink& destination)
--- a/src/berylwing/routing/authority.hpp
+++ b/src/berylwing/routing/authority.hpp
@@ -19,6 +19,14 @@
 
 /** @brief What a host knows about its right to send to one endpoint. */
 struct AuthorityState {
+    /** @brief Makes the state of a host that holds the first place. @return State. */
+    [[nodiscard]] static AuthorityState first()
+    {
+        AuthorityState state;
+        state.holdsFirst = true;
+        return state;
+    }
+
     /** Whether this host holds the first place, by handoff or because nobody else can hold it. */
     bool holdsFirst = false;
     /** Whether a handoff was sent that may have been taken. */
--- a/src/berylwing/routing/endpoint_registry.cpp
+++ b/src/berylwing/routing/endpoint_registry.cpp
@@ -14,13 +14,6 @@
 constexpr Duration kProbeTimeout { 1000 };
 constexpr std::size_t kStandIns = 2;
 
-AuthorityState firstPlace()
-{
-    AuthorityState state;
-    state.holdsFirst = true;
-    return state;
-}
-
 } // namespace
 
 std::uint32_t LoadMean::bound(double multiple) const noexcept
@@ -40,6 +33,7 @@
     , metrics { hostMetrics }
     , access { std::move(endpointAccess) }
     , authority { failureDomain }
+    , handoffs { hostClock, hostLink, failureDomain, hostMetrics, this->authority }
     , loadMultiple { multiple }
 {
     for (const auto& [name, object] : this->catalog.endpoints()) {
@@ -48,9 +42,14 @@
     }
     this->catalog.listen([this](const VersionedObject& object) { this->onCatalogChange(object); });
     this->domain.onRoster([this] { this->reviewAll(); });
-    this->link.handle(wire::Envelope::kHandoff, [this](const wire::Envelope& envelope) { this->onHandoff(envelope); });
-    this->link.handle(wire::Envelope::kHandoffTaken,
-        [this](const wire::Envelope& envelope) { this->onHandoffTaken(envelope.handoff_taken()); });
+    this->link.handle(wire::Envelope::kHandoff, [this](const wire::Envelope& envelope) {
+        if (const auto endpoint = this->find(envelope.handoff().endpoint()))
+            this->handoffs.take(envelope, *endpoint);
+    });
+    this->link.handle(wire::Envelope::kHandoffTaken, [this](const wire::Envelope& envelope) {
+        if (const auto endpoint = this->find(envelope.handoff_taken().endpoint()))
+            this->handoffs.confirm(envelope.handoff_taken(), *endpoint);
+    });
     this->link.handle(wire::Envelope::kEndpointState,
         [this](const wire::Envelope& envelope) { this->onEndpointState(envelope.endpoint_state()); });
     this->link.handle(wire::Envelope::kPlaced, [this](const wire::Envelope& envelope) {
@@ -249,11 +248,11 @@
     if (isHandoffStale || !this->domain.isMember())
         endpoint.authority = AuthorityState {};
     if (!endpoint.authority.holdsFirst && this->authority.canClaimFirst(name)) {
-        endpoint.authority = firstPlace();
+        endpoint.authority = AuthorityState::first();
         this->tellState(endpoint);
     }
-    if (endpoint.authority.holdsFirst && (this->bequeathing || !this->authority.isFirst(name)))
-        this->offerHandoff(endpoint);
+    if (endpoint.authority.holdsFirst && (this->handoffs.isBequeathing() || !this->authority.isFirst(name)))
+        this->handoffs.offer(endpoint);
     this->noteDoubt(endpoint);
     this->tellState(endpoint);
 }
@@ -274,88 +273,14 @@
     endpoint.wasInDoubt = inDoubt;
 }
 
-void EndpointRegistry::offerHandoff(OwnedEndpoint& endpoint)
-{
-    const auto& name = endpoint.configuration.name;
-    const auto successor = this->successorOf(endpoint);
-    if (successor.empty())
-        return;
-    endpoint.authority.handingOff = true;
-    endpoint.authority.handoffVersion = this->domain.roster().version;
-    wire::Envelope envelope;
-    auto& handoff = *envelope.mutable_handoff();
-    handoff.set_endpoint(name);
-    handoff.set_roster_version(this->domain.roster().version);
-    handoff.set_in_flight(endpoint.inFlight());
-    *handoff.mutable_state() = this->describe(endpoint);
-    for (const auto& placement : endpoint.placements.all()) {
-        auto& entry = *handoff.add_placements();
-        entry.set_chat(placement.chat);
-        entry.set_endpoint(placement.endpoint);
-    }
-    handoff.set_is_bequest(this->bequeathing);
-    this->link.send(successor, std::move(envelope));
-}
-
-std::string EndpointRegistry::successorOf(const OwnedEndpoint& endpoint) const
-{
-    for (const auto& host : this->domain.ranking(endpoint.configuration.name)) {
-        const auto peer = this->domain.peers().find(host);
-        const bool isFit = peer != this->domain.peers().end() && !peer->second.leaving && !this->domain.isSilent(host);
-        if (isFit)
-            return host;
-        // Only a host that stops passes its endpoints by the owner that the roster names.
-        if (!this->bequeathing)
-            return {};
-    }
-    return {};
-}
-
 void EndpointRegistry::bequeathAll()
 {
-    this->bequeathing = true;
+    this->handoffs.bequeath();
     this->domain.setLeaving();
     this->domain.beatNow();
     this->reviewAll();
 }
 
-void EndpointRegistry::onHandoff(const wire::Envelope& envelope)
-{
-    const auto& handoff = envelope.handoff();
-    const auto endpoint = this->find(handoff.endpoint());
-    const bool isCurrent = handoff.roster_version() == this->domain.roster().version;
-    const bool isHeir = this->authority.isFirst(handoff.endpoint()) || handoff.is_bequest();
-    if (!endpoint || !isCurrent || !isHeir || this->bequeathing)
-        return;
-    wire::Envelope answer;
-    answer.mutable_handoff_taken()->set_endpoint(handoff.endpoint());
-    answer.mutable_handoff_taken()->set_roster_version(handoff.roster_version());
-    if (!endpoint->authority.holdsFirst) {
-        endpoint->authority = firstPlace();
-        wire::Residual residual;
-        residual.set_endpoint(handoff.endpoint());
-        residual.set_in_flight(handoff.in_flight());
-        this->domain.noteResidual(envelope.from(), residual);
-        const auto& state = handoff.state();
-        endpoint->lifecycle.takeOver(state.boot_id(), state.warm(), state.warm_limit());
-        for (const auto& placement : handoff.placements())
-            endpoint->placements.remember({ placement.chat(), placement.endpoint() }, this->clock.now());
-        this->metrics.add(Incident::HandoffTaken);
-    }
-    this->link.send(envelope.from(), std::move(answer));
-}
-
-void EndpointRegistry::onHandoffTaken(const wire::HandoffTaken& taken)
-{
-    const auto endpoint = this->find(taken.endpoint());
-    const bool isCurrent = taken.roster_version() == this->domain.roster().version;
-    if (!endpoint || !endpoint->authority.handingOff || !isCurrent)
-        return;
-    endpoint->authority = AuthorityState {};
-    this->metrics.add(Incident::HandoffSent);
-    this->domain.beatNow();
-}
-
 void EndpointRegistry::onEndpointState(const wire::EndpointState& state)
 {
     const auto endpoint = this->find(state.endpoint());
@@ -365,23 +290,12 @@
     endpoint->lifecycle.takeOver(state.boot_id(), state.warm(), state.warm_limit());
 }
 
-wire::EndpointState EndpointRegistry::describe(const OwnedEndpoint& endpoint) const
-{
-    const auto state = endpoint.lifecycle.state();
-    wire::EndpointState message;
-    message.set_endpoint(endpoint.configuration.name);
-    message.set_boot_id(endpoint.lifecycle.bootId());
-    message.set_warm(state == LifecycleState::Warm);
-    message.set_warm_limit(state == LifecycleState::Warming ? endpoint.lifecycle.limit() : 0);
-    return message;
-}
-
 void EndpointRegistry::tellState(const OwnedEndpoint& endpoint)
 {
     const auto& name = endpoint.configuration.name;
     if (!endpoint.authority.holdsFirst)
         return;
-    const auto state = this->describe(endpoint);
+    const auto state = describeState(endpoint);
     const auto told = this->toldStates.find(name);
     const bool isKnown = told != this->toldStates.end() && told->second.boot_id() == state.boot_id()
         && told->second.warm() == state.warm() && told->second.warm_limit() == state.warm_limit();
--- a/src/berylwing/routing/endpoint_registry.hpp
+++ b/src/berylwing/routing/endpoint_registry.hpp
@@ -7,6 +7,7 @@
 #include "berylwing/membership/failure_domain.hpp"
 #include "berylwing/routing/authority.hpp"
 #include "berylwing/routing/endpoint_connection.hpp"
+#include "berylwing/routing/handoffs.hpp"
 #include "berylwing/routing/owned_endpoint.hpp"
 #include <map>
 #include <optional>
@@ -31,18 +32,13 @@
  */
 class EndpointRegistry {
     void onCatalogChange(const VersionedObject& object);
-    void onHandoff(const wire::Envelope& envelope);
-    void onHandoffTaken(const wire::HandoffTaken& taken);
     void onEndpointState(const wire::EndpointState& state);
     void review(OwnedEndpoint& endpoint);
     void reviewAll();
     void noteDoubt(OwnedEndpoint& endpoint);
     void noteCold(OwnedEndpoint& endpoint);
     [[nodiscard]] FailureDomain::BeatContent describeBeat() const;
-    void offerHandoff(OwnedEndpoint& endpoint);
-    [[nodiscard]] std::string successorOf(const OwnedEndpoint& endpoint) const;
     void tellState(const OwnedEndpoint& endpoint);
-    [[nodiscard]] wire::EndpointState describe(const OwnedEndpoint& endpoint) const;
     [[nodiscard]] Task<void> probe(OwnedEndpointPtr endpoint);
     void takeReport(OwnedEndpoint& endpoint, const LoadReport& report, TimePoint askedAt);
 
@@ -125,11 +121,11 @@
     Metrics& metrics;
     EndpointAccess access;
     Authority authority;
+    Handoffs handoffs;
     double loadMultiple;
     std::map<std::string, OwnedEndpointPtr, std::less<>> endpoints;
     std::map<std::string, wire::EndpointState, std::less<>> toldStates;
     std::uint64_t toldAtRoster = 0;
-    bool bequeathing = false;
 };
 
 } // namespace berylwing
--- a/src/berylwing/routing/fwd.hpp
+++ b/src/berylwing/routing/fwd.hpp
@@ -5,7 +5,8 @@
 class Admission;
 class Authority;
 class EndpointLifecycle;
-class EndpointOwner;
+class EndpointRegistry;
+class Handoffs;
 class OwnedEndpoint;
 class PlacementTable;
 enum class LifecycleState;
