Take an end before the first byte of an answer for a broken endpoint

Cause: the reading of answers that came with the pool of connections told the parser of an end although it had seen no byte; the parser asserts then, and the daemon aborted whenever an engine closed a connection without an answer, as one does that crashes. Found on reading the change again; no test used the HTTP client of endpoints against a socket. Seen with real processes and a request that crashes its engine: before, the daemon was gone (assertion got_some); after, the caller gets endpoint_broken, unknown, and the daemon lives.

--- a/src/berylwing/http/endpoint_client.cpp
+++ b/src/berylwing/http/endpoint_client.cpp
@@ -104,7 +104,8 @@
         const auto size = co_await this->connection->socket.async_read_some(
             this->connection->buffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
         this->connection->buffer.commit(size);
-        if (error == asio::error::eof) {
+        // An end before the first byte is no answer at all.
+        if (error == asio::error::eof && this->parser.got_some()) {
             error = {};
             this->parser.put_eof(error);
         }
