--- a/src/berylwing/client/status_command.hpp
+++ b/src/berylwing/client/status_command.hpp
@@ -3,7 +3,7 @@
 #include "berylwing/client/command_line.hpp"
 #include "berylwing/config/objects.hpp"
 #include "berylwing/core/task.hpp"
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include <ostream>
 
 namespace berylwing {
--- a/src/berylwing/config/catalog.cpp
+++ b/src/berylwing/config/catalog.cpp
@@ -129,6 +129,7 @@
             found->second.version = object.version;
         break;
     case ObjectKind::Ledger:
+    case ObjectKind::RoutingPlan:
         break;
     }
 }
--- a/src/berylwing/config/objects.cpp
+++ b/src/berylwing/config/objects.cpp
@@ -46,6 +46,7 @@
     case ObjectKind::Roster:
         return readRoster(value, place, findings).domain;
     case ObjectKind::Ledger:
+    case ObjectKind::RoutingPlan:
         break;
     }
     return {};
@@ -156,7 +157,7 @@
 {
     Findings findings;
     const auto repeated = nameOf(kind, value, findings);
-    if (kind != ObjectKind::Ledger && repeated != name)
+    if (kind != ObjectKind::Ledger && kind != ObjectKind::RoutingPlan && repeated != name)
         findings.add(kObjectKindNames[kind], "the name '" + repeated + "' in the document", "the object's own name");
     return findings;
 }
--- a/src/berylwing/config/objects.hpp
+++ b/src/berylwing/config/objects.hpp
@@ -20,10 +20,11 @@
     Host,
     Roster,
     Ledger,
+    RoutingPlan,
 };
 
 /** @brief Names of the object kinds, as they stand in the platform's paths. */
-inline constexpr EnumNames<ObjectKind, 7> kObjectKindNames { {
+inline constexpr EnumNames<ObjectKind, 8> kObjectKindNames { {
     "contracts",
     "endpoints",
     "services",
@@ -31,6 +32,7 @@
     "hosts",
     "rosters",
     "ledgers",
+    "routing_plans",
 } };
 
 /** @brief Kinds of endpoints. */
--- a/src/berylwing/core/clock.cpp
+++ b/src/berylwing/core/clock.cpp
@@ -1,14 +1,24 @@
 #include "berylwing/core/clock.hpp"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 #include <utility>
 
 namespace berylwing {
 
 namespace {
 
-TimePoint systemTime() { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+/** Reads a monotonic time that goes on while the host is suspended, so that nothing outlives its deadline in a pause.
+ */
+TimePoint systemTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto sinceBoot = std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
+    return TimePoint { std::chrono::duration_cast<Duration>(sinceBoot) };
+}
 
 } // namespace
 
@@ -67,7 +77,9 @@
 Task<void> Clock::pump()
 {
     while (!this->waiters.empty()) {
-        this->pumpTimer.expires_at(this->waiters.begin()->due);
+        this->pumpDue = this->waiters.begin()->due;
+        // A millisecond more, because the clock is rounded down.
+        this->pumpTimer.expires_after(std::max(this->pumpDue - this->now(), Duration {}) + Duration { 1 });
         boost::system::error_code ignored;
         co_await this->pumpTimer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
         this->fireDue();
@@ -80,7 +92,7 @@
     if (!this->selfDriven)
         return;
     if (this->pumpRunning) {
-        if (this->waiters.begin()->due < this->pumpTimer.expiry())
+        if (this->waiters.begin()->due < this->pumpDue)
             this->pumpTimer.cancel();
         return;
     }
--- a/src/berylwing/core/clock.hpp
+++ b/src/berylwing/core/clock.hpp
@@ -11,7 +11,7 @@
 /** @brief Length of time; all intervals of the project are in milliseconds. */
 using Duration = std::chrono::milliseconds;
 
-/** @brief Point on the runtime's monotonic clock. */
+/** @brief Point on the runtime's monotonic clock, which goes on while the host is suspended. */
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 /**
@@ -42,7 +42,7 @@
 
 public:
     /**
-     * @brief Creates a clock on the system's monotonic time.
+     * @brief Creates a clock on the system's monotonic time, counted from its start.
      * @param executor Executor of the host.
      */
     explicit Clock(const Executor& executor);
@@ -86,6 +86,7 @@
     Source source;
     Waiters waiters;
     boost::asio::steady_timer pumpTimer;
+    TimePoint pumpDue {};
     bool selfDriven;
     bool pumpRunning = false;
 };
--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -47,10 +47,12 @@
     OverFairShare,
     SuspectRunning,
     SameRequestRunning,
+    ConfigurationUnknown,
+    ConfigurationStale,
 };
 
 /** @brief Names of the refusal reasons, as they stand in answers, logs and metrics. */
-inline constexpr EnumNames<Refusal, 41> kRefusalNames { {
+inline constexpr EnumNames<Refusal, 43> kRefusalNames { {
     "missing_key",
     "unknown_workspace",
     "bad_request",
@@ -92,6 +94,8 @@
     "over_fair_share",
     "suspect_running",
     "same_request_running",
+    "configuration_unknown",
+    "configuration_stale",
 } };
 
 /** @brief Reasons for which one more attempt is made. */
--- a/src/berylwing/daemon/daemon.cpp
+++ b/src/berylwing/daemon/daemon.cpp
@@ -67,7 +67,7 @@
         , host { std::make_unique<Host>(this->clock, this->dependencies()) }
         , callers { this->clock.executor(), this->settings.callers,
             { this->settings.mostBodyBytes, this->settings.senderTimeout }, *this->host }
-        , status { this->clock.executor(), this->settings.metrics, *this->host }
+        , status { this->clock.executor(), this->settings.metrics, this->statusAnswers() }
         , signals { this->context, SIGTERM, SIGINT }
     {
     }
@@ -100,6 +100,17 @@
         return dependencies;
     }
 
+    [[nodiscard]] StatusServer::Answers statusAnswers() const
+    {
+        return [this](std::string_view path) -> StatusAnswer {
+            if (path == "/metrics")
+                return { 200, "text/plain; version=0.0.4", this->host->metrics().text() };
+            if (path == "/status")
+                return { 200, "application/json", this->host->status().dump() };
+            return { 404, "text/plain", "" };
+        };
+    }
+
     [[nodiscard]] Task<void> stopOnSignal()
     {
         co_await this->signals.async_wait(boost::asio::use_awaitable);
--- /dev/null
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -0,0 +1,130 @@
+#include "berylwing/daemon/gateway_daemon.hpp"
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/core/finding.hpp"
+#include "berylwing/gateway/gateway.hpp"
+#include "berylwing/http/endpoint_session.hpp"
+#include "berylwing/http/gateway_server.hpp"
+#include "berylwing/http/status_server.hpp"
+#include "platform/platform.hpp"
+#include "platform/store_exchange.hpp"
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <memory>
+
+namespace berylwing {
+
+namespace {
+
+/** Part of the grace time that is left for the process's own end. */
+constexpr Duration kExitMargin { 300 };
+constexpr Duration kStopCheckInterval { 50 };
+
+/** The gateway with its sockets. */
+class GatewayDaemon {
+public:
+    GatewayDaemon(const GatewaySettings& daemonSettings, const std::function<GatewaySettings()>& reloadSettings)
+        : settings { daemonSettings }
+        , reload { reloadSettings }
+        , clock { this->context.get_executor() }
+        , gateway { this->clock, this->settings, this->protocol,
+            { platform::makeStoreExchange(this->settings.platform), makeEndpointSessions(this->clock, this->protocol),
+                writeToStandardOutput } }
+        , callers { this->clock, this->settings.callers, this->gateway }
+        , readiness { this->clock.executor(), this->settings.readiness, this->answers() }
+        , metrics { this->clock.executor(), this->settings.metrics, this->answers() }
+        , stopSignals { this->context, SIGTERM, SIGINT }
+        , reloadSignals { this->context, SIGHUP }
+    {
+    }
+
+    void run()
+    {
+        const auto& executor = this->clock.executor();
+        this->gateway.start();
+        spawn(executor, "callers", this->callers.run());
+        spawn(executor, "readiness", this->readiness.run());
+        spawn(executor, "metrics", this->metrics.run());
+        spawn(executor, "stop", this->stopOnSignal());
+        spawn(executor, "reload", this->reloadOnSignal());
+        this->context.run();
+    }
+
+private:
+    [[nodiscard]] StatusServer::Answers answers()
+    {
+        return [this](std::string_view path) -> StatusAnswer {
+            if (path == this->protocol.readinessPath)
+                return { this->gateway.isReady() ? 200U : 503U, "text/plain", "" };
+            if (path == "/metrics")
+                return { 200, "text/plain; version=0.0.4", this->gateway.metrics().text() };
+            return { 404, "text/plain", "" };
+        };
+    }
+
+    [[nodiscard]] Task<void> stopOnSignal()
+    {
+        co_await this->stopSignals.async_wait(boost::asio::use_awaitable);
+        const auto deadline = this->clock.now() + this->settings.stopGrace - kExitMargin;
+        this->gateway.beginStop();
+        spawn(this->clock.executor(), "unregister", this->gateway.unregisterHost());
+        while (!this->gateway.refusesNew())
+            co_await this->clock.sleepFor(kStopCheckInterval);
+        while (this->clock.now() < deadline) {
+            this->callers.closeIdle();
+            if (this->gateway.inProgress() == 0)
+                break;
+            co_await this->clock.sleepFor(kStopCheckInterval);
+        }
+        LogLine line { LogEvent::Stopped };
+        this->gateway.decisionLog().write(
+            line.add("unfinished", static_cast<std::int64_t>(this->gateway.inProgress())));
+        this->gateway.decisionLog().flush();
+        this->context.stop();
+    }
+
+    [[nodiscard]] Task<void> reloadOnSignal()
+    {
+        while (true) {
+            co_await this->reloadSignals.async_wait(boost::asio::use_awaitable);
+            LogLine line { LogEvent::SettingsReloaded };
+            try {
+                // Addresses stay as they are until the next start; bounds come into force at once.
+                const auto next = this->reload();
+                this->settings.planLease = next.planLease;
+                this->settings.stopGrace = next.stopGrace;
+                this->settings.retries = next.retries;
+                line.add("findings", std::int64_t { 0 });
+            } catch (const std::exception& error) {
+                line.add("error", error.what());
+            }
+            this->gateway.decisionLog().write(line);
+        }
+    }
+
+    GatewaySettings settings;
+    std::function<GatewaySettings()> reload;
+    boost::asio::io_context context { 1 };
+    Clock clock;
+    GatewayProtocol protocol = platform::makeProtocol();
+    Gateway gateway;
+    GatewayServer callers;
+    StatusServer readiness;
+    StatusServer metrics;
+    boost::asio::signal_set stopSignals;
+    boost::asio::signal_set reloadSignals;
+};
+
+} // namespace
+
+int runGatewayDaemon(const GatewaySettings& settings, const std::function<GatewaySettings()>& reload)
+{
+    GatewayDaemon daemon { settings, reload };
+    daemon.run();
+    return 0;
+}
+
+} // namespace berylwing
--- a/src/berylwing/daemon/main.cpp
+++ b/src/berylwing/daemon/main.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/config/settings.hpp"
 #include "berylwing/core/finding.hpp"
 #include "berylwing/daemon/daemon.hpp"
+#include "berylwing/daemon/gateway_daemon.hpp"
 #include "berylwing/telemetry/log.hpp"
 
 #include <cstdlib>
@@ -12,6 +13,7 @@
 #include <stdexcept>
 
 DEFINE_string(settings, "", "Settings file, JSON with comments.");
+DEFINE_bool(gateway, false, "Forward requests straight to the endpoints, on the users' platform.");
 DEFINE_bool(check_settings, false, "Check the settings file, report all findings and exit.");
 DEFINE_string(log_level, "", "Log level in place of the settings file's: debug, info, warn or error.");
 DEFINE_int64(drain_limit_ms, -1, "Longest time for a graceful stop in place of the settings file's.");
@@ -38,6 +40,25 @@
     return settings;
 }
 
+berylwing::GatewaySettings loadGatewaySettings()
+{
+    auto settings = berylwing::readGatewaySettings(readFile(FLAGS_settings), FLAGS_settings);
+    if (const auto level = berylwing::kLogLevelNames.find(FLAGS_log_level))
+        settings.logLevel = *level;
+    return settings;
+}
+
+int runGateway()
+{
+    const auto settings = loadGatewaySettings();
+    if (FLAGS_check_settings) {
+        std::cout << FLAGS_settings << ": no findings\n";
+        return EXIT_SUCCESS;
+    }
+    berylwing::configureLog(settings.logLevel, settings.host);
+    return berylwing::runGatewayDaemon(settings, loadGatewaySettings);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -45,9 +66,11 @@
     gflags::SetUsageMessage("runs a berylwing host, for example: berylwingd --settings=host.json");
     gflags::SetVersionString("0.1.0");
     // Operators may set each flag by an environment variable named FLAGS_ and the flag.
-    gflags::SetCommandLineOption("tryfromenv", "settings,log_level,drain_limit_ms");
+    gflags::SetCommandLineOption("tryfromenv", "settings,log_level,drain_limit_ms,gateway");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     try {
+        if (FLAGS_gateway)
+            return runGateway();
         const auto settings = loadSettings();
         if (FLAGS_check_settings) {
             std::cout << FLAGS_settings << ": no findings\n";
--- /dev/null
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "berylwing/config/settings.hpp"
+#include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/endpoint_health.hpp"
+#include "berylwing/telemetry/decision_log.hpp"
+#include <boost/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylwing {
+
+/** @brief What the platform's store says of one start of an endpoint. */
+struct EndpointRecord {
+    /** Names one start of the endpoint's process. */
+    std::string id;
+    std::string service;
+    SocketAddress address;
+    std::string domain;
+    std::uint32_t slots = 0;
+    bool isDraining = false;
+    /** Time for which the endpoint bears only a low rate of requests, counted from the writing of the entry. */
+    Duration coldFor {};
+    /** Start of the process in milliseconds since 1970; zero if the entry does not tell. */
+    std::uint64_t bornAt = 0;
+};
+
+/** @brief Endpoint as this host sees it; requests in flight keep it alive after the store has dropped it. */
+class GatewayEndpoint : public boost::intrusive_ref_counter<GatewayEndpoint, boost::thread_unsafe_counter> {
+public:
+    /** @brief Creates an endpoint. @param endpointRecord Entry in the store. */
+    explicit GatewayEndpoint(EndpointRecord endpointRecord)
+        : record { std::move(endpointRecord) }
+    {
+    }
+
+    /** @brief Tells whether the endpoint is cold. @param now Current time. @return True while it is. */
+    [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < this->coldUntil; }
+
+    EndpointRecord record;
+    EndpointHealth health;
+    TimePoint coldUntil {};
+    /** Last request that was sent while the endpoint was cold. */
+    TimePoint lastColdSend {};
+    /** Requests of this host that the endpoint has not finished. */
+    std::uint32_t inFlight = 0;
+    /** Whether the entry has vanished while the store could not be trusted to keep it. */
+    bool isMissing = false;
+};
+
+/** @brief Reference to an endpoint. */
+using GatewayEndpointPtr = boost::intrusive_ptr<GatewayEndpoint>;
+
+/** @brief Endpoints and withdrawn failure domains, as the platform's store shows them. */
+class EndpointDirectory {
+    [[nodiscard]] bool mayBeLapsed(TimePoint now) const noexcept;
+    void writeChange(LogEvent event, const GatewayEndpoint& endpoint, std::string_view state);
+
+public:
+    /** @brief Creates an empty directory. @param hostClock Clock of the host. @param decisionLog Log of the host. */
+    EndpointDirectory(const Clock& hostClock, DecisionLog& decisionLog)
+        : clock { hostClock }
+        , log { decisionLog }
+    {
+    }
+
+    /** @brief Takes the entry of an endpoint. @param record Entry. */
+    void put(EndpointRecord record);
+
+    /** @brief Takes note that the entry of an endpoint is gone. @param id Endpoint. */
+    void remove(const std::string& id);
+
+    /** @brief Drops every endpoint that a complete list does not hold. @param ids Endpoints of the list. */
+    void retain(const std::set<std::string, std::less<>>& ids);
+
+    /** @brief Takes note that the store cannot be reached. */
+    void loseStore() noexcept { this->storeLostAt = this->clock.now(); }
+
+    /** @brief Takes note that the store has answered. */
+    void regainStore();
+
+    /** @brief Drops the endpoints that have not come back in time after an outage of the store. */
+    void dropLapsed();
+
+    /** @brief Withdraws a failure domain or takes it back. @param domain Domain. @param isOut Whether it is withdrawn.
+     */
+    void setDomainOut(const std::string& domain, bool isOut);
+
+    /** @brief Replaces the withdrawn failure domains. @param domains All withdrawn domains. */
+    void setDomainsOut(std::set<std::string, std::less<>> domains) { this->domainsOut = std::move(domains); }
+
+    /**
+     * @brief Tells whether an endpoint may be given new requests.
+     * @param endpoint Endpoint.
+     * @return False if it is leaving, gone or withdrawn.
+     */
+    [[nodiscard]] bool isOpen(const GatewayEndpoint& endpoint) const;
+
+    /** @brief Lists the endpoints of a service that may be given new requests. @param service Service. @return List. */
+    [[nodiscard]] std::vector<GatewayEndpointPtr> openEndpoints(std::string_view service) const;
+
+    /** @brief Counts the endpoints. @return Number of known endpoints. */
+    [[nodiscard]] std::size_t size() const noexcept { return this->endpoints.size(); }
+
+private:
+    const Clock& clock;
+    DecisionLog& log;
+    std::map<std::string, GatewayEndpointPtr, std::less<>> endpoints;
+    std::set<std::string, std::less<>> domainsOut;
+    /** Time at which the store was last out of reach; it has never been at the epoch. */
+    TimePoint storeLostAt {};
+    TimePoint storeRegainedAt {};
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/event_splitter.cpp
@@ -0,0 +1,57 @@
+#include "berylwing/gateway/event_splitter.hpp"
+
+#include <algorithm>
+
+namespace berylwing {
+
+namespace {
+
+/** Finds the end of the last whole event: behind an empty line, with or without carriage returns. */
+std::size_t endOfEvents(std::string_view text)
+{
+    const auto plain = text.rfind("\n\n");
+    const auto returned = text.rfind("\n\r\n");
+    std::size_t end = 0;
+    if (plain != std::string_view::npos)
+        end = plain + 2;
+    if (returned != std::string_view::npos)
+        end = std::max(end, returned + 3);
+    return end;
+}
+
+/** Finds the value of the last line that begins with "id:". */
+std::string_view lastIdOf(std::string_view events)
+{
+    std::string_view id;
+    while (!events.empty()) {
+        const auto end = events.find('\n');
+        auto line = events.substr(0, end);
+        events = end == std::string_view::npos ? std::string_view {} : events.substr(end + 1);
+        if (!line.starts_with("id:"))
+            continue;
+        line.remove_prefix(3);
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        id = line;
+    }
+    return id;
+}
+
+} // namespace
+
+std::string EventSplitter::take(std::string_view bytes)
+{
+    this->pending += bytes;
+    const auto end = endOfEvents(this->pending);
+    if (end == 0)
+        return {};
+    auto events = this->pending.substr(0, end);
+    this->pending.erase(0, end);
+    if (const auto id = lastIdOf(events); !id.empty())
+        this->lastId = id;
+    return events;
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -0,0 +1,331 @@
+#include "berylwing/gateway/forwarder.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/event_splitter.hpp"
+#include "berylwing/relay/response_sink.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr std::string_view kEventStream = "text/event-stream";
+/** Sends of one request; each but the first draws on the fleet's allowance. */
+constexpr unsigned kMostSends = 4;
+/** Answers up to this size are collected before their first byte goes out, so that a broken one can be repeated. */
+constexpr std::size_t kMostCollectedBytes = 64 * 1024;
+/** Time beyond the deadline for the endpoint's own answer that the deadline has passed. */
+constexpr Duration kDeadlineSlack { 40 };
+/** Wait that a caller is told when no endpoint may take its request; an ejection or a cold second then ends. */
+constexpr Duration kShortRetryAfter { 300 };
+/** Spread of the waits, so that refused callers do not come back together. */
+constexpr std::uint64_t kRetrySpreadMs = 300;
+
+std::uint64_t placementKey(const std::vector<PromptPart>& parts)
+{
+    // The last part is the request's own; what comes back is in the parts before it.
+    const auto& shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
+    return hashText(shared.id);
+}
+
+std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
+
+/** Counts a request at its endpoint while it is there. */
+class InFlight {
+public:
+    explicit InFlight(GatewayEndpointPtr servingEndpoint)
+        : endpoint { std::move(servingEndpoint) }
+    {
+        ++this->endpoint->inFlight;
+    }
+
+    ~InFlight() { --this->endpoint->inFlight; }
+    InFlight(const InFlight&) = delete;
+    InFlight& operator=(const InFlight&) = delete;
+
+private:
+    GatewayEndpointPtr endpoint;
+};
+
+} // namespace
+
+/** What is known of a request on its way. */
+struct Forwarder::Journey {
+    GatewayRequest& request;
+    const AnswerSink& sink;
+    std::shared_ptr<const RoutingPlan> plan;
+    const Route* route = nullptr;
+    const KeyHolder* holder = nullptr;
+    std::string service {};
+    ServiceTraits traits {};
+    std::uint64_t requestHash = 0;
+    TimePoint deadline {};
+    std::vector<GatewayEndpointPtr> tried {};
+    unsigned sends = 0;
+    /** Endpoints that may have run the request. */
+    unsigned runs = 0;
+    bool isHeadWritten = false;
+    EventSplitter events {};
+    Refusal lastFailure = Refusal::NoEndpoint;
+};
+
+Forwarder::Forwarder(ForwarderParts hostParts)
+    : parts { std::move(hostParts) }
+{
+}
+
+bool Forwarder::isTrusted(const Journey& journey) const
+{
+    return journey.holder == nullptr || this->parts.lease.isValid();
+}
+
+std::optional<NotRun> Forwarder::prepare(Journey& journey) const
+{
+    const auto& facts = journey.request.facts;
+    journey.requestHash = hashText(facts.attemptId);
+    const Duration retryAfter { kShortRetryAfter.count()
+        + static_cast<Duration::rep>(journey.requestHash % kRetrySpreadMs) };
+    if (!journey.plan)
+        return NotRun { Refusal::ConfigurationUnknown, retryAfter };
+    if (facts.attemptId.empty())
+        return NotRun { Refusal::BadRequest };
+    journey.route = journey.plan->match(journey.request.hostname, pathOf(journey.request.target));
+    // A plan that may be old does not prove that a route or a key does not exist.
+    if (journey.route == nullptr)
+        return this->parts.lease.isValid() ? NotRun { Refusal::UnknownRoute }
+                                           : NotRun { Refusal::ConfigurationStale, retryAfter };
+    if (!journey.route->isPublic && journey.plan->hasWorkspaces()) {
+        if (!this->parts.lease.isValid())
+            return NotRun { Refusal::ConfigurationStale, retryAfter };
+        journey.holder = journey.plan->holderOf(facts.key);
+        if (journey.holder == nullptr)
+            return NotRun { Refusal::UnknownWorkspace };
+    }
+    journey.service = journey.route->serviceFor(journey.requestHash);
+    if (const auto* traits = journey.plan->service(journey.service))
+        journey.traits = *traits;
+    const auto patience = std::min(facts.patience.value_or(journey.route->timeout), journey.route->timeout);
+    journey.deadline = journey.request.arrivedAt + patience;
+    journey.events.resumeAfter(facts.lastEventId);
+    return std::nullopt;
+}
+
+Outcome Forwarder::giveUp(const Journey& journey, Refusal reason) const
+{
+    if (journey.runs > 0)
+        return OutcomeUnknown { reason };
+    const Duration spread { static_cast<Duration::rep>(journey.requestHash % kRetrySpreadMs) };
+    return NotRun { reason, kShortRetryAfter + spread };
+}
+
+std::optional<Outcome> Forwarder::endBefore(Journey& journey, GatewayEndpointPtr& endpoint)
+{
+    if (journey.request.isCallerGone)
+        throw CallerGoneError {};
+    if (this->parts.clock.now() >= journey.deadline)
+        return this->giveUp(journey, Refusal::DeadlinePassed);
+    if (!this->isTrusted(journey))
+        return this->giveUp(journey, Refusal::ConfigurationStale);
+    const auto& parts = journey.request.facts.promptParts;
+    const bool isSticky = journey.route->isSticky && !parts.empty();
+    const PlacementRequest wanted { journey.service, isSticky ? placementKey(parts) : journey.requestHash, isSticky,
+        journey.tried };
+    endpoint = this->parts.placement.choose(wanted, journey.traits);
+    if (!endpoint)
+        return this->giveUp(journey, journey.lastFailure);
+    if (journey.sends > 0 && !this->parts.retries.take(journey.service))
+        return this->giveUp(journey, Refusal::RetryBudgetSpent);
+    return std::nullopt;
+}
+
+bool Forwarder::mayTryAgain(Journey& journey, AttemptEnd end)
+{
+    if (journey.sends >= kMostSends)
+        return false;
+    if (end == AttemptEnd::NotRun)
+        return true;
+    const bool mayContinue = !journey.isHeadWritten || journey.route->isResumable;
+    return end == AttemptEnd::MayHaveRun && mayContinue && journey.route->mayRunAgain()
+        && journey.runs < journey.route->mostAttempts;
+}
+
+Task<Outcome> Forwarder::forward(GatewayRequest& request, const AnswerSink& sink)
+{
+    Journey journey { request, sink, this->parts.plan() };
+    if (const auto refusal = this->prepare(journey))
+        co_return *refusal;
+    this->parts.retries.recordRequest(journey.service);
+    while (true) {
+        GatewayEndpointPtr endpoint;
+        if (const auto outcome = this->endBefore(journey, endpoint))
+            co_return *outcome;
+        const auto end = co_await this->attempt(journey, endpoint);
+        request.abortCall = nullptr;
+        if (end == AttemptEnd::Whole)
+            co_return Outcome {};
+        if (request.isCallerGone)
+            throw CallerGoneError {};
+        if (end == AttemptEnd::TimedOut)
+            co_return this->giveUp(journey, Refusal::DeadlinePassed);
+        if (!this->mayTryAgain(journey, end))
+            co_return this->giveUp(journey, journey.lastFailure);
+        this->parts.metrics.add(journey.isHeadWritten ? Retry::ResumeAtOffset : Retry::NextCandidate);
+        LogLine line { journey.isHeadWritten ? LogEvent::RequestResumed : LogEvent::RequestRetried };
+        line.add("after", endpoint->record.id).add("reason", kRefusalNames[journey.lastFailure]);
+        line.add("runs", std::int64_t { journey.runs }).add("after_event", journey.events.lastEventId());
+        this->parts.log.write(request.facts.attemptId, std::move(line));
+    }
+}
+
+EndpointRequest Forwarder::toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const
+{
+    EndpointRequestFacts facts;
+    facts.endpointId = endpoint.record.id;
+    if (journey.holder != nullptr)
+        facts.workspace = journey.holder->workspace;
+    facts.patience = std::max(journey.deadline - this->parts.clock.now(), Duration { 1 });
+    const auto ownPriority = journey.holder == nullptr ? std::nullopt : journey.holder->priority;
+    facts.priority = ownPriority.value_or(journey.route->priority);
+    if (journey.isHeadWritten)
+        facts.resumeAfter = journey.events.lastEventId();
+    auto fields = journey.request.fields;
+    this->parts.protocol.prepareForEndpoint(fields, facts);
+    return { journey.request.method, journey.request.target, std::move(fields), journey.request.body,
+        journey.request.facts.attemptId };
+}
+
+void Forwarder::record(GatewayEndpoint& endpoint, EndpointVerdict verdict)
+{
+    const auto now = this->parts.clock.now();
+    const bool wasEjected = endpoint.health.isEjected(now);
+    endpoint.health.record(verdict, now);
+    if (wasEjected || !endpoint.health.isEjected(now) || verdict == EndpointVerdict::Shed)
+        return;
+    LogLine line { LogEvent::EndpointEjected };
+    line.add("endpoint", endpoint.record.id).add("service", endpoint.record.service);
+    line.add("unreachable", std::int64_t { verdict == EndpointVerdict::Unreachable });
+    this->parts.log.write(line);
+}
+
+Task<Forwarder::AttemptEnd> Forwarder::attempt(Journey& journey, GatewayEndpointPtr endpoint)
+{
+    const InFlight place { endpoint };
+    journey.tried.push_back(endpoint);
+    ++journey.sends;
+    if (endpoint->isCold(this->parts.clock.now()))
+        endpoint->lastColdSend = this->parts.clock.now();
+    std::shared_ptr<EndpointSession> session;
+    try {
+        session = co_await this->parts.open(*endpoint, journey.route->mayRunAgain());
+    } catch (const EndpointError&) {
+        this->record(*endpoint, EndpointVerdict::Unreachable);
+        journey.lastFailure = Refusal::EndpointUnreachable;
+        co_return AttemptEnd::NotRun;
+    }
+    // Connecting takes time, in which the endpoint may have left and keys may have been taken away.
+    if (!this->parts.directory.isOpen(*endpoint) || !this->isTrusted(journey)) {
+        journey.lastFailure = Refusal::EndpointLeaving;
+        co_return AttemptEnd::NotRun;
+    }
+    journey.request.abortCall = session->abort;
+    try {
+        co_return co_await this->exchange(journey, *endpoint, *session);
+    } catch (const EndpointError& error) {
+        journey.events.dropRest();
+        if (journey.request.isCallerGone)
+            co_return AttemptEnd::MayHaveRun;
+        ++journey.runs;
+        if (this->parts.clock.now() >= journey.deadline)
+            co_return AttemptEnd::TimedOut;
+        this->record(*endpoint, EndpointVerdict::Failed);
+        journey.lastFailure = journey.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
+        LogLine line { LogEvent::RequestBroken };
+        line.add("endpoint", endpoint->record.id).add("error", error.what());
+        this->parts.log.write(journey.request.facts.attemptId, std::move(line));
+        co_return AttemptEnd::MayHaveRun;
+    }
+}
+
+Task<Forwarder::AttemptEnd> Forwarder::exchange(Journey& journey, GatewayEndpoint& endpoint, EndpointSession& session)
+{
+    const auto outgoing = this->toEndpointRequest(journey, endpoint);
+    LogLine line { LogEvent::RequestSent };
+    line.add("route", journey.route->name).add("plan", static_cast<std::int64_t>(journey.plan->version()));
+    line.add("plan_age_ms", this->parts.lease.age()).add("endpoint", endpoint.record.id);
+    line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { journey.sends });
+    line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
+    this->parts.log.write(journey.request.facts.attemptId, std::move(line));
+    co_await session.send(outgoing);
+    const auto head = co_await session.readHead(journey.deadline + kDeadlineSlack);
+    if (head.facts.isNotRun || head.status == kMisdirected) {
+        // Another process has the address, so the entry is out of date until the store says otherwise.
+        const bool isOther = head.status == kMisdirected;
+        this->record(endpoint, isOther ? EndpointVerdict::Unreachable : EndpointVerdict::Shed);
+        journey.lastFailure = isOther ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
+        while (co_await session.readBody(journey.deadline)) { }
+        co_return AttemptEnd::NotRun;
+    }
+    if (isSuccess(head.status) && (!head.facts.isSigned || head.facts.isEncoded))
+        throw EndpointError { EndpointFault::Broken, "the answer is not the endpoint's own" };
+    if (journey.isHeadWritten && !isSuccess(head.status))
+        throw EndpointError { EndpointFault::Broken, "the endpoint does not go on with the stream" };
+    auto end = AttemptEnd::Whole;
+    co_await this->deliver(journey, head, session, end);
+    if (end != AttemptEnd::Whole) {
+        ++journey.runs;
+        journey.lastFailure = Refusal::EndpointBroken;
+    }
+    this->record(endpoint, head.status >= kFirstServerError ? EndpointVerdict::Failed : EndpointVerdict::Sound);
+    co_return end;
+}
+
+Task<void> Forwarder::deliver(Journey& journey, const AnswerHead& head, EndpointSession& session, AttemptEnd& end)
+{
+    const auto type = head.fields["Content-Type"];
+    const bool isEvents
+        = isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStream);
+    const auto deadline = journey.deadline + kDeadlineSlack;
+    std::string collected;
+    while (const auto bytes = co_await session.readBody(deadline)) {
+        if (isEvents) {
+            const auto whole = journey.events.take(*bytes);
+            if (whole.empty())
+                continue;
+            if (!std::exchange(journey.isHeadWritten, true))
+                co_await journey.sink.head(head);
+            co_await journey.sink.body(whole);
+            continue;
+        }
+        collected += *bytes;
+        if (collected.size() < kMostCollectedBytes)
+            continue;
+        if (!std::exchange(journey.isHeadWritten, true))
+            co_await journey.sink.head(head);
+        co_await journey.sink.body(collected);
+        collected.clear();
+    }
+    if (!journey.events.rest().empty()) {
+        journey.events.dropRest();
+        throw EndpointError { EndpointFault::Broken, "the stream ended inside an event" };
+    }
+    // An endpoint's own failure is passed on only if no other endpoint may still answer.
+    if (head.status >= kFirstServerError && !journey.isHeadWritten && journey.route->mayRunAgain()
+        && journey.runs + 1 < journey.route->mostAttempts) {
+        end = AttemptEnd::MayHaveRun;
+        co_return;
+    }
+    if (!std::exchange(journey.isHeadWritten, true))
+        co_await journey.sink.head(head);
+    if (!collected.empty())
+        co_await journey.sink.body(collected);
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/gateway.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/cold_limit.hpp"
+#include "berylwing/gateway/endpoint_directory.hpp"
+#include "berylwing/gateway/forwarder.hpp"
+#include "berylwing/gateway/gateway_settings.hpp"
+#include "berylwing/gateway/placement.hpp"
+#include "berylwing/gateway/plan_lease.hpp"
+#include "berylwing/gateway/protocol.hpp"
+#include "berylwing/gateway/retry_allowance.hpp"
+#include "berylwing/gateway/store_feed.hpp"
+#include "berylwing/store/platform_client.hpp"
+#include "berylwing/telemetry/decision_log.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylwing {
+
+/** @brief Functions through which a gateway reaches its surroundings. */
+struct GatewayDependencies {
+    PlatformClient::Exchange platform;
+    OpenSession open;
+    DecisionLog::Writer logWriter;
+};
+
+/** @brief Host that forwards callers' requests straight to the endpoints. */
+class Gateway {
+    [[nodiscard]] StoreFeedHooks planHooks();
+    [[nodiscard]] StoreFeedHooks endpointHooks();
+    [[nodiscard]] StoreFeedHooks domainHooks();
+    void takePlan(const VersionedObject& object);
+    void takeEndpoint(const VersionedObject& object);
+    void takeDomain(const VersionedObject& object);
+    [[nodiscard]] Task<void> registerHost();
+    [[nodiscard]] Task<void> followHosts();
+    [[nodiscard]] Task<void> maintain();
+    [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
+
+public:
+    /**
+     * @brief Creates a gateway that knows nothing yet.
+     * @param hostClock Clock of the host.
+     * @param gatewaySettings Settings.
+     * @param platformProtocol Names and formats of the platform.
+     * @param dependencies Surroundings.
+     */
+    Gateway(Clock& hostClock, const GatewaySettings& gatewaySettings, const GatewayProtocol& platformProtocol,
+        GatewayDependencies dependencies);
+
+    /** @brief Starts to follow the store. */
+    void start();
+
+    /** @brief Tells whether this host wants new connections. @return True if it can serve requests. */
+    [[nodiscard]] bool isReady() const;
+
+    /** @brief Tells whether the host is stopping. @return True after beginStop(). */
+    [[nodiscard]] bool isStopping() const noexcept { return this->stoppingSince.has_value(); }
+
+    /** @brief Tells whether new requests are refused because the host stops. @return True late in a stop. */
+    [[nodiscard]] bool refusesNew() const;
+
+    /** @brief Begins a stop: the balancer is told to send no new connections. */
+    void beginStop();
+
+    /** @brief Takes this host out of the list of hosts. @return Awaitable. */
+    [[nodiscard]] Task<void> unregisterHost();
+
+    /** @brief Reads the bounds on callers. @return Bounds of the plan in force. */
+    [[nodiscard]] CallerBounds callerBounds() const;
+
+    /** @brief Answers a request. @param request Request. @param sink Where the answer goes. @return How it ended. */
+    [[nodiscard]] Task<Outcome> handle(GatewayRequest& request, const AnswerSink& sink);
+
+    /** @brief Counts and logs input that is no request. @param reason Reason. @param error What was wrong. */
+    void refuseInput(Refusal reason, std::string_view error);
+
+    /** @brief Reads the log. @return Log. */
+    [[nodiscard]] DecisionLog& decisionLog() noexcept { return this->log; }
+
+    /** @brief Reads the metrics. @return Metrics. */
+    [[nodiscard]] const Metrics& metrics() const noexcept { return this->hostMetrics; }
+
+    /** @brief Reads the protocol. @return Names and formats of the platform. */
+    [[nodiscard]] const GatewayProtocol& platformProtocol() const noexcept { return this->protocol; }
+
+    /** @brief Counts the requests in progress. @return Requests. */
+    [[nodiscard]] std::size_t inProgress() const noexcept { return this->requests; }
+
+private:
+    Clock& clock;
+    const GatewaySettings& settings;
+    const GatewayProtocol& protocol;
+    Metrics hostMetrics;
+    DecisionLog log;
+    PlatformClient client;
+    PlanLease lease;
+    std::shared_ptr<const RoutingPlan> plan;
+    EndpointDirectory directory;
+    std::vector<std::string> hostNames;
+    ColdLimit coldLimit;
+    Placement placement;
+    RetryAllowance retries;
+    StoreFeed planFeed;
+    StoreFeed endpointFeed;
+    StoreFeed domainFeed;
+    Forwarder forwarder;
+    std::optional<TimePoint> stoppingSince;
+    std::size_t requests = 0;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/placement.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "berylwing/gateway/cold_limit.hpp"
+#include "berylwing/gateway/endpoint_directory.hpp"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace berylwing {
+
+/** @brief What a placement depends on. */
+struct PlacementRequest {
+    std::string_view service;
+    /** Hash of the prompt's shared part, or of the request if it shares nothing. */
+    std::uint64_t key = 0;
+    /** Whether the endpoint that has read the shared part before should be chosen. */
+    bool isSticky = false;
+    /** Endpoints that have been tried. */
+    const std::vector<GatewayEndpointPtr>& tried;
+};
+
+/**
+ * @brief Chooses the endpoint of a request.
+ *
+ * Requests that share a prompt go to the first endpoint of a rendezvous order that does not bear much more than the
+ * mean; all others go to the endpoint with the fewest requests in flight. It answers loads in which a few prompts are
+ * asked for far more often than others, and endpoints that fail or turn cold among sound ones.
+ */
+class Placement {
+    [[nodiscard]] bool isUsable(const GatewayEndpoint& endpoint, const ServiceTraits& service, TimePoint now) const;
+
+public:
+    /**
+     * @brief Creates a placement.
+     * @param hostClock Clock of the host.
+     * @param endpointDirectory Endpoints.
+     * @param coldLimit Limit of cold endpoints.
+     * @param ownDomain Failure domain of this host, preferred among equals.
+     */
+    Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdLimit& coldLimit,
+        std::string ownDomain);
+
+    /**
+     * @brief Chooses an endpoint.
+     * @param request What the choice depends on.
+     * @param service Properties of the service.
+     * @return Endpoint, or a null pointer if none may be given the request now.
+     */
+    [[nodiscard]] GatewayEndpointPtr choose(const PlacementRequest& request, const ServiceTraits& service) const;
+
+private:
+    const Clock& clock;
+    const EndpointDirectory& directory;
+    const ColdLimit& coldLimit;
+    std::string domain;
+};
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/routing_plan.cpp
@@ -0,0 +1,69 @@
+#include "berylwing/gateway/routing_plan.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+std::string_view Route::serviceFor(std::uint64_t requestHash) const noexcept
+{
+    std::uint64_t total = 0;
+    for (const auto& share : this->services)
+        total += share.weight;
+    if (total == 0)
+        return {};
+    auto place = requestHash % total;
+    for (const auto& share : this->services) {
+        if (place < share.weight)
+            return share.service;
+        place -= share.weight;
+    }
+    return {};
+}
+
+const Route* RoutingPlan::match(std::string_view hostname, std::string_view path) const
+{
+    const auto found = this->routesByHostname.find(hostname);
+    if (found == this->routesByHostname.end())
+        return nullptr;
+    for (const auto& route : found->second) {
+        if (path.starts_with(route.pathPrefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const KeyHolder* RoutingPlan::holderOf(std::string_view key) const
+{
+    const auto found = this->holdersByKey.find(key);
+    return found == this->holdersByKey.end() ? nullptr : &found->second;
+}
+
+const ServiceTraits* RoutingPlan::service(std::string_view name) const
+{
+    const auto found = this->services.find(name);
+    return found == this->services.end() ? nullptr : &found->second;
+}
+
+void RoutingPlan::add(Route route)
+{
+    auto& routes = this->routesByHostname[route.hostname];
+    const auto place = std::find_if(routes.begin(), routes.end(),
+        [&route](const Route& other) { return other.pathPrefix.size() < route.pathPrefix.size(); });
+    routes.insert(place, std::move(route));
+}
+
+void RoutingPlan::add(ServiceTraits service)
+{
+    auto name = service.name;
+    this->services.insert_or_assign(std::move(name), std::move(service));
+}
+
+void RoutingPlan::add(const KeyHolder& holder, const std::vector<std::string>& keys)
+{
+    this->withWorkspaces = true;
+    for (const auto& key : keys)
+        this->holdersByKey.insert_or_assign(key, holder);
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -0,0 +1,108 @@
+#include "berylwing/gateway/store_feed.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+/** Wait of the first watch after a failure, which shows quickly whether the store is back. */
+constexpr Duration kProbeWait { 1 };
+/** First pause after a failure; a single cut connection is made good at once. */
+constexpr Duration kFirstPause { 60 };
+/** Longest pause, so that a returned store is noticed well within the time that keys stay valid. */
+constexpr Duration kLongestPause { 500 };
+
+} // namespace
+
+StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, Duration longestWait,
+    StoreFeedHooks feedHooks, DecisionLog& decisionLog)
+    : clock { hostClock }
+    , client { storeClient }
+    , kind { objectKind }
+    , wait { longestWait }
+    , hooks { std::move(feedHooks) }
+    , log { decisionLog }
+    , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
+{
+}
+
+Task<void> StoreFeed::list()
+{
+    const auto sentAt = this->clock.now();
+    std::vector<VersionedObject> objects;
+    std::string after;
+    std::uint64_t through = 0;
+    bool hasMore = true;
+    while (hasMore) {
+        auto page = co_await this->client.list(this->kind, after, false);
+        // Changes between two pages are seen by the watch that follows, if it begins at the first page's revision.
+        if (through == 0)
+            through = page.through;
+        hasMore = page.hasMore && !page.changes.empty();
+        if (hasMore)
+            after = page.changes.back().name;
+        std::move(page.changes.begin(), page.changes.end(), std::back_inserter(objects));
+    }
+    this->revision = through;
+    this->mustList = false;
+    this->hasList = true;
+    this->hooks.replaceAll(objects);
+    this->hooks.confirm(sentAt);
+}
+
+Task<void> StoreFeed::watch()
+{
+    const auto sentAt = this->clock.now();
+    const auto length = this->failures > 0 ? kProbeWait : this->wait;
+    const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
+    for (const auto& change : batch.changes)
+        this->hooks.change(change);
+    this->revision = std::max(this->revision, batch.through);
+    // A watch without a change was answered at the end of its wait, not before.
+    this->hooks.confirm(batch.changes.empty() ? std::min(sentAt + length, this->clock.now()) : sentAt);
+}
+
+Duration StoreFeed::nextPause()
+{
+    const auto longest = std::min(kLongestPause, kFirstPause * (1U << std::min(this->failures, 4U)));
+    std::uniform_int_distribution<Duration::rep> spread { longest.count() / 2, longest.count() };
+    return Duration { spread(this->random) };
+}
+
+Task<void> StoreFeed::run()
+{
+    while (true) {
+        bool hasFailed = false;
+        try {
+            if (this->mustList)
+                co_await this->list();
+            else
+                co_await this->watch();
+            if (this->failures > 0) {
+                LogLine line { LogEvent::DependencyRegained };
+                line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
+                this->log.write(line.add("failures", std::int64_t { this->failures }));
+            }
+            this->failures = 0;
+        } catch (const PlatformError& error) {
+            hasFailed = error.fault() != PlatformFault::HistoryGone;
+            this->mustList = this->mustList || !hasFailed;
+            LogLine line { LogEvent::DependencyLost };
+            line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
+            line.add("revision", static_cast<std::int64_t>(this->revision)).add("error", error.what());
+            if (this->failures == 0)
+                this->log.write(line);
+        }
+        if (!hasFailed)
+            continue;
+        ++this->failures;
+        this->hooks.lose();
+        co_await this->clock.sleepFor(this->nextPause());
+    }
+}
+
+} // namespace berylwing
--- a/src/berylwing/host/host.hpp
+++ b/src/berylwing/host/host.hpp
@@ -12,10 +12,10 @@
 #include "berylwing/membership/configuration_watcher.hpp"
 #include "berylwing/membership/failure_domain.hpp"
 #include "berylwing/membership/registrar.hpp"
-#include "berylwing/platform/platform_client.hpp"
 #include "berylwing/relay/attempt_server.hpp"
 #include "berylwing/relay/dispatcher.hpp"
 #include "berylwing/routing/endpoint_registry.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <string>
 #include <vector>
--- a/src/berylwing/http/endpoint_pool.cpp
+++ b/src/berylwing/http/endpoint_pool.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/http/endpoint_pool.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylwing {
@@ -8,7 +9,6 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration kMostIdle { 2000 };
 constexpr Duration kMostAge { 60'000 };
 constexpr std::size_t kMostIdleConnections = 64;
 
@@ -19,10 +19,10 @@
 {
 }
 
-bool EndpointPool::isUsable(PooledConnection& connection) const
+bool EndpointPool::isUsable(PooledConnection& connection, Duration mostIdle) const
 {
     const auto now = this->clock.now();
-    if (now - connection.idleSince > kMostIdle || now - connection.openedAt > kMostAge)
+    if (now - connection.idleSince > std::min(mostIdle, connection.idleLimit) || now - connection.openedAt > kMostAge)
         return false;
     // Between two calls an open connection has nothing to read; an end or stray bytes make it useless.
     char byte = 0;
@@ -32,13 +32,13 @@
     return error == asio::error::would_block;
 }
 
-PooledConnectionPtr EndpointPool::take(const SocketAddress& address)
+PooledConnectionPtr EndpointPool::take(const SocketAddress& address, Duration mostIdle)
 {
     const auto found = this->idle.find({ address.address, address.port });
     while (found != this->idle.end() && !found->second.empty()) {
         auto connection = std::move(found->second.back());
         found->second.pop_back();
-        if (this->isUsable(*connection))
+        if (this->isUsable(*connection, mostIdle))
             return connection;
     }
     return nullptr;
@@ -48,9 +48,10 @@
 {
     connection->idleSince = this->clock.now();
     auto& connections = this->idle[{ address.address, address.port }];
-    const auto oldest = connection->idleSince - kMostIdle;
+    const auto now = connection->idleSince;
     connections.push_back(std::move(connection));
-    while (connections.size() > kMostIdleConnections || connections.front()->idleSince < oldest)
+    while (connections.size() > kMostIdleConnections
+        || connections.front()->idleSince + connections.front()->idleLimit < now)
         connections.pop_front();
 }
 
--- a/src/berylwing/http/endpoint_pool.hpp
+++ b/src/berylwing/http/endpoint_pool.hpp
@@ -23,6 +23,8 @@
     boost::beast::flat_buffer buffer;
     TimePoint openedAt {};
     TimePoint idleSince {};
+    /** Time for which the endpoint keeps the connection open while it is idle. */
+    Duration idleLimit { 2000 };
 };
 
 /** @brief Reference to a connection. */
@@ -35,7 +37,7 @@
  * something between its two ends.
  */
 class EndpointPool {
-    [[nodiscard]] bool isUsable(PooledConnection& connection) const;
+    [[nodiscard]] bool isUsable(PooledConnection& connection, Duration mostIdle) const;
 
 public:
     /** @brief Creates an empty pool. @param hostClock Clock of the host. */
@@ -44,9 +46,10 @@
     /**
      * @brief Takes the connection that was used last.
      * @param address Address of the endpoint.
+     * @param mostIdle Longest time for which the connection may have been idle, in milliseconds.
      * @return Connection, or a null pointer if there is none that can be used.
      */
-    [[nodiscard]] PooledConnectionPtr take(const SocketAddress& address);
+    [[nodiscard]] PooledConnectionPtr take(const SocketAddress& address, Duration mostIdle = Duration::max());
 
     /**
      * @brief Keeps a connection on which nothing is outstanding.
--- /dev/null
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -0,0 +1,272 @@
+#include "berylwing/http/gateway_connection.hpp"
+
+#include "berylwing/http/gateway_answer.hpp"
+#include "berylwing/relay/response_sink.hpp"
+#include <array>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 16 * 1024;
+/** Bytes of later requests that are read while an answer is under way; beyond them the caller has to wait. */
+constexpr std::size_t kMostPipelinedBytes = 64 * 1024;
+/** Time for a body to come in after its header, enough for the largest allowed body on a slow link. */
+constexpr Duration kBodyTimeout { 15'000 };
+/** Time beyond a request's longest wait after which a caller that does not read is cut off. */
+constexpr Duration kWriteSlack { 30'000 };
+/** Time for a caller to read a refusal of input that it is still sending. */
+constexpr Duration kLinger { 500 };
+
+Refusal refusalOf(const boost::system::error_code& error)
+{
+    if (error == http::error::body_limit)
+        return Refusal::BodyTooLarge;
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return Refusal::TooManyHeaders;
+    return Refusal::BadRequest;
+}
+
+std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
+
+/** Host name without a port. */
+std::string hostnameOf(const HeaderFields& fields)
+{
+    const auto text = textOf(fields[http::field::host]);
+    return text.substr(0, text.find(':'));
+}
+
+} // namespace
+
+GatewayConnection::GatewayConnection(
+    Clock& hostClock, asio::ip::tcp::socket callerSocket, Gateway& hostGateway, CallWatches& watches)
+    : clock { hostClock }
+    , socket { std::move(callerSocket) }
+    , gateway { hostGateway }
+    , watchEnded { hostClock }
+{
+    this->watch.expire = [this] { this->close(); };
+    watches.add(this->watch);
+}
+
+void GatewayConnection::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+Task<void> GatewayConnection::run()
+{
+    const auto self = this->shared_from_this();
+    while (this->keepAlive && this->socket.is_open())
+        this->keepAlive = co_await this->serveOne();
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->close();
+}
+
+Task<bool> GatewayConnection::waitForFirstByte(const CallerBounds& bounds)
+{
+    if (this->buffer.size() > 0)
+        co_return true;
+    if (this->gateway.refusesNew())
+        co_return false;
+    this->idle = true;
+    this->expireAt(this->clock.now() + bounds.idleTimeout);
+    boost::system::error_code error;
+    const auto size = co_await this->socket.async_read_some(
+        this->buffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    this->buffer.commit(size);
+    this->idle = false;
+    co_return !error;
+}
+
+Task<bool> GatewayConnection::readRequest(Parser& parser, const CallerBounds& bounds)
+{
+    boost::system::error_code error;
+    this->expireAt(this->clock.now() + bounds.headerTimeout);
+    co_await http::async_read_header(
+        this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error && http::token_list { parser.get()[http::field::expect] }.exists("100-continue") && !parser.is_done())
+        co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
+    this->expireAt(this->clock.now() + kBodyTimeout);
+    if (!error && !parser.is_done())
+        co_await http::async_read(this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_return true;
+    if (error != http::error::end_of_stream && this->socket.is_open())
+        co_await this->refuseInput(error);
+    co_return false;
+}
+
+Task<bool> GatewayConnection::serveOne()
+{
+    const auto bounds = this->gateway.callerBounds();
+    if (!co_await this->waitForFirstByte(bounds))
+        co_return false;
+    this->idle = false;
+    this->attemptId.clear();
+    this->isHeadWritten = false;
+    Parser parser;
+    parser.header_limit(bounds.headerBytes);
+    parser.body_limit(bounds.bodyBytes);
+    try {
+        if (!co_await this->readRequest(parser, bounds))
+            co_return false;
+        this->keepAlive = parser.get().keep_alive();
+        co_await this->answer(parser);
+    } catch (const CallerGoneError&) {
+        LogLine line { LogEvent::CallerLeft };
+        this->gateway.decisionLog().write(this->attemptId, std::move(line));
+        co_return false;
+    }
+    co_return this->keepAlive;
+}
+
+Task<void> GatewayConnection::refuseInput(const boost::system::error_code& error)
+{
+    // A connection that broke needs no answer; anything else is a fault of what the caller sent.
+    if (error.category() == asio::error::get_system_category() || error == http::error::partial_message)
+        co_return;
+    const auto reason = refusalOf(error);
+    this->gateway.refuseInput(reason, error.message());
+    this->keepAlive = false;
+    co_await this->writeRefusal(NotRun { reason });
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    // Closing with unread bytes would reset the connection before the caller has read the refusal.
+    this->expireAt(this->clock.now() + kLinger);
+    std::array<char, 4096> rest {};
+    boost::system::error_code ended;
+    while (!ended)
+        co_await this->socket.async_read_some(asio::buffer(rest), asio::redirect_error(asio::use_awaitable, ended));
+}
+
+Task<void> GatewayConnection::answer(Parser& parser)
+{
+    auto message = parser.release();
+    GatewayRequest request;
+    request.arrivedAt = this->clock.now();
+    request.method = textOf(message.method_string());
+    request.target = textOf(message.target());
+    request.hostname = hostnameOf(message);
+    request.facts = this->gateway.platformProtocol().readRequest(message);
+    this->attemptId = request.facts.attemptId;
+    request.body = std::move(message.body());
+    request.fields = std::move(message.base());
+    removeConnectionFields(request.fields);
+    this->expireAt(TimePoint::max());
+    spawn(this->clock.executor(), "caller watch", this->watchCaller(request));
+    const AnswerSink sink {
+        [this](const AnswerHead& head) { return this->writeHead(head); },
+        [this](std::string_view bytes) { return this->writeBody(bytes); },
+    };
+    std::exception_ptr failure;
+    Outcome outcome;
+    try {
+        outcome = co_await this->gateway.handle(request, sink);
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    co_await this->endWatch();
+    if (failure)
+        std::rethrow_exception(failure);
+    co_await this->finish(outcome);
+}
+
+Task<void> GatewayConnection::watchCaller(GatewayRequest& request)
+{
+    const auto self = this->shared_from_this();
+    this->isWatching = true;
+    this->isWatchStopping = false;
+    while (!this->isWatchStopping && this->buffer.size() < kMostPipelinedBytes) {
+        boost::system::error_code error;
+        const auto size = co_await this->socket.async_read_some(
+            this->buffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
+        this->buffer.commit(size);
+        if (!error)
+            continue;
+        if (!this->isWatchStopping) {
+            request.isCallerGone = true;
+            if (request.abortCall)
+                request.abortCall();
+        }
+        break;
+    }
+    this->isWatching = false;
+    this->watchEnded.notifyAll();
+}
+
+Task<void> GatewayConnection::endWatch()
+{
+    this->isWatchStopping = true;
+    boost::system::error_code ignored;
+    this->socket.cancel(ignored);
+    while (this->isWatching)
+        co_await this->watchEnded.waitUntil(TimePoint::max());
+}
+
+Task<void> GatewayConnection::writeHead(const AnswerHead& head)
+{
+    this->isHeadWritten = true;
+    this->keepAlive = this->keepAlive && !this->gateway.isStopping();
+    this->isChunked = !head.hasNoBody && !head.length;
+    this->unwritten = formatHead(head, this->isChunked, this->keepAlive);
+    co_return;
+}
+
+Task<void> GatewayConnection::writeBody(std::string_view bytes)
+{
+    auto text = std::exchange(this->unwritten, {});
+    if (this->isChunked)
+        appendChunk(text, bytes);
+    else
+        text += bytes;
+    co_await this->write(text);
+}
+
+Task<void> GatewayConnection::finish(const Outcome& outcome)
+{
+    if (!outcome.isWhole() && !this->isHeadWritten)
+        co_return co_await this->writeRefusal(outcome);
+    if (!outcome.isWhole()) {
+        // Without its end the answer cannot pass for a whole one.
+        this->keepAlive = false;
+        co_return;
+    }
+    auto text = std::exchange(this->unwritten, {});
+    if (this->isChunked)
+        appendLastChunk(text);
+    if (!text.empty())
+        co_await this->write(text);
+}
+
+Task<void> GatewayConnection::writeRefusal(const Outcome& outcome)
+{
+    this->keepAlive = this->keepAlive && !this->gateway.isStopping();
+    HeaderFields fields;
+    this->gateway.platformProtocol().markRefusal(fields, this->attemptId);
+    const auto text = formatRefusal(outcome, std::move(fields), this->keepAlive);
+    co_await this->write(text);
+}
+
+Task<void> GatewayConnection::write(std::string_view bytes)
+{
+    boost::system::error_code error;
+    this->expireAt(this->clock.now() + kWriteSlack);
+    co_await asio::async_write(
+        this->socket, asio::buffer(bytes.data(), bytes.size()), asio::redirect_error(asio::use_awaitable, error));
+    this->expireAt(TimePoint::max());
+    if (error)
+        throw CallerGoneError {};
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/http/gateway_server.cpp
@@ -0,0 +1,78 @@
+#include "berylwing/http/gateway_server.hpp"
+
+#include "berylwing/http/gateway_connection.hpp"
+#include "berylwing/http/socket_options.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <spdlog/spdlog.h>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+namespace asio = boost::asio;
+
+using Connections = boost::intrusive::list<GatewayConnection, boost::intrusive::constant_time_size<false>>;
+
+/** Unacknowledged bytes for this long mean that a caller is gone; its own deadlines are of that order. */
+constexpr Duration kUnackedLimit { 10'000 };
+/** Pause when no descriptor is left, so that others can be closed. */
+constexpr Duration kAcceptPause { 20 };
+
+} // namespace
+
+struct GatewayServer::State {
+    State(Clock& hostClock, const SocketAddress& address, Gateway& hostGateway)
+        : clock { hostClock }
+        , acceptor { hostClock.executor(),
+            asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } }
+        , gateway { hostGateway }
+        , watches { std::make_shared<CallWatches>(hostClock) }
+    {
+    }
+
+    Clock& clock;
+    asio::ip::tcp::acceptor acceptor;
+    Gateway& gateway;
+    std::shared_ptr<CallWatches> watches;
+    Connections connections;
+};
+
+GatewayServer::GatewayServer(Clock& clock, const SocketAddress& address, Gateway& gateway)
+    : state { std::make_shared<State>(clock, address, gateway) }
+{
+}
+
+GatewayServer::~GatewayServer() = default;
+
+Task<void> GatewayServer::run()
+{
+    auto& shared = *this->state;
+    while (true) {
+        boost::system::error_code error;
+        auto socket = co_await shared.acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            spdlog::warn("no connection accepted: {}", error.message());
+            co_await shared.clock.sleepFor(kAcceptPause);
+            continue;
+        }
+        detectLostPeer(socket, kUnackedLimit);
+        const auto connection
+            = std::make_shared<GatewayConnection>(shared.clock, std::move(socket), shared.gateway, *shared.watches);
+        shared.connections.push_back(*connection);
+        spawn(shared.clock.executor(), "caller", connection->run());
+    }
+}
+
+void GatewayServer::closeIdle()
+{
+    for (auto place = this->state->connections.begin(); place != this->state->connections.end();) {
+        auto& connection = *place++;
+        if (connection.isIdle())
+            connection.close();
+    }
+}
+
+} // namespace berylwing
--- a/src/berylwing/http/platform_exchange.cpp
+++ b/src/berylwing/http/platform_exchange.cpp
@@ -48,6 +48,9 @@
             kHttpVersion };
     case PlatformOperation::Hosts:
         return { http::verb::get, "/v1/hosts", kHttpVersion };
+    case PlatformOperation::List:
+    case PlatformOperation::WatchKind:
+        throw PlatformError { PlatformFault::Unavailable, "this platform lists no single kinds" };
     }
     return {};
 }
--- a/src/berylwing/http/platform_exchange.hpp
+++ b/src/berylwing/http/platform_exchange.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "berylwing/config/settings.hpp"
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 
 namespace berylwing {
 
--- a/src/berylwing/http/status_server.cpp
+++ b/src/berylwing/http/status_server.cpp
@@ -19,22 +19,16 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr Duration kTimeout { 5000 };
 
-http::response<http::string_body> answerOf(beast::string_view target, const Host& host)
+http::response<http::string_body> toResponse(StatusAnswer answer)
 {
     http::response<http::string_body> response { http::status::ok, kHttpVersion };
-    if (target == "/metrics") {
-        response.set(http::field::content_type, "text/plain; version=0.0.4");
-        response.body() = host.metrics().text();
-    } else if (target == "/status") {
-        response.set(http::field::content_type, "application/json");
-        response.body() = host.status().dump();
-    } else {
-        response.result(http::status::not_found);
-    }
+    response.result(answer.status);
+    response.set(http::field::content_type, answer.contentType);
+    response.body() = std::move(answer.body);
     return response;
 }
 
-Task<void> serve(asio::ip::tcp::socket socket, const Host& host)
+Task<void> serve(asio::ip::tcp::socket socket, const StatusServer::Answers& answers)
 {
     beast::tcp_stream stream { std::move(socket) };
     beast::flat_buffer buffer;
@@ -44,7 +38,8 @@
     co_await http::async_read(stream, buffer, request, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return;
-    auto response = answerOf(request.target(), host);
+    const auto target = request.target();
+    auto response = toResponse(answers({ target.data(), target.size() }));
     response.keep_alive(false);
     response.prepare_payload();
     co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, error));
@@ -55,14 +50,14 @@
 struct StatusServer::Listener {
     Executor executor;
     asio::ip::tcp::acceptor acceptor;
-    const Host& host;
+    Answers answers;
 };
 
-StatusServer::StatusServer(const Executor& executor, const SocketAddress& address, const Host& host)
+StatusServer::StatusServer(const Executor& executor, const SocketAddress& address, Answers pathAnswers)
     : listener { std::make_unique<Listener>(Listener { executor,
         asio::ip::tcp::acceptor {
             executor, asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } },
-        host }) }
+        std::move(pathAnswers) }) }
 {
 }
 
@@ -74,7 +69,7 @@
         boost::system::error_code error;
         auto socket = co_await this->listener->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (!error)
-            spawn(this->listener->executor, "status", serve(std::move(socket), this->listener->host));
+            spawn(this->listener->executor, "status", serve(std::move(socket), this->listener->answers));
     }
 }
 
--- a/src/berylwing/http/status_server.hpp
+++ b/src/berylwing/http/status_server.hpp
@@ -2,22 +2,34 @@
 
 #include "berylwing/config/settings.hpp"
 #include "berylwing/core/task.hpp"
-#include "berylwing/host/host.hpp"
+#include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace berylwing {
 
+/** @brief Answer of a status server. */
+struct StatusAnswer {
+    unsigned status = 200;
+    std::string contentType;
+    std::string body;
+};
+
 /** @brief HTTP server for operators: metrics and the host's status, on an address of its own. */
 class StatusServer {
 public:
+    /** @brief Function that answers the request for a path. */
+    using Answers = std::function<StatusAnswer(std::string_view path)>;
+
     /**
      * @brief Opens the listener.
      * @param executor Executor of the host.
      * @param address Address and port to listen on.
-     * @param host Host that is described.
+     * @param pathAnswers Answers the requests.
      * @throws boost::system::system_error If the address cannot be used.
      */
-    StatusServer(const Executor& executor, const SocketAddress& address, const Host& host);
+    StatusServer(const Executor& executor, const SocketAddress& address, Answers pathAnswers);
 
     ~StatusServer();
     StatusServer(const StatusServer&) = delete;
--- a/src/berylwing/ledger/ledger_owner.hpp
+++ b/src/berylwing/ledger/ledger_owner.hpp
@@ -7,8 +7,8 @@
 #include "berylwing/ledger/ledger_shard.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
-#include "berylwing/platform/platform_client.hpp"
 #include "berylwing/relay/dispatcher.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
--- a/src/berylwing/ledger/ledger_shard.hpp
+++ b/src/berylwing/ledger/ledger_shard.hpp
@@ -3,7 +3,7 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/ledger/claim.hpp"
 #include "berylwing/link/link.hpp"
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/berylwing/membership/registrar.hpp
+++ b/src/berylwing/membership/registrar.hpp
@@ -4,7 +4,7 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include <functional>
 
 namespace berylwing {
--- a/src/berylwing/platform/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "berylwing/config/objects.hpp"
+#include "berylwing/config/catalog.hpp"
 #include "berylwing/core/clock.hpp"
 #include <cstdint>
 #include <optional>
@@ -16,6 +16,10 @@
     Remove,
     Watch,
     Hosts,
+    /** Lists the objects of one kind, page by page. */
+    List,
+    /** Waits for changes of one kind. */
+    WatchKind,
 };
 
 /** @brief One call of the object API. */
@@ -28,6 +32,10 @@
     std::uint64_t expectedVersion = 0;
     /** Revision after which a watch reports changes. */
     std::uint64_t after = 0;
+    /** Name after which a page of a list begins. */
+    std::string afterName;
+    /** Whether a list may be some seconds old, which costs the platform less. */
+    bool allowStale = false;
     /** Longest time for which a watch waits for a change. */
     Duration wait {};
     /** Time after which the call is given up. */
@@ -41,11 +49,22 @@
     Conflict,
 };
 
+/** @brief Page of a list, or changes reported by a watch. */
+struct WatchBatch {
+    std::vector<VersionedObject> changes;
+    /** Revision up to which the list or the changes are complete. */
+    std::uint64_t through = 0;
+    /** Whether the list goes on after the last object. */
+    bool hasMore = false;
+};
+
 /** @brief Answer of the platform to one call. */
 struct PlatformReply {
     PlatformStatus status = PlatformStatus::Ok;
     std::uint64_t version = 0;
     std::string body;
+    /** Objects of a List or WatchKind call. */
+    WatchBatch batch {};
 };
 
 /** @brief Object as it is stored in the platform. */
--- a/src/berylwing/platform/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -1,4 +1,4 @@
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 
 #include "berylwing/telemetry/metrics.hpp"
 #include <utility>
@@ -9,6 +9,8 @@
 
 constexpr Duration kCallTimeout { 1000 };
 constexpr Duration kWatchGrace { 2000 };
+/** Time for connecting and for the answer's way, beyond a watch's own wait; longer than a slow platform needs. */
+constexpr Duration kKindWatchGrace { 800 };
 
 nlohmann::json parseBody(const std::string& body)
 {
@@ -109,6 +111,29 @@
     co_return readBatch(reply.body);
 }
 
+Task<WatchBatch> PlatformClient::list(ObjectKind kind, std::string afterName, bool allowStale)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::List;
+    request.kind = kind;
+    request.afterName = std::move(afterName);
+    request.allowStale = allowStale;
+    auto reply = co_await this->call(std::move(request));
+    co_return std::move(reply.batch);
+}
+
+Task<WatchBatch> PlatformClient::watchKind(ObjectKind kind, std::uint64_t after, Duration wait)
+{
+    PlatformCall request;
+    request.operation = PlatformOperation::WatchKind;
+    request.kind = kind;
+    request.after = after;
+    request.wait = wait;
+    request.timeout = wait + kKindWatchGrace;
+    auto reply = co_await this->call(std::move(request));
+    co_return std::move(reply.batch);
+}
+
 Task<std::vector<HostListing>> PlatformClient::hosts()
 {
     PlatformCall request;
--- a/src/berylwing/platform/platform_client.hpp
+++ b/src/berylwing/store/platform_client.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "berylwing/config/catalog.hpp"
 #include "berylwing/core/task.hpp"
-#include "berylwing/platform/messages.hpp"
-#include "berylwing/platform/platform_error.hpp"
+#include "berylwing/store/messages.hpp"
+#include "berylwing/store/platform_error.hpp"
 #include <functional>
 #include <optional>
 #include <vector>
@@ -12,12 +11,6 @@
 
 class Metrics;
 
-/** @brief Changes reported by a watch. */
-struct WatchBatch {
-    std::vector<VersionedObject> changes;
-    std::uint64_t through = 0;
-};
-
 /** @brief Typed operations of the platform's object API. */
 class PlatformClient {
     [[nodiscard]] Task<PlatformReply> call(PlatformCall call);
@@ -73,6 +66,26 @@
      */
     [[nodiscard]] Task<WatchBatch> watch(std::uint64_t after, Duration wait);
 
+    /**
+     * @brief Reads one page of the objects of a kind.
+     * @param kind Kind of the objects.
+     * @param afterName Name after which the page begins; empty for the first page.
+     * @param allowStale Whether the page may be some seconds old.
+     * @return Objects in the order of their names.
+     * @throws PlatformError If the platform does not answer.
+     */
+    [[nodiscard]] Task<WatchBatch> list(ObjectKind kind, std::string afterName, bool allowStale);
+
+    /**
+     * @brief Waits for changes of the objects of a kind.
+     * @param kind Kind of the objects.
+     * @param after Revision after which changes are reported.
+     * @param wait Longest time to wait in milliseconds.
+     * @return Changes in the order of their revisions; the value of a removed object is null.
+     * @throws PlatformError With HistoryGone if the platform has dropped that revision.
+     */
+    [[nodiscard]] Task<WatchBatch> watchKind(ObjectKind kind, std::uint64_t after, Duration wait);
+
     /**
      * @brief Reads the list of hosts, which lags behind.
      * @return Live and leaving hosts.
--- a/src/berylwing/platform/platform_error.hpp
+++ b/src/berylwing/store/platform_error.hpp
@@ -15,6 +15,8 @@
     Conflict,
     /** The answer does not follow the protocol. */
     Protocol,
+    /** The platform has dropped the history that a watch asked for. */
+    HistoryGone,
 };
 
 /** @brief A call to the platform failed. */
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -53,6 +53,15 @@
                 refuse();
         }
     }
+    if (call.operation == PlatformOperation::WatchKind) {
+        const auto until = clock.now() + call.wait;
+        while (call.after >= this->store.historyFrom && !this->store.hasChangesAfter(call.kind, call.after)
+            && clock.now() < until) {
+            co_await clock.sleepFor(kWatchPoll);
+            if (this->isUnreachable(host))
+                refuse();
+        }
+    }
     if (isWrite(call) && this->trouble == PlatformTrouble::WritesDelayed) {
         this->delayed.push_back({ clock.now() + kWriteDelay, call });
         co_await clock.sleepFor(kLostAnswerTime);
--- a/test/support/fake_platform.hpp
+++ b/test/support/fake_platform.hpp
@@ -2,7 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/enum_names.hpp"
-#include "berylwing/platform/platform_client.hpp"
+#include "berylwing/store/platform_client.hpp"
 #include "support/object_store.hpp"
 #include <set>
 #include <string>
--- a/test/support/object_store.cpp
+++ b/test/support/object_store.cpp
@@ -1,5 +1,6 @@
 #include "support/object_store.hpp"
 
+#include "berylwing/store/platform_error.hpp"
 #include <algorithm>
 
 namespace berylwing::test {
@@ -11,19 +12,25 @@
     switch (call.operation) {
     case PlatformOperation::Get:
         if (!exists)
-            return { PlatformStatus::NotFound, 0, {} };
-        return { PlatformStatus::Ok, found->second.version, found->second.body };
+            return { PlatformStatus::NotFound, 0, {}, {} };
+        return { PlatformStatus::Ok, found->second.version, found->second.body, {} };
     case PlatformOperation::Put:
     case PlatformOperation::Remove:
         return this->put(call);
     case PlatformOperation::Watch:
-        return { PlatformStatus::Ok, this->revision, this->changesAfter(call.after) };
+        return { PlatformStatus::Ok, this->revision, this->changesAfter(call.after), {} };
     case PlatformOperation::Hosts: {
         auto list = nlohmann::json::array();
         for (const auto& host : this->hosts)
             list.push_back({ { "host", host.host }, { "leaving", host.leaving } });
-        return { PlatformStatus::Ok, this->revision, list.dump() };
+        return { PlatformStatus::Ok, this->revision, list.dump(), {} };
     }
+    case PlatformOperation::List:
+        return { PlatformStatus::Ok, this->revision, {}, this->objectsOf(call.kind, 0) };
+    case PlatformOperation::WatchKind:
+        if (call.after < this->historyFrom)
+            throw PlatformError { PlatformFault::HistoryGone, "history dropped" };
+        return { PlatformStatus::Ok, this->revision, {}, this->objectsOf(call.kind, call.after) };
     }
     return {};
 }
@@ -53,13 +60,32 @@
     auto& entry = this->entries[{ call.kind, call.name }];
     const auto current = entry.removed ? 0 : entry.version;
     if (current != call.expectedVersion)
-        return { PlatformStatus::Conflict, 0, {} };
+        return { PlatformStatus::Conflict, 0, {}, {} };
     entry.version = ++this->revision;
     entry.removed = call.operation == PlatformOperation::Remove;
     entry.body = call.body;
     if (call.kind != ObjectKind::Ledger)
         this->configurationRevision = this->revision;
-    return { PlatformStatus::Ok, entry.version, {} };
+    return { PlatformStatus::Ok, entry.version, {}, {} };
+}
+
+bool ObjectStore::hasChangesAfter(ObjectKind kind, std::uint64_t after) const
+{
+    return !this->objectsOf(kind, after).changes.empty();
+}
+
+WatchBatch ObjectStore::objectsOf(ObjectKind kind, std::uint64_t after) const
+{
+    WatchBatch batch;
+    batch.through = this->revision;
+    for (const auto& [key, entry] : this->entries) {
+        const bool isHidden = entry.removed && after == 0;
+        if (key.first != kind || entry.version <= after || isHidden)
+            continue;
+        const auto value = entry.removed ? nlohmann::json {} : nlohmann::json::parse(entry.body);
+        batch.changes.push_back({ kind, key.second, entry.version, value });
+    }
+    return batch;
 }
 
 std::string ObjectStore::changesAfter(std::uint64_t after) const
--- a/test/support/object_store.hpp
+++ b/test/support/object_store.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "berylwing/platform/messages.hpp"
+#include "berylwing/store/messages.hpp"
 #include <cstdint>
 #include <map>
 #include <string>
@@ -24,6 +24,9 @@
     /** @brief Tells whether a watch after this revision has something to report. */
     [[nodiscard]] bool hasChangesAfter(std::uint64_t after) const;
 
+    /** @brief Tells whether objects of a kind have changed after a revision. */
+    [[nodiscard]] bool hasChangesAfter(ObjectKind kind, std::uint64_t after) const;
+
     /** @brief Reads the body of an object; empty if there is none. */
     [[nodiscard]] std::string body(ObjectKind kind, const std::string& name) const;
 
@@ -31,10 +34,16 @@
     void write(ObjectKind kind, const std::string& name, const nlohmann::json& value);
 
     std::vector<HostListing> hosts;
+    /** Oldest revision after which a watch of a kind may still ask. */
+    std::uint64_t historyFrom = 0;
+
+    /** @brief Drops the history of all changes so far. */
+    void dropHistory() { this->historyFrom = this->revision; }
 
 private:
     [[nodiscard]] PlatformReply put(const PlatformCall& call);
     [[nodiscard]] std::string changesAfter(std::uint64_t after) const;
+    [[nodiscard]] WatchBatch objectsOf(ObjectKind kind, std::uint64_t after) const;
 
     std::map<std::pair<ObjectKind, std::string>, Entry> entries;
     std::uint64_t revision = 0;
