Share the load of endpoints between hosts and probe what is out of reach

Change: digests between hosts over datagrams, the bound on shared prompts counts all hosts and all endpoints of the service; an endpoint that gave no sign of life is probed by a bare connection, two of one domain make it suspect.

--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -6,12 +6,14 @@
 #include "berylwing/http/endpoint_session.hpp"
 #include "berylwing/http/gateway_server.hpp"
 #include "berylwing/http/status_server.hpp"
+#include "berylwing/link/datagram_channel.hpp"
 #include "platform/platform.hpp"
 #include "platform/store_exchange.hpp"
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <csignal>
 #include <memory>
 
@@ -23,6 +25,12 @@
 constexpr Duration kExitMargin { 300 };
 constexpr Duration kStopCheckInterval { 50 };
 
+std::uint64_t wallTimeMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
 /** The gateway with its sockets. */
 class GatewayDaemon {
 public:
@@ -30,9 +38,11 @@
         : settings { daemonSettings }
         , reload { reloadSettings }
         , clock { this->context.get_executor() }
+        , digests { this->clock.executor(), this->settings.digests }
         , gateway { this->clock, this->settings, this->protocol,
             { platform::makeStoreExchange(this->settings.platform), makeEndpointSessions(this->clock, this->protocol),
-                writeToStandardOutput } }
+                [this](const SocketAddress& to, const std::string& bytes) { this->digests.send(to, bytes); },
+                writeToStandardOutput, wallTimeMs() } }
         , callers { this->clock, this->settings.callers, this->gateway }
         , readiness { this->clock.executor(), this->settings.readiness, this->answers() }
         , metrics { this->clock.executor(), this->settings.metrics, this->answers() }
@@ -45,6 +55,9 @@
     {
         const auto& executor = this->clock.executor();
         this->gateway.start();
+        spawn(executor, "digests", this->digests.receive([this](const std::string& address, std::string_view bytes) {
+            this->gateway.receive(address, bytes);
+        }));
         spawn(executor, "callers", this->callers.run());
         spawn(executor, "readiness", this->readiness.run());
         spawn(executor, "metrics", this->metrics.run());
@@ -110,6 +123,7 @@
     boost::asio::io_context context { 1 };
     Clock clock;
     GatewayProtocol protocol = platform::makeProtocol();
+    DatagramChannel digests;
     Gateway gateway;
     GatewayServer callers;
     StatusServer readiness;
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -42,6 +42,9 @@
     /** @brief Tells whether the endpoint is cold. @param now Current time. @return True while it is. */
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < this->coldUntil; }
 
+    /** @brief Estimates the requests of all hosts at the endpoint. @return Requests. */
+    [[nodiscard]] std::uint32_t load() const noexcept { return this->inFlight + this->inFlightElsewhere; }
+
     EndpointRecord record;
     EndpointHealth health;
     TimePoint coldUntil {};
@@ -49,6 +52,8 @@
     TimePoint lastColdSend {};
     /** Requests of this host that the endpoint has not finished. */
     std::uint32_t inFlight = 0;
+    /** Requests of other hosts that the endpoint has not finished, as they last told. */
+    std::uint32_t inFlightElsewhere = 0;
     /** Whether the entry has vanished while the store could not be trusted to keep it. */
     bool isMissing = false;
 };
@@ -104,6 +109,12 @@
     /** @brief Lists the endpoints of a service that may be given new requests. @param service Service. @return List. */
     [[nodiscard]] std::vector<GatewayEndpointPtr> openEndpoints(std::string_view service) const;
 
+    /** @brief Lists all endpoints. @return Endpoints by id. */
+    [[nodiscard]] const std::map<std::string, GatewayEndpointPtr, std::less<>>& all() const noexcept
+    {
+        return this->endpoints;
+    }
+
     /** @brief Counts the endpoints. @return Number of known endpoints. */
     [[nodiscard]] std::size_t size() const noexcept { return this->endpoints.size(); }
 
--- a/src/berylwing/gateway/endpoint_health.cpp
+++ b/src/berylwing/gateway/endpoint_health.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kLongestEjection { 6000 };
 /** Time without a failure after which an endpoint's past is forgotten. */
 constexpr Duration kMemory { 10'000 };
+/** Pause between two probes of an endpoint that is out of reach. */
+constexpr Duration kProbePause { 700 };
 /** Pause after a full endpoint's refusal, about the time in which a batch of requests ends. */
 constexpr Duration kShedPause { 200 };
 
@@ -45,8 +47,32 @@
     if (!isFailure)
         return;
     this->lastFailureAt = now;
+    this->needsProbe = this->needsProbe || verdict == EndpointVerdict::Unreachable;
     if (verdict == EndpointVerdict::Unreachable || std::popcount(this->history) > kMostFailures)
         this->eject(now);
 }
 
+void EndpointHealth::suspect(TimePoint now) noexcept
+{
+    this->needsProbe = true;
+    this->ejectedUntil = now;
+}
+
+bool EndpointHealth::takeProbe(TimePoint now) noexcept
+{
+    if (!this->needsProbe || this->isProbing || now < this->ejectedUntil)
+        return false;
+    this->isProbing = true;
+    return true;
+}
+
+void EndpointHealth::recordProbe(bool isReached, TimePoint now) noexcept
+{
+    this->isProbing = false;
+    if (isReached)
+        this->needsProbe = false;
+    else
+        this->ejectedUntil = now + kProbePause;
+}
+
 } // namespace berylwing
--- a/src/berylwing/gateway/endpoint_health.hpp
+++ b/src/berylwing/gateway/endpoint_health.hpp
@@ -25,7 +25,16 @@
     void record(EndpointVerdict verdict, TimePoint now) noexcept;
 
     /** @brief Tells whether the endpoint should be avoided. @param now Current time. @return True while it should. */
-    [[nodiscard]] bool isEjected(TimePoint now) const noexcept { return now < this->ejectedUntil; }
+    [[nodiscard]] bool isEjected(TimePoint now) const noexcept { return this->needsProbe || now < this->ejectedUntil; }
+
+    /** @brief Avoids the endpoint until a connection to it was made. @param now Current time. */
+    void suspect(TimePoint now) noexcept;
+
+    /** @brief Takes the probe of an endpoint that is out of reach. @param now Time. @return True if one is due. */
+    [[nodiscard]] bool takeProbe(TimePoint now) noexcept;
+
+    /** @brief Takes note of a probe's end. @param isReached Whether a connection was made. @param now Time. */
+    void recordProbe(bool isReached, TimePoint now) noexcept;
 
 private:
     /** The last outcomes, the newest in the lowest bit; a set bit is a failure. */
@@ -33,6 +42,8 @@
     std::uint32_t ejections = 0;
     TimePoint ejectedUntil {};
     TimePoint lastFailureAt {};
+    bool needsProbe = false;
+    bool isProbing = false;
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/endpoint_session.hpp
+++ b/src/berylwing/gateway/endpoint_session.hpp
@@ -37,11 +37,17 @@
     std::function<void()> abort;
 };
 
-/**
- * @brief Function that opens a session on which no byte has been sent yet.
- *
- * The flag tells whether a connection may be used on which the endpoint's end may already be closed.
- */
-using OpenSession = std::function<Task<std::shared_ptr<EndpointSession>>(const GatewayEndpoint&, bool mayBeStale)>;
+/** @brief Which connections may carry a request. */
+enum class ConnectionUse {
+    /** Any idle one; the endpoint's end may already be closed. */
+    AnyIdle,
+    /** One that was used so lately that the endpoint surely has not closed it. */
+    SurelyOpen,
+    /** A new one. */
+    Fresh,
+};
+
+/** @brief Function that opens a session on which no byte has been sent yet; it throws EndpointError. */
+using OpenSession = std::function<Task<std::shared_ptr<EndpointSession>>(const GatewayEndpoint&, ConnectionUse)>;
 
 } // namespace berylwing
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -27,11 +27,12 @@
 /** Spread of the waits, so that refused callers do not come back together. */
 constexpr std::uint64_t kRetrySpreadMs = 300;
 
-std::uint64_t placementKey(const std::vector<PromptPart>& parts)
+/** Finds the part of a prompt that comes back: the last one is the request's own, if there are several. */
+const PromptPart* sharedPart(const std::vector<PromptPart>& parts)
 {
-    // The last part is the request's own; what comes back is in the parts before it.
-    const auto& shared = parts.size() > 1 ? parts[parts.size() - 2] : parts.back();
-    return hashText(shared.id);
+    if (parts.empty())
+        return nullptr;
+    return parts.size() > 1 ? &parts[parts.size() - 2] : &parts.back();
 }
 
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
@@ -134,10 +135,9 @@
         return this->giveUp(journey, Refusal::DeadlinePassed);
     if (!this->isTrusted(journey))
         return this->giveUp(journey, Refusal::ConfigurationStale);
-    const auto& parts = journey.request.facts.promptParts;
-    const bool isSticky = journey.route->isSticky && !parts.empty();
-    const PlacementRequest wanted { journey.service, isSticky ? placementKey(parts) : journey.requestHash, isSticky,
-        journey.tried };
+    const auto* shared = journey.route->isSticky ? sharedPart(journey.request.facts.promptParts) : nullptr;
+    const auto key = shared == nullptr ? journey.requestHash : hashText(shared->id);
+    const PlacementRequest wanted { journey.service, key, shared != nullptr, journey.tried };
     endpoint = this->parts.placement.choose(wanted, journey.traits);
     if (!endpoint)
         return this->giveUp(journey, journey.lastFailure);
@@ -215,6 +215,14 @@
     this->parts.log.write(line);
 }
 
+void Forwarder::recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointVerdict verdict)
+{
+    const bool isSilent = error.fault() == EndpointFault::Silent;
+    this->record(endpoint, isSilent ? EndpointVerdict::Unreachable : verdict);
+    if (isSilent)
+        this->parts.noteSilence(endpoint);
+}
+
 Task<Forwarder::AttemptEnd> Forwarder::attempt(Journey& journey, GatewayEndpointPtr endpoint)
 {
     const InFlight place { endpoint };
@@ -224,9 +232,10 @@
         endpoint->lastColdSend = this->parts.clock.now();
     std::shared_ptr<EndpointSession> session;
     try {
-        session = co_await this->parts.open(*endpoint, journey.route->mayRunAgain());
-    } catch (const EndpointError&) {
-        this->record(*endpoint, EndpointVerdict::Unreachable);
+        const auto use = journey.route->mayRunAgain() ? ConnectionUse::AnyIdle : ConnectionUse::SurelyOpen;
+        session = co_await this->parts.open(*endpoint, use);
+    } catch (const EndpointError& error) {
+        this->recordFault(*endpoint, error, EndpointVerdict::Unreachable);
         journey.lastFailure = Refusal::EndpointUnreachable;
         co_return AttemptEnd::NotRun;
     }
@@ -245,7 +254,7 @@
         ++journey.runs;
         if (this->parts.clock.now() >= journey.deadline)
             co_return AttemptEnd::TimedOut;
-        this->record(*endpoint, EndpointVerdict::Failed);
+        this->recordFault(*endpoint, error, EndpointVerdict::Failed);
         journey.lastFailure = journey.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
         LogLine line { LogEvent::RequestBroken };
         line.add("endpoint", endpoint->record.id).add("error", error.what());
@@ -262,6 +271,8 @@
     line.add("plan_age_ms", this->parts.lease.age()).add("endpoint", endpoint.record.id);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { journey.sends });
     line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
+    if (const auto* shared = sharedPart(journey.request.facts.promptParts))
+        line.add("prompt", shared->id).add("prompt_tokens", std::int64_t { shared->tokens });
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(journey.deadline + kDeadlineSlack);
@@ -287,6 +298,14 @@
     co_return end;
 }
 
+Task<void> Forwarder::writeHead(Journey& journey, const AnswerHead& head)
+{
+    if (std::exchange(journey.isHeadWritten, true))
+        co_return;
+    journey.request.firstByteAt = this->parts.clock.now();
+    co_await journey.sink.head(head);
+}
+
 Task<void> Forwarder::deliver(Journey& journey, const AnswerHead& head, EndpointSession& session, AttemptEnd& end)
 {
     const auto type = head.fields["Content-Type"];
@@ -299,16 +318,14 @@
             const auto whole = journey.events.take(*bytes);
             if (whole.empty())
                 continue;
-            if (!std::exchange(journey.isHeadWritten, true))
-                co_await journey.sink.head(head);
+            co_await this->writeHead(journey, head);
             co_await journey.sink.body(whole);
             continue;
         }
         collected += *bytes;
         if (collected.size() < kMostCollectedBytes)
             continue;
-        if (!std::exchange(journey.isHeadWritten, true))
-            co_await journey.sink.head(head);
+        co_await this->writeHead(journey, head);
         co_await journey.sink.body(collected);
         collected.clear();
     }
@@ -322,8 +339,7 @@
         end = AttemptEnd::MayHaveRun;
         co_return;
     }
-    if (!std::exchange(journey.isHeadWritten, true))
-        co_await journey.sink.head(head);
+    co_await this->writeHead(journey, head);
     if (!collected.empty())
         co_await journey.sink.body(collected);
 }
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -36,6 +36,8 @@
     const Placement& placement;
     RetryAllowance& retries;
     OpenSession open;
+    /** Takes note of an endpoint that gave no sign of life. */
+    std::function<void(const GatewayEndpoint&)> noteSilence;
     Metrics& metrics;
     DecisionLog& log;
 };
@@ -62,7 +64,9 @@
         Journey& journey, const AnswerHead& head, EndpointSession& session, AttemptEnd& end);
     [[nodiscard]] EndpointRequest toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const;
     [[nodiscard]] bool isTrusted(const Journey& journey) const;
+    [[nodiscard]] Task<void> writeHead(Journey& journey, const AnswerHead& head);
     void record(GatewayEndpoint& endpoint, EndpointVerdict verdict);
+    void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointVerdict verdict);
 
 public:
     /** @brief Creates a forwarder. @param hostParts Parts of the host. */
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -19,7 +19,14 @@
 constexpr Duration kLeaseMargin { 400 };
 /** Time between two looks at the list of hosts, whose number divides the fleet's bounds. */
 constexpr Duration kHostListInterval { 10'000 };
+constexpr Duration kFirstHostListPause { 1000 };
 constexpr Duration kRegisterPause { 500 };
+/** Time between two digests; within it a host sends one or two requests to an endpoint at the busiest. */
+constexpr Duration kDigestInterval { 200 };
+/** Bytes a millisecond that a host spends on digests, two thirds of what control may cost at the target size. */
+constexpr Duration::rep kDigestBytesPerMs = 8;
+/** Headers of a datagram on the wire. */
+constexpr std::size_t kDatagramOverhead = 42;
 constexpr Duration kMaintenanceInterval { 100 };
 /** Time after which the balancer has surely seen two unready answers, one a second, and sends no new connection. */
 constexpr Duration kBalancerDelay { 2600 };
@@ -58,9 +65,12 @@
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin }
     , directory { hostClock, this->log }
     , hostNames { gatewaySettings.host }
+    , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
+    , sendToHost { std::move(dependencies.sendToHost) }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->hostNames; } }
     , placement { hostClock, this->directory, this->coldLimit, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->hostNames.size(); } }
+    , prober { hostClock, this->directory, dependencies.open, this->log }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, kPlanWait, this->planHooks(), this->log }
     , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, kEndpointWait, this->endpointHooks(), this->log }
     , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, kDomainWait, this->domainHooks(), this->log }
@@ -71,7 +81,8 @@
 ForwarderParts Gateway::forwarderParts(OpenSession open)
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        this->retries, std::move(open), this->hostMetrics, this->log };
+        this->retries, std::move(open), [this](const GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); },
+        this->hostMetrics, this->log };
 }
 
 void Gateway::start()
@@ -83,6 +94,7 @@
     spawn(executor, "domain feed", this->domainFeed.run());
     spawn(executor, "host list", this->followHosts());
     spawn(executor, "maintenance", this->maintain());
+    spawn(executor, "digests", this->sendDigests());
 }
 
 bool Gateway::isReady() const
@@ -119,6 +131,7 @@
     const auto took = this->clock.now() - request.arrivedAt;
     if (outcome.isWhole()) {
         LogLine line { LogEvent::RequestAnswered };
+        line.add("first_byte_ms", request.firstByteAt.value_or(this->clock.now()) - request.arrivedAt);
         this->log.write(request.facts.attemptId, std::move(line.add("took_ms", took)));
         co_return outcome;
     }
@@ -234,7 +247,8 @@
 {
     while (!this->isStopping()) {
         try {
-            const nlohmann::json description { { "domain", this->settings.domain } };
+            const nlohmann::json description { { "domain", this->settings.domain },
+                { "address", this->settings.digests.address }, { "port", this->settings.digests.port } };
             co_await this->client.put(ObjectKind::Host, this->settings.host, description, 0);
             co_return;
         } catch (const PlatformError& error) {
@@ -262,30 +276,69 @@
 Task<void> Gateway::followHosts()
 {
     co_await this->registerHost();
+    bool isFirst = true;
     while (true) {
         try {
             const auto page = co_await this->client.list(ObjectKind::Host, {}, false);
-            std::vector<std::string> names { this->settings.host };
-            for (const auto& object : page.changes) {
-                if (object.name != this->settings.host)
-                    names.push_back(object.name);
-            }
-            if (names.size() != this->hostNames.size()) {
-                LogLine line { LogEvent::HostsCounted };
-                this->log.write(line.add("hosts", static_cast<std::int64_t>(names.size())));
-            }
-            this->hostNames = std::move(names);
+            this->takeHosts(page.changes);
         } catch (const PlatformError& error) {
             spdlog::debug("hosts not listed: {}", error.what());
         }
-        co_await this->clock.sleepFor(kHostListInterval);
+        // Hosts that start together register within the first second.
+        co_await this->clock.sleepFor(isFirst ? kFirstHostListPause : kHostListInterval);
+        isFirst = false;
+    }
+}
+
+void Gateway::takeHosts(const std::vector<VersionedObject>& objects)
+{
+    std::vector<std::string> names { this->settings.host };
+    std::vector<SocketAddress> addresses;
+    for (const auto& object : objects) {
+        if (object.name == this->settings.host)
+            continue;
+        names.push_back(object.name);
+        const auto address = object.value.value("address", std::string {});
+        if (!address.empty())
+            addresses.push_back({ address, object.value.value("port", std::uint16_t { 0 }) });
+    }
+    if (names.size() != this->hostNames.size()) {
+        LogLine line { LogEvent::HostsCounted };
+        this->log.write(line.add("hosts", static_cast<std::int64_t>(names.size())));
+    }
+    this->hostNames = std::move(names);
+    this->peers = std::move(addresses);
+}
+
+Task<void> Gateway::sendDigests()
+{
+    while (true) {
+        const auto bytes = this->fleet.describe().SerializeAsString();
+        for (const auto& peer : this->peers)
+            this->sendToHost(peer, bytes);
+        const auto sent = static_cast<Duration::rep>((bytes.size() + kDatagramOverhead) * this->peers.size());
+        this->hostMetrics.addControlBytes(static_cast<std::size_t>(sent));
+        co_await this->clock.sleepFor(std::max(kDigestInterval, Duration { sent / kDigestBytesPerMs }));
     }
 }
 
+void Gateway::receive(const std::string& address, std::string_view bytes)
+{
+    const auto isPeer = std::any_of(this->peers.begin(), this->peers.end(),
+        [&address](const SocketAddress& peer) { return peer.address == address; });
+    wire::Digest digest;
+    if (isPeer && digest.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        this->fleet.take(std::move(digest));
+    else
+        spdlog::debug("message of {} bytes from {} ignored", bytes.size(), address);
+}
+
 Task<void> Gateway::maintain()
 {
     while (true) {
         this->directory.dropLapsed();
+        this->prober.probeDue();
+        this->fleet.dropSilent();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
     }
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -3,11 +3,13 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/cold_limit.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
+#include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/forwarder.hpp"
 #include "berylwing/gateway/gateway_settings.hpp"
 #include "berylwing/gateway/placement.hpp"
 #include "berylwing/gateway/plan_lease.hpp"
 #include "berylwing/gateway/protocol.hpp"
+#include "berylwing/gateway/reach_prober.hpp"
 #include "berylwing/gateway/retry_allowance.hpp"
 #include "berylwing/gateway/store_feed.hpp"
 #include "berylwing/store/platform_client.hpp"
@@ -23,7 +25,11 @@
 struct GatewayDependencies {
     PlatformClient::Exchange platform;
     OpenSession open;
+    /** Sends a message to another host, or drops it. */
+    std::function<void(const SocketAddress&, const std::string& bytes)> sendToHost;
     DecisionLog::Writer logWriter;
+    /** Start of the process in milliseconds since 1970. */
+    std::uint64_t incarnation = 0;
 };
 
 /** @brief Host that forwards callers' requests straight to the endpoints. */
@@ -37,6 +43,8 @@
     [[nodiscard]] Task<void> registerHost();
     [[nodiscard]] Task<void> followHosts();
     [[nodiscard]] Task<void> maintain();
+    [[nodiscard]] Task<void> sendDigests();
+    void takeHosts(const std::vector<VersionedObject>& objects);
     [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
 
 public:
@@ -74,6 +82,9 @@
     /** @brief Answers a request. @param request Request. @param sink Where the answer goes. @return How it ended. */
     [[nodiscard]] Task<Outcome> handle(GatewayRequest& request, const AnswerSink& sink);
 
+    /** @brief Takes a message of another host. @param address Sender. @param bytes Message. */
+    void receive(const std::string& address, std::string_view bytes);
+
     /** @brief Counts and logs input that is no request. @param reason Reason. @param error What was wrong. */
     void refuseInput(Refusal reason, std::string_view error);
 
@@ -100,9 +111,14 @@
     std::shared_ptr<const RoutingPlan> plan;
     EndpointDirectory directory;
     std::vector<std::string> hostNames;
+    /** Addresses of the other hosts. */
+    std::vector<SocketAddress> peers;
+    FleetView fleet;
+    std::function<void(const SocketAddress&, const std::string&)> sendToHost;
     ColdLimit coldLimit;
     Placement placement;
     RetryAllowance retries;
+    ReachProber prober;
     StoreFeed planFeed;
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
--- a/src/berylwing/gateway/gateway_settings.cpp
+++ b/src/berylwing/gateway/gateway_settings.cpp
@@ -45,6 +45,7 @@
     settings.readiness = readSocketAddress(reader, "readiness", place, findings);
     settings.metrics = readSocketAddress(reader, "metrics", place, findings);
     settings.platform = readSocketAddress(reader, "platform", place, findings);
+    settings.digests = readSocketAddress(reader, "digests", place, findings);
     settings.logLevel = reader.oneOf("log_level", kLogLevelNames, LogLevel::Info);
     settings.planLease = Duration { reader.number("plan_lease_ms", 1, kMostMs, kDefaultLeaseMs) };
     settings.stopGrace = Duration { reader.number("stop_grace_ms", 1, kMostMs, kDefaultGraceMs) };
--- a/src/berylwing/gateway/gateway_settings.hpp
+++ b/src/berylwing/gateway/gateway_settings.hpp
@@ -14,6 +14,8 @@
     SocketAddress readiness;
     SocketAddress metrics;
     SocketAddress platform;
+    /** Where the digests of other hosts arrive. */
+    SocketAddress digests;
     LogLevel logLevel = LogLevel::Info;
     /** Time for which a confirmed plan may be trusted to hold no key that was taken away. */
     Duration planLease {};
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -8,22 +8,31 @@
 
 namespace {
 
-/** Multiple of this host's mean in flight beyond which a shared prompt goes to the next endpoint of its order. */
-constexpr double kLoadMultiple = 1.5;
+/** Multiple of the mean load beyond which a shared prompt goes to the next endpoint of its order. */
+constexpr double kLoadMultiple = 1.8;
 /** Requests beyond that multiple that are always allowed, so that few requests are not spread for nothing. */
-constexpr double kLoadSlack = 1.0;
+constexpr double kLoadSlack = 2.5;
 
 struct Candidate {
     GatewayEndpointPtr endpoint;
     double score = 0;
 };
 
-double meanInFlight(const std::vector<GatewayEndpointPtr>& endpoints)
+/**
+ * Load up to which an endpoint takes a shared prompt. The mean is taken over all endpoints of the service, also those
+ * that get nothing, since they lower it.
+ */
+double boundOf(const EndpointDirectory& directory, std::string_view service)
 {
     double total = 0;
-    for (const auto& endpoint : endpoints)
-        total += endpoint->inFlight;
-    return total / static_cast<double>(std::max<std::size_t>(endpoints.size(), 1));
+    double count = 0;
+    for (const auto& [id, endpoint] : directory.all()) {
+        if (endpoint->record.service != service)
+            continue;
+        ++count;
+        total += endpoint->load();
+    }
+    return kLoadMultiple * total / std::max(count, 1.0) + kLoadSlack;
 }
 
 } // namespace
@@ -46,7 +55,6 @@
 {
     const auto now = this->clock.now();
     auto open = this->directory.openEndpoints(request.service);
-    const auto mean = meanInFlight(open);
     std::erase_if(open, [&](const GatewayEndpointPtr& endpoint) {
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
         return isTried || !this->isUsable(*endpoint, service, now);
@@ -65,10 +73,10 @@
         return nullptr;
     std::sort(candidates.begin(), candidates.end(),
         [](const Candidate& left, const Candidate& right) { return left.score > right.score; });
-    const auto bound = kLoadMultiple * mean + kLoadSlack;
     if (request.isSticky) {
+        const auto bound = boundOf(this->directory, request.service);
         const auto found = std::find_if(candidates.begin(), candidates.end(),
-            [bound](const Candidate& candidate) { return candidate.endpoint->inFlight < bound; });
+            [bound](const Candidate& candidate) { return candidate.endpoint->load() < bound; });
         if (found != candidates.end())
             return found->endpoint;
     }
--- /dev/null
+++ b/src/berylwing/gateway/reach_prober.cpp
@@ -0,0 +1,65 @@
+#include "berylwing/gateway/reach_prober.hpp"
+
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+/** Time within which the silence of two endpoints points to their domain; a cut shows at many within a second. */
+constexpr Duration kSuspicionWindow { 1000 };
+
+} // namespace
+
+ReachProber::ReachProber(
+    Clock& hostClock, EndpointDirectory& endpointDirectory, OpenSession openSession, DecisionLog& decisionLog)
+    : clock { hostClock }
+    , directory { endpointDirectory }
+    , open { std::move(openSession) }
+    , log { decisionLog }
+{
+}
+
+void ReachProber::noteSilence(const GatewayEndpoint& endpoint)
+{
+    const auto now = this->clock.now();
+    auto& last = this->silences[endpoint.record.domain];
+    const bool isSecond = last.endpointId != endpoint.record.id && last.at + kSuspicionWindow > now;
+    last = { endpoint.record.id, now };
+    if (isSecond)
+        this->suspectDomain(endpoint.record.domain, now);
+}
+
+void ReachProber::suspectDomain(const std::string& domain, TimePoint now)
+{
+    LogLine line { LogEvent::DomainSuspected };
+    this->log.write(line.add("suspected", domain));
+    for (const auto& [id, endpoint] : this->directory.all()) {
+        if (endpoint->record.domain == domain && !endpoint->health.isEjected(now))
+            endpoint->health.suspect(now);
+    }
+    this->probeDue();
+}
+
+void ReachProber::probeDue()
+{
+    const auto now = this->clock.now();
+    for (const auto& [id, endpoint] : this->directory.all()) {
+        if (!endpoint->health.takeProbe(now))
+            continue;
+        spawn(this->clock.executor(), "probe", this->probe(endpoint));
+    }
+}
+
+Task<void> ReachProber::probe(GatewayEndpointPtr endpoint)
+{
+    try {
+        const auto session = co_await this->open(*endpoint, ConnectionUse::Fresh);
+        session->abort();
+        endpoint->health.recordProbe(true, this->clock.now());
+    } catch (const EndpointError&) {
+        endpoint->health.recordProbe(false, this->clock.now());
+    }
+}
+
+} // namespace berylwing
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -43,6 +43,8 @@
     std::string body;
     RequestFacts facts;
     TimePoint arrivedAt;
+    /** Time at which the first byte of the answer was ready for the caller. */
+    std::optional<TimePoint> firstByteAt;
     /** Set when the caller has closed its connection. */
     bool isCallerGone = false;
     /** Ends the call to an endpoint that is in progress; set by the forwarder. */
--- a/src/berylwing/http/answer_reader.cpp
+++ b/src/berylwing/http/answer_reader.cpp
@@ -38,9 +38,10 @@
     this->current->skip(answersHead);
 }
 
-void AnswerReader::throwBroken(const std::string& text) const
+void AnswerReader::throwBroken(const boost::system::error_code& error) const
 {
-    throw EndpointError { this->isExpired ? EndpointFault::Silent : EndpointFault::Broken, text };
+    const bool isSilent = this->isExpired || error == asio::error::timed_out;
+    throw EndpointError { isSilent ? EndpointFault::Silent : EndpointFault::Broken, error.message() };
 }
 
 void AnswerReader::expectLifeUntil(TimePoint deadline)
@@ -61,7 +62,7 @@
         this->current->put_eof(error);
     }
     if (error)
-        this->throwBroken(error.message());
+        this->throwBroken(error);
 }
 
 void AnswerReader::parse()
@@ -70,7 +71,7 @@
     const auto size = this->current->put(this->connection->buffer.data(), error);
     this->connection->buffer.consume(size);
     if (error && error != http::error::need_buffer && error != http::error::need_more)
-        this->throwBroken(error.message());
+        this->throwBroken(error);
 }
 
 Task<void> AnswerReader::readHead(TimePoint deadline)
--- a/src/berylwing/http/answer_reader.hpp
+++ b/src/berylwing/http/answer_reader.hpp
@@ -12,7 +12,7 @@
 /** @brief Reads one answer after another from a connection to an endpoint, piece by piece. */
 class AnswerReader {
     [[nodiscard]] Task<void> readMore(TimePoint deadline);
-    [[noreturn]] void throwBroken(const std::string& text) const;
+    [[noreturn]] void throwBroken(const boost::system::error_code& error) const;
     void parse();
 
 public:
@@ -47,6 +47,9 @@
     /** @brief Sets the time until which the endpoint has to show a sign of life. @param deadline Deadline. */
     void expectLifeUntil(TimePoint deadline);
 
+    /** @brief Tells whether the endpoint gave no sign of life in time. @return True if the call was ended for it. */
+    [[nodiscard]] bool hasExpired() const noexcept { return this->isExpired; }
+
     /** @brief Closes the connection at once; a pending operation fails. */
     void abort();
 
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -19,9 +19,10 @@
 constexpr unsigned kHttpVersion = 11;
 constexpr std::size_t kReadBytes = 16 * 1024;
 /** A handshake takes two ways of half a millisecond; a lost packet costs a second, which another endpoint beats. */
-constexpr Duration kConnectTimeout { 400 };
-/** Unacknowledged bytes for this long mean that the endpoint is dark; a lost packet is sent again within 0.2 s. */
-constexpr Duration kUnackedLimit { 1500 };
+constexpr Duration kConnectTimeout { 200 };
+/** Unacknowledged bytes for this long mean that the endpoint is dark; a lost packet is sent again after 0.2 and 0.6 s.
+ */
+constexpr Duration kUnackedLimit { 700 };
 /** Idle time up to which an endpoint surely has not closed a connection under a request that may not be repeated. */
 constexpr Duration kSurelyOpen { 700 };
 /** Idle time of connections whose endpoint does not say how long it keeps them. */
@@ -71,10 +72,12 @@
     {
     }
 
-    Task<void> connect(bool mayBeStale)
+    Task<void> connect(ConnectionUse use)
     {
         const auto& clock = this->sessions->clock;
-        this->reader.connection = this->sessions->pool.take(this->address, mayBeStale ? Duration::max() : kSurelyOpen);
+        const auto mostIdle = use == ConnectionUse::AnyIdle ? Duration::max() : kSurelyOpen;
+        if (use != ConnectionUse::Fresh)
+            this->reader.connection = this->sessions->pool.take(this->address, mostIdle);
         if (this->reader.connection)
             co_return;
         this->reader.connection = std::make_unique<PooledConnection>(clock.executor());
@@ -85,7 +88,7 @@
         boost::system::error_code error;
         co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            throw EndpointError { EndpointFault::NotSent, error.message() };
+            this->throwNotConnected(error);
         detectLostPeer(socket, kUnackedLimit);
         this->reader.expectLifeUntil(TimePoint::max());
     }
@@ -140,6 +143,12 @@
     void abort() { this->reader.abort(); }
 
 private:
+    [[noreturn]] void throwNotConnected(const boost::system::error_code& error) const
+    {
+        const bool isSilent = this->reader.hasExpired() || error == asio::error::timed_out;
+        throw EndpointError { isSilent ? EndpointFault::Silent : EndpointFault::NotSent, error.message() };
+    }
+
     using Outgoing = http::request<http::string_body>;
 
     static Task<void> write(std::shared_ptr<Session> session, std::shared_ptr<Outgoing> outgoing)
@@ -185,10 +194,10 @@
 };
 
 Task<std::shared_ptr<EndpointSession>> openSession(
-    std::shared_ptr<Sessions> sessions, SocketAddress address, bool mayBeStale)
+    std::shared_ptr<Sessions> sessions, SocketAddress address, ConnectionUse use)
 {
     const auto session = std::make_shared<Session>(std::move(sessions), std::move(address));
-    co_await session->connect(mayBeStale);
+    co_await session->connect(use);
     auto functions = std::make_shared<EndpointSession>();
     functions->send = [session](const EndpointRequest& request) { return session->send(request); };
     functions->readHead = [session](TimePoint deadline) { return session->readHead(deadline); };
@@ -202,8 +211,8 @@
 OpenSession makeEndpointSessions(Clock& clock, const GatewayProtocol& protocol)
 {
     const auto sessions = std::make_shared<Sessions>(clock, protocol);
-    return [sessions](const GatewayEndpoint& endpoint, bool mayBeStale) {
-        return openSession(sessions, endpoint.record.address, mayBeStale);
+    return [sessions](const GatewayEndpoint& endpoint, ConnectionUse use) {
+        return openSession(sessions, endpoint.record.address, use);
     };
 }
 
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -26,6 +26,7 @@
     EndpointRejected,
     DomainWithdrawn,
     DomainReturned,
+    DomainSuspected,
     HostsCounted,
     RequestSent,
     RequestResumed,
@@ -38,7 +39,7 @@
 };
 
 /** @brief Names of the log events. */
-inline constexpr EnumNames<LogEvent, 24> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 25> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -54,6 +55,7 @@
     "endpoint_rejected",
     "domain_withdrawn",
     "domain_returned",
+    "domain_suspected",
     "hosts_counted",
     "request_sent",
     "request_resumed",
