Confirm the plan every 1.5 s and use its lease to the end

Change: watches of 1.5 s, a short call after each change; the margin is for clock rates only, since a key that was valid at the confirmation cannot have been taken away for longer than the lease.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -10,13 +10,14 @@
 
 namespace {
 
-/** A change of keys has to be known within a plan's lease; the rest of the lease is for calls that fail. */
-constexpr Duration kPlanWait { 2000 };
+/** Age of the plan at the beginning of an outage at the worst; the rest of its lease is for serving on without the
+ * store. */
+constexpr Duration kPlanWait { 1500 };
 /** A silent connection to the store must be noticed before endpoints that leave have to be out of use. */
 constexpr Duration kEndpointWait { 2500 };
 constexpr Duration kDomainWait { 2500 };
-/** Part of a lease that is not used, for a request's way to its endpoint. */
-constexpr Duration kLeaseMargin { 400 };
+/** Part of a lease that is not used, because clocks of two hosts do not run at quite the same rate. */
+constexpr Duration kLeaseMargin { 100 };
 /** Time between two looks at the list of hosts, whose number divides the fleet's bounds. */
 constexpr Duration kHostListInterval { 10'000 };
 constexpr Duration kFirstHostListPause { 1000 };
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -24,6 +24,7 @@
     , client { storeClient }
     , kind { objectKind }
     , wait { longestWait }
+    , confirmsChanges { objectKind == ObjectKind::RoutingPlan }
     , hooks { std::move(feedHooks) }
     , log { decisionLog }
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
@@ -57,11 +58,13 @@
 Task<void> StoreFeed::watch()
 {
     const auto sentAt = this->clock.now();
-    const auto length = this->failures > 0 ? kProbeWait : this->wait;
+    const auto length = this->failures > 0 || this->hasChanged ? kProbeWait : this->wait;
     const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
     for (const auto& change : batch.changes)
         this->hooks.change(change);
     this->revision = std::max(this->revision, batch.through);
+    // An answer with changes may have been given long ago, so the next call asks again at once.
+    this->hasChanged = this->confirmsChanges && !batch.changes.empty();
     // A watch without a change was answered at the end of its wait, not before.
     this->hooks.confirm(batch.changes.empty() ? std::min(sentAt + length, this->clock.now()) : sentAt);
 }
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -52,12 +52,15 @@
     PlatformClient& client;
     ObjectKind kind;
     Duration wait;
+    /** Whether each change is followed by a short call that confirms the moment. */
+    bool confirmsChanges;
     StoreFeedHooks hooks;
     DecisionLog& log;
     std::minstd_rand random;
     std::uint64_t revision = 0;
     bool hasList = false;
     bool mustList = true;
+    bool hasChanged = false;
     unsigned failures = 0;
 };
 
