--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <unistd.h>
 
 namespace berylwing {
 
@@ -42,7 +43,7 @@
         , gateway { this->clock, this->settings, this->protocol,
             { platform::makeStoreExchange(this->settings.platform), makeEndpointSessions(this->clock, this->protocol),
                 [this](const SocketAddress& to, const std::string& bytes) { this->digests.send(to, bytes); },
-                writeToStandardOutput, wallTimeMs() } }
+                [](std::string_view lines) { return writeWithoutWaiting(STDOUT_FILENO, lines); }, wallTimeMs() } }
         , callers { this->clock, this->settings.callers, this->gateway }
         , readiness { this->clock.executor(), this->settings.readiness, this->answers() }
         , metrics { this->clock.executor(), this->settings.metrics, this->answers() }
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Multiple of the mean load beyond which a shared prompt goes to the next endpoint of its order. */
-constexpr double kLoadMultiple = 1.8;
+constexpr double kLoadMultiple = 1.9;
 /** Requests beyond that multiple that are always allowed, so that few requests are not spread for nothing. */
 constexpr double kLoadSlack = 2.5;
 
--- a/src/berylwing/telemetry/decision_log.cpp
+++ b/src/berylwing/telemetry/decision_log.cpp
@@ -89,17 +89,23 @@
     LogLine line { LogEvent::LinesDropped };
     line.add("lines", static_cast<std::int64_t>(this->droppedLines - this->reportedDrops));
     line.add("sampling", std::int64_t { this->sampling });
-    this->reportedDrops = this->droppedLines;
-    this->append(line.finish());
+    // The report itself may find no room; it is then made up for in a later second.
+    if (this->append(line.finish()))
+        this->reportedDrops = this->droppedLines;
 }
 
-void DecisionLog::append(std::string line)
+bool DecisionLog::append(const std::string& line)
 {
-    if (this->pending.size() + line.size() > kMostPendingBytes) {
-        ++this->droppedLines;
-        return;
-    }
+    if (this->pending.size() + line.size() > kMostPendingBytes)
+        return false;
     this->pending += "{\"time_ms\":" + std::to_string(wallTimeMs()) + "," + this->prefix + line + "\n";
+    return true;
+}
+
+void DecisionLog::appendOrCount(const std::string& line)
+{
+    if (!this->append(line))
+        ++this->droppedLines;
 }
 
 void DecisionLog::write(const LogLine& line)
@@ -108,7 +114,7 @@
     if (++this->processLines > kMostProcessLines)
         ++this->droppedLines;
     else
-        this->append(line.finish());
+        this->appendOrCount(line.finish());
 }
 
 bool DecisionLog::isSampled(std::string_view requestId)
@@ -122,7 +128,7 @@
     if (!this->isSampled(requestId))
         return;
     ++this->requestLines;
-    this->append(line.add("request", requestId).finish());
+    this->appendOrCount(line.add("request", requestId).finish());
 }
 
 void DecisionLog::flush()
@@ -136,13 +142,13 @@
     }
 }
 
-std::size_t writeToStandardOutput(std::string_view text)
+std::size_t writeWithoutWaiting(int descriptor, std::string_view text)
 {
     // A pipe that polls as writable takes PIPE_BUF bytes without blocking, which leaves its mode alone.
-    pollfd descriptor { STDOUT_FILENO, POLLOUT, 0 };
-    if (::poll(&descriptor, 1, 0) != 1 || (descriptor.revents & POLLOUT) == 0)
+    pollfd state { descriptor, POLLOUT, 0 };
+    if (::poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0)
         return 0;
-    const auto written = ::write(STDOUT_FILENO, text.data(), text.size());
+    const auto written = ::write(descriptor, text.data(), text.size());
     return written < 0 ? 0 : static_cast<std::size_t>(written);
 }
 
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -100,7 +100,8 @@
  */
 class DecisionLog {
     void beginSecond();
-    void append(std::string line);
+    [[nodiscard]] bool append(const std::string& line);
+    void appendOrCount(const std::string& line);
 
 public:
     /** @brief Function that takes as much of the text as it can without waiting, and returns how much. */
@@ -144,10 +145,11 @@
 };
 
 /**
- * @brief Writes to standard output only what fits without waiting.
- * @param text Lines.
+ * @brief Writes to a file or pipe only what fits without waiting.
+ * @param descriptor Open file or pipe.
+ * @param text Lines, at most PIPE_BUF bytes.
  * @return Bytes that were written.
  */
-[[nodiscard]] std::size_t writeToStandardOutput(std::string_view text);
+[[nodiscard]] std::size_t writeWithoutWaiting(int descriptor, std::string_view text);
 
 } // namespace berylwing
--- /dev/null
+++ b/test/berylwing/gateway/endpoint_directory_test.cpp
@@ -0,0 +1,107 @@
+#include "berylwing/gateway/endpoint_directory.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+
+/** Directory with six endpoints of one service on a clock that stands still. */
+class DirectoryFixture {
+public:
+    DirectoryFixture()
+    {
+        for (int number = 0; number < 6; ++number)
+            this->put("e" + std::to_string(number));
+    }
+
+    void put(const std::string& id, bool isDraining = false, std::uint64_t bornAt = 1)
+    {
+        EndpointRecord record;
+        record.id = id;
+        record.service = "engines";
+        record.domain = id < "e3" ? "knox-a" : "knox-b";
+        record.isDraining = isDraining;
+        record.bornAt = bornAt;
+        this->directory.put(std::move(record));
+    }
+
+    [[nodiscard]] std::size_t open() const { return this->directory.openEndpoints("engines").size(); }
+
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    DecisionLog log { this->clock, [](std::string_view lines) { return lines.size(); }, "" };
+    EndpointDirectory directory { this->clock, this->log };
+};
+
+} // namespace
+
+TEST_CASE("EndpointDirectory opens no endpoint that leaves, is gone or withdrawn", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    fixture.put("e0", true);
+    CHECK(fixture.open() == 5);
+    fixture.directory.remove("e1");
+    CHECK(fixture.open() == 4);
+    fixture.directory.setDomainOut("knox-b", true);
+    CHECK(fixture.open() == 1);
+    fixture.directory.setDomainOut("knox-b", false);
+    CHECK(fixture.open() == 4);
+}
+
+TEST_CASE("EndpointDirectory closes an endpoint for the requests that still refer to it", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    const auto endpoint = fixture.directory.openEndpoints("engines").front();
+    fixture.directory.remove(endpoint->record.id);
+    CHECK_FALSE(fixture.directory.isOpen(*endpoint));
+}
+
+TEST_CASE("EndpointDirectory keeps entries that lapsed in an outage until they must be back", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.loseStore();
+    for (int number = 0; number < 6; ++number)
+        fixture.directory.remove("e" + std::to_string(number));
+    CHECK(fixture.open() == 6);
+    fixture.time += Duration { 5000 };
+    fixture.directory.dropLapsed();
+    CHECK(fixture.open() == 6);
+    fixture.directory.regainStore();
+    fixture.time += Duration { 1000 };
+    fixture.put("e0");
+    fixture.directory.dropLapsed();
+    CHECK(fixture.open() == 6);
+    // Two seconds after the store's return what is missing is gone.
+    fixture.time += Duration { 1000 };
+    fixture.directory.dropLapsed();
+    CHECK(fixture.open() == 1);
+}
+
+TEST_CASE("EndpointDirectory takes a single entry that is missing after an outage for gone", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.loseStore();
+    fixture.directory.remove("e0");
+    CHECK(fixture.open() == 5);
+}
+
+TEST_CASE("EndpointDirectory forgets what it knew of an endpoint that started again", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    const auto before = fixture.directory.all().at("e0");
+    before->health.record(EndpointVerdict::Unreachable, fixture.time);
+    fixture.put("e0", false, 2);
+    const auto after = fixture.directory.all().at("e0");
+    CHECK(before != after);
+    CHECK_FALSE(after->health.isEjected(fixture.time));
+}
+
+TEST_CASE("EndpointDirectory drops what a complete list does not hold", "[gateway][directory]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.retain({ "e1", "e2" });
+    CHECK(fixture.open() == 2);
+}
--- /dev/null
+++ b/test/berylwing/gateway/endpoint_health_test.cpp
@@ -0,0 +1,77 @@
+#include "berylwing/gateway/endpoint_health.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+
+const TimePoint kStart { Duration { 1'000'000 } };
+
+} // namespace
+
+TEST_CASE("EndpointHealth avoids an endpoint that fails several of its last requests", "[gateway][health]")
+{
+    EndpointHealth health;
+    health.record(EndpointVerdict::Failed, kStart);
+    health.record(EndpointVerdict::Sound, kStart);
+    health.record(EndpointVerdict::Failed, kStart);
+    CHECK_FALSE(health.isEjected(kStart));
+    health.record(EndpointVerdict::Failed, kStart);
+    CHECK(health.isEjected(kStart));
+    CHECK_FALSE(health.isEjected(kStart + Duration { 1000 }));
+}
+
+TEST_CASE("EndpointHealth forgets failures that lie apart", "[gateway][health]")
+{
+    EndpointHealth health;
+    for (int round = 0; round < 10; ++round) {
+        const auto now = kStart + Duration { round * 11'000 };
+        health.record(EndpointVerdict::Failed, now);
+        health.record(EndpointVerdict::Failed, now);
+        CHECK_FALSE(health.isEjected(now));
+    }
+}
+
+TEST_CASE("EndpointHealth waits longer each time an endpoint fails again", "[gateway][health]")
+{
+    EndpointHealth health;
+    auto now = kStart;
+    Duration last {};
+    for (int round = 0; round < 3; ++round) {
+        for (int failure = 0; failure < 3; ++failure)
+            health.record(EndpointVerdict::Failed, now);
+        Duration length {};
+        while (health.isEjected(now + length))
+            length += Duration { 100 };
+        CHECK(length > last);
+        last = length;
+        now += length;
+    }
+    CHECK(last <= Duration { 6000 });
+}
+
+TEST_CASE("EndpointHealth gives an unreachable endpoint no request before a probe has reached it", "[gateway][health]")
+{
+    EndpointHealth health;
+    health.record(EndpointVerdict::Unreachable, kStart);
+    const auto late = kStart + Duration { 60'000 };
+    CHECK(health.isEjected(late));
+    CHECK_FALSE(health.takeProbe(kStart));
+    REQUIRE(health.takeProbe(late));
+    CHECK_FALSE(health.takeProbe(late));
+    health.recordProbe(false, late);
+    CHECK(health.isEjected(late + Duration { 60'000 }));
+    CHECK_FALSE(health.takeProbe(late + Duration { 100 }));
+    REQUIRE(health.takeProbe(late + Duration { 1000 }));
+    health.recordProbe(true, late + Duration { 1000 });
+    CHECK_FALSE(health.isEjected(late + Duration { 1000 }));
+}
+
+TEST_CASE("EndpointHealth lets a full endpoint rest shortly", "[gateway][health]")
+{
+    EndpointHealth health;
+    health.record(EndpointVerdict::Shed, kStart);
+    CHECK(health.isEjected(kStart));
+    CHECK_FALSE(health.isEjected(kStart + Duration { 200 }));
+}
--- /dev/null
+++ b/test/berylwing/gateway/event_splitter_test.cpp
@@ -0,0 +1,40 @@
+#include "berylwing/gateway/event_splitter.hpp"
+
+#include <catch2/catch.hpp>
+
+using berylwing::EventSplitter;
+
+TEST_CASE("EventSplitter gives out whole events only", "[gateway][stream]")
+{
+    EventSplitter splitter;
+    CHECK(splitter.take("id: 1\nda").empty());
+    CHECK(splitter.take("ta: a\n").empty());
+    CHECK(splitter.take("\nid: 2\n") == "id: 1\ndata: a\n\n");
+    CHECK(splitter.lastEventId() == "1");
+    CHECK(splitter.rest() == "id: 2\n");
+    splitter.dropRest();
+    CHECK(splitter.take("id:3\r\ndata: c\r\n\r\n") == "id:3\r\ndata: c\r\n\r\n");
+    CHECK(splitter.lastEventId() == "3");
+}
+
+TEST_CASE("EventSplitter cuts a stream alike wherever its pieces end", "[gateway][stream]")
+{
+    const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    for (std::size_t size = 1; size <= stream.size(); ++size) {
+        EventSplitter splitter;
+        std::string given;
+        for (std::size_t place = 0; place < stream.size(); place += size)
+            given += splitter.take(std::string_view { stream }.substr(place, size));
+        CHECK(given == stream);
+        CHECK(splitter.lastEventId() == "3");
+        CHECK(splitter.rest().empty());
+    }
+}
+
+TEST_CASE("EventSplitter keeps the id of events without one", "[gateway][stream]")
+{
+    EventSplitter splitter;
+    splitter.resumeAfter("7");
+    CHECK(splitter.take("data: x\n\n") == "data: x\n\n");
+    CHECK(splitter.lastEventId() == "7");
+}
--- /dev/null
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -0,0 +1,338 @@
+#include "support/gateway_bench.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+constexpr Duration kBalancerWait { 300 };
+/** Time within which a key that was taken away may still be used, anywhere. */
+constexpr Duration kRevocation { 5000 };
+/** Time for which a host has to serve on while it cannot reach the store. */
+constexpr Duration kServedOn { 3000 };
+
+/** Gateway with a plan and two engines in each of three domains. */
+class ServingBench : public GatewayBench {
+public:
+    ServingBench()
+    {
+        this->putPlan(planOf(1));
+        for (const auto* domain : { "knox-a", "knox-b", "chatt-a" }) {
+            for (const auto* number : { "-1", "-2" })
+                this->putEndpoint(std::string { domain } + number, domain);
+        }
+        this->advance(kBalancerWait);
+    }
+
+    void setAll(EndpointManner manner)
+    {
+        for (const auto& id : this->ids())
+            this->manners[id] = manner;
+    }
+
+    static std::vector<std::string> ids()
+    {
+        return { "knox-a-1", "knox-a-2", "knox-b-1", "knox-b-2", "chatt-a-1", "chatt-a-2" };
+    }
+};
+
+const std::string kWholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+bool isRefused(const GatewayBench::Answer& answer, Refusal reason, Execution execution)
+{
+    return answer.outcome && answer.outcome->reason == reason && answer.outcome->execution == execution;
+}
+
+} // namespace
+
+TEST_CASE("Gateway serves a request and says nothing before it knows its plan", "[gateway][path]")
+{
+    GatewayBench bench;
+    CHECK_FALSE(bench.gateway->isReady());
+    CHECK(isRefused(*bench.ask("early"), Refusal::ConfigurationUnknown, Execution::NotRun));
+    bench.putPlan(GatewayBench::planOf(1));
+    bench.putEndpoint("engine", "knox-a");
+    bench.advance(Duration { 3000 });
+    CHECK(bench.gateway->isReady());
+    const auto answer = bench.ask("one");
+    REQUIRE(answer->outcome);
+    CHECK(answer->outcome->isWhole());
+    CHECK(answer->body == kWholeStream);
+    CHECK(isRefused(*bench.ask("two", "/none/1"), Refusal::UnknownRoute, Execution::NotRun));
+    CHECK(isRefused(*bench.ask("three", "/chat/1", "other-key"), Refusal::UnknownWorkspace, Execution::NotRun));
+}
+
+TEST_CASE("Gateway runs a request that may not be repeated once whatever its endpoint does", "[gateway][once]")
+{
+    for (const auto manner : { EndpointManner::Answer, EndpointManner::Fail, EndpointManner::Break,
+             EndpointManner::BreakInStream, EndpointManner::Unsigned, EndpointManner::Hang }) {
+        INFO("manner " << static_cast<int>(manner));
+        ServingBench bench;
+        bench.setAll(manner);
+        const auto answer = bench.ask("order", "/order/1");
+        REQUIRE(answer->outcome);
+        CHECK(bench.runsOf("order") == 1);
+        CHECK(answer->outcome->execution != Execution::NotRun);
+    }
+}
+
+TEST_CASE("Gateway refuses as not run only what no endpoint has run", "[gateway][once]")
+{
+    for (const auto manner : { EndpointManner::Shed, EndpointManner::Misdirected, EndpointManner::Refuse }) {
+        INFO("manner " << static_cast<int>(manner));
+        ServingBench bench;
+        bench.setAll(manner);
+        const auto answer = bench.ask("order", "/order/1");
+        REQUIRE(answer->outcome);
+        CHECK(answer->outcome->execution == Execution::NotRun);
+        CHECK(answer->outcome->retryAfter > Duration {});
+        CHECK(bench.runsOf("order") == 0);
+    }
+}
+
+TEST_CASE("Gateway asks the next endpoint after one that did not run the request", "[gateway][retry]")
+{
+    for (const auto manner : { EndpointManner::Shed, EndpointManner::Misdirected, EndpointManner::Refuse }) {
+        ServingBench bench;
+        for (const auto& id : ServingBench::ids())
+            bench.manners[id] = manner;
+        bench.manners["chatt-a-2"] = EndpointManner::Answer;
+        bench.manners["chatt-a-1"] = EndpointManner::Answer;
+        bench.manners["knox-b-2"] = EndpointManner::Answer;
+        const auto answer = bench.ask("order", "/order/1");
+        REQUIRE(answer->outcome);
+        CHECK(answer->outcome->isWhole());
+    }
+}
+
+TEST_CASE("Gateway tries a repeatable request at no more endpoints than its route allows", "[gateway][retry]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::Break);
+    const auto answer = bench.ask("status", "/status/1");
+    CHECK(bench.runsOf("status") == 2);
+    CHECK(isRefused(*answer, Refusal::EndpointBroken, Execution::Unknown));
+}
+
+TEST_CASE("Gateway goes on with a broken stream behind its last whole event", "[gateway][stream]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::BreakInStream);
+    const auto first = bench.start("chat");
+    REQUIRE(bench.received.size() == 1);
+    const auto broken = bench.received[0].endpoint;
+    for (const auto& id : ServingBench::ids()) {
+        if (id != broken)
+            bench.manners[id] = EndpointManner::Answer;
+    }
+    bench.advance(Duration { 200 });
+    REQUIRE(first->outcome);
+    CHECK(first->outcome->isWhole());
+    CHECK(first->body == kWholeStream);
+    REQUIRE(bench.received.size() == 2);
+    CHECK(bench.received[1].resumeAfter == "2");
+}
+
+TEST_CASE("Gateway does not give an answer that its endpoint does not vouch for", "[gateway][stream]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::Unsigned);
+    const auto answer = bench.ask("status", "/status/1");
+    CHECK(answer->status == 0);
+    CHECK(answer->body.empty());
+}
+
+TEST_CASE("Gateway ends the endpoint's work when the caller has gone", "[gateway][caller]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::Hang);
+    const auto answer = bench.start("chat");
+    bench.advance(Duration { 50 });
+    REQUIRE(bench.received.size() == 1);
+    bench.leave();
+    bench.advance(Duration { 10 });
+    CHECK(answer->isCallerGone);
+    CHECK(bench.received[0].wasAborted);
+    CHECK(bench.received.size() == 1);
+}
+
+TEST_CASE("Gateway gives its final answer when the route's time is over", "[gateway][deadline]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::Hang);
+    const auto begun = bench.time;
+    const auto answer = bench.ask("order", "/order/1");
+    CHECK(isRefused(*answer, Refusal::DeadlinePassed, Execution::Unknown));
+    CHECK(answer->endedAt - begun <= Duration { 5100 });
+}
+
+TEST_CASE("Gateway serves on without the store for as long as no key can have been taken away", "[gateway][lease]")
+{
+    // The outage begins at every point between two confirmations, also right after a change of the plan.
+    for (int offset = 0; offset <= 3000; offset += 250) {
+        INFO("outage after " << offset << " ms");
+        ServingBench bench;
+        bench.advance(Duration { 1000 });
+        bench.putPlan(GatewayBench::planOf(2));
+        bench.advance(Duration { offset });
+        bench.platform.trouble = PlatformTrouble::Down;
+        const auto lost = bench.time;
+        std::optional<TimePoint> lastServed;
+        int next = 0;
+        while (bench.time < lost + Duration { 8000 }) {
+            const auto sent = bench.time;
+            const auto answer = bench.ask("r" + std::to_string(next++), "/status/1");
+            REQUIRE(answer->outcome);
+            if (answer->outcome->isWhole())
+                lastServed = sent;
+            else
+                CHECK(isRefused(*answer, Refusal::ConfigurationStale, Execution::NotRun));
+            bench.advance(Duration { 100 });
+        }
+        REQUIRE(lastServed);
+        CHECK(*lastServed - lost >= kServedOn);
+        CHECK(*lastServed - lost < kRevocation);
+        CHECK_FALSE(bench.gateway->isReady());
+        CHECK(bench.ask("public", "/open/1")->outcome->isWhole());
+    }
+}
+
+TEST_CASE("Gateway runs no request of a key that was taken away for longer than allowed", "[gateway][lease]")
+{
+    for (int offset = 0; offset <= 2000; offset += 250) {
+        ServingBench bench;
+        bench.advance(Duration { 2000 + offset });
+        bench.platform.cutOff.insert("knox-a-1");
+        bench.putPlan(GatewayBench::planOf(2, { "new-key" }));
+        const auto taken = bench.time;
+        int next = 0;
+        for (; bench.time < taken + Duration { 10'000 }; bench.advance(Duration { 100 }))
+            static_cast<void>(bench.ask("r" + std::to_string(next++), "/status/1"));
+        for (const auto& request : bench.received)
+            CHECK(request.at - taken <= kRevocation);
+    }
+}
+
+TEST_CASE("Gateway knows no route or key to be missing while its plan may be old", "[gateway][lease]")
+{
+    ServingBench bench;
+    bench.platform.trouble = PlatformTrouble::Down;
+    bench.advance(Duration { 6000 });
+    CHECK(isRefused(*bench.ask("a", "/none/1"), Refusal::ConfigurationStale, Execution::NotRun));
+    CHECK(isRefused(*bench.ask("b", "/chat/1", "new-key"), Refusal::ConfigurationStale, Execution::NotRun));
+    bench.platform.trouble = PlatformTrouble::None;
+    bench.advance(Duration { 1000 });
+    CHECK(isRefused(*bench.ask("c", "/none/1"), Refusal::UnknownRoute, Execution::NotRun));
+}
+
+TEST_CASE("Gateway has a new plan in force within two seconds and never goes back", "[gateway][plan]")
+{
+    ServingBench bench;
+    for (std::uint64_t version = 2; version < 12; ++version) {
+        bench.putPlan(GatewayBench::planOf(version * 3, { "key-" + std::to_string(version) }));
+        bench.advance(Duration { 330 });
+        CHECK(bench.ask("n" + std::to_string(version), "/status/1", "key-" + std::to_string(version))
+                  ->outcome->isWhole());
+    }
+    bench.putPlan(GatewayBench::planOf(2, { "shop-key" }));
+    bench.advance(Duration { 2000 });
+    CHECK(isRefused(*bench.ask("old"), Refusal::UnknownWorkspace, Execution::NotRun));
+}
+
+TEST_CASE("Gateway catches up when the store has dropped the history of its watches", "[gateway][store]")
+{
+    ServingBench bench;
+    bench.platform.trouble = PlatformTrouble::Down;
+    bench.advance(Duration { 2000 });
+    bench.remove(ObjectKind::Endpoint, "knox-a-1");
+    bench.putEndpoint("knox-a-2", "knox-a", true);
+    bench.platform.store.write(ObjectKind::FailureDomain, "knox-b", nlohmann::json::object());
+    bench.platform.store.dropHistory();
+    bench.platform.trouble = PlatformTrouble::None;
+    bench.advance(Duration { 4000 });
+    bench.received.clear();
+    static_cast<void>(bench.askAtOnce("r", 40, "/status/1"));
+    CHECK(bench.received.size() == 40);
+    CHECK(std::all_of(bench.received.begin(), bench.received.end(),
+        [](const ReceivedRequest& request) { return request.endpoint.starts_with("chatt-a"); }));
+}
+
+TEST_CASE("Gateway sends nothing to an endpoint that leaves or whose domain is withdrawn", "[gateway][drain]")
+{
+    ServingBench bench;
+    bench.putEndpoint("chatt-a-1", "chatt-a", true);
+    bench.remove(ObjectKind::Endpoint, "chatt-a-2");
+    bench.platform.store.write(ObjectKind::FailureDomain, "knox-b", nlohmann::json::object());
+    bench.advance(Duration { 500 });
+    static_cast<void>(bench.askAtOnce("r", 40, "/chat/1"));
+    CHECK(std::all_of(bench.received.begin(), bench.received.end(),
+        [](const ReceivedRequest& request) { return request.endpoint.starts_with("knox-a"); }));
+    bench.remove(ObjectKind::FailureDomain, "knox-b");
+    bench.advance(Duration { 500 });
+    bench.received.clear();
+    static_cast<void>(bench.askAtOnce("s", 12, "/status/1"));
+    CHECK(std::any_of(bench.received.begin(), bench.received.end(),
+        [](const ReceivedRequest& request) { return request.endpoint.starts_with("knox-b"); }));
+}
+
+TEST_CASE("Gateway leaves out an endpoint whose entry cannot be read and keeps the others", "[gateway][store]")
+{
+    ServingBench bench;
+    bench.platform.store.write(ObjectKind::Endpoint, "foreign", { { "state", 7 } });
+    bench.advance(Duration { 500 });
+    CHECK(bench.ask("one")->outcome->isWhole());
+    bench.advance(Duration { 200 });
+    CHECK(bench.logText.find("endpoint_rejected") != std::string::npos);
+}
+
+TEST_CASE("Gateway probes a domain after two of its endpoints gave no sign of life", "[gateway][reach]")
+{
+    ServingBench bench;
+    for (const auto* id : { "knox-b-1", "knox-b-2", "chatt-a-1", "chatt-a-2" })
+        bench.manners[id] = EndpointManner::Silent;
+    int late = 0;
+    for (int request = 0; request < 100; ++request) {
+        const auto begun = bench.time;
+        const auto answer = bench.ask("r" + std::to_string(request), "/status/1");
+        CHECK(answer->outcome->isWhole());
+        late += answer->endedAt - begun > Duration { 150 } ? 1 : 0;
+        bench.advance(Duration { 50 });
+    }
+    // At most two requests for each silent domain find it out; no later one has to.
+    CHECK(late <= 4);
+    for (const auto& id : ServingBench::ids())
+        bench.manners[id] = EndpointManner::Answer;
+    bench.advance(Duration { 7000 });
+    bench.received.clear();
+    static_cast<void>(bench.askAtOnce("s", 12, "/status/1"));
+    CHECK(std::any_of(bench.received.begin(), bench.received.end(),
+        [](const ReceivedRequest& request) { return request.endpoint.starts_with("knox-b"); }));
+}
+
+TEST_CASE("Gateway that stops is unready at once and refuses new requests only when no new connection can come",
+    "[gateway][stop]")
+{
+    ServingBench bench;
+    bench.gateway->beginStop();
+    CHECK_FALSE(bench.gateway->isReady());
+    bench.advance(Duration { 2000 });
+    CHECK(bench.ask("one")->outcome->isWhole());
+    bench.advance(Duration { 1000 });
+    CHECK(isRefused(*bench.ask("two"), Refusal::HostLeaving, Execution::NotRun));
+}
+
+TEST_CASE("Gateway writes no key and no body into its log", "[gateway][log]")
+{
+    ServingBench bench;
+    for (int request = 0; request < 20; ++request)
+        static_cast<void>(bench.ask("r" + std::to_string(request), "/chat/1"));
+    static_cast<void>(bench.ask("x", "/chat/1", "secret-key"));
+    bench.advance(Duration { 500 });
+    CHECK(bench.logText.find("request_sent") != std::string::npos);
+    CHECK(bench.logText.find("shop-key") == std::string::npos);
+    CHECK(bench.logText.find("secret-key") == std::string::npos);
+    CHECK(bench.logText.find("data: a") == std::string::npos);
+}
--- /dev/null
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -0,0 +1,155 @@
+#include "berylwing/gateway/placement.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+namespace {
+
+using namespace berylwing;
+
+constexpr std::size_t kEndpoints = 18;
+constexpr Duration kStep { 10 };
+
+/** Load of streams that last for a while and ask for prompts of which a few are far more popular than others. */
+class PromptLoad {
+public:
+    struct Result {
+        /** Arrivals at an endpoint that already bore more than twice the mean of its service and three. */
+        std::size_t overLimit = 0;
+        std::size_t arrivals = 0;
+        /** Endpoints that have read a prompt, summed over all prompts, beyond the first for each. */
+        std::size_t readAgain = 0;
+    };
+
+    PromptLoad()
+    {
+        for (std::size_t number = 0; number < kEndpoints; ++number) {
+            EndpointRecord record;
+            record.id = "engine-" + std::to_string(number);
+            record.service = "engines";
+            record.domain = "domain-" + std::to_string(number % 4);
+            this->directory.put(std::move(record));
+        }
+    }
+
+    Result run(int requestsPerStep, double hotShare, Duration streamLength)
+    {
+        Result result;
+        std::map<std::uint64_t, std::set<std::string>> readers;
+        std::deque<std::pair<TimePoint, GatewayEndpointPtr>> running;
+        std::uniform_real_distribution<double> share;
+        std::uniform_int_distribution<std::uint64_t> prompt { 1, 200 };
+        for (int step = 0; step < 2000; ++step, this->time += kStep) {
+            while (!running.empty() && running.front().first <= this->time) {
+                --running.front().second->inFlight;
+                running.pop_front();
+            }
+            for (int each = 0; each < requestsPerStep; ++each) {
+                const auto key = share(this->random) < hotShare ? 0 : prompt(this->random);
+                const auto endpoint = this->placement.choose(
+                    { "engines", hashText(std::to_string(key)), true, this->none }, this->service);
+                REQUIRE(endpoint);
+                ++result.arrivals;
+                result.overLimit += endpoint->inFlight > 2 * this->mean() + 3 ? 1 : 0;
+                readers[key].insert(endpoint->record.id);
+                ++endpoint->inFlight;
+                running.emplace_back(this->time + streamLength, endpoint);
+            }
+        }
+        for (const auto& [key, ids] : readers)
+            result.readAgain += ids.size() - 1;
+        return result;
+    }
+
+    /** Mean over all endpoints of the service, whether they get requests or not. */
+    [[nodiscard]] double mean() const
+    {
+        double total = 0;
+        for (const auto& [id, endpoint] : this->directory.all())
+            total += endpoint->inFlight;
+        return total / static_cast<double>(kEndpoints);
+    }
+
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    DecisionLog log { this->clock, [](std::string_view lines) { return lines.size(); }, "" };
+    EndpointDirectory directory { this->clock, this->log };
+    std::vector<std::string> hosts { "here" };
+    ColdLimit coldLimit { "here", [this]() -> const std::vector<std::string>& { return this->hosts; } };
+    Placement placement { this->clock, this->directory, this->coldLimit, "domain-0" };
+    ServiceTraits service { "engines", 0, 9.3, {} };
+    std::vector<GatewayEndpointPtr> none;
+    std::mt19937 random { 7 };
+};
+
+} // namespace
+
+TEST_CASE("Placement keeps endpoints within twice the mean when one prompt gets a quarter of the load",
+    "[gateway][placement]")
+{
+    PromptLoad load;
+    const auto result = load.run(2, 0.28, Duration { 600 });
+    CHECK(result.overLimit == 0);
+    CHECK(result.arrivals == 4000);
+}
+
+TEST_CASE("Placement keeps to the mean of all endpoints while a domain is withdrawn", "[gateway][placement]")
+{
+    PromptLoad load;
+    load.directory.setDomainOut("domain-1", true);
+    const auto result = load.run(2, 0.18, Duration { 600 });
+    CHECK(result.overLimit == 0);
+}
+
+TEST_CASE("Placement reads a prompt at one endpoint while the load is even", "[gateway][placement]")
+{
+    PromptLoad load;
+    const auto result = load.run(1, 0.0, Duration { 200 });
+    CHECK(result.readAgain <= 10);
+}
+
+TEST_CASE("Placement moves only the prompts of an endpoint that leaves", "[gateway][placement]")
+{
+    PromptLoad load;
+    std::map<std::string, std::string> before;
+    for (int prompt = 0; prompt < 500; ++prompt) {
+        const auto name = std::to_string(prompt);
+        before[name] = load.placement.choose({ "engines", hashText(name), true, load.none }, load.service)->record.id;
+    }
+    load.directory.remove("engine-5");
+    for (const auto& [name, id] : before) {
+        const auto now = load.placement.choose({ "engines", hashText(name), true, load.none }, load.service)->record.id;
+        if (id != "engine-5")
+            REQUIRE(now == id);
+        CHECK(now != "engine-5");
+    }
+}
+
+TEST_CASE(
+    "Placement gives requests without a prompt to the idlest endpoint, in its own domain first", "[gateway][placement]")
+{
+    PromptLoad load;
+    for (const auto& [id, endpoint] : load.directory.all())
+        endpoint->inFlight = endpoint->record.domain == "domain-0" ? 1 : 2;
+    load.directory.all().at("engine-3")->inFlight = 1;
+    for (std::uint64_t key = 0; key < 20; ++key) {
+        const auto endpoint = load.placement.choose({ "engines", key, false, load.none }, load.service);
+        CHECK(endpoint->record.domain == "domain-0");
+    }
+    load.directory.all().at("engine-3")->inFlight = 0;
+    CHECK(load.placement.choose({ "engines", 1, false, load.none }, load.service)->record.id == "engine-3");
+}
+
+TEST_CASE("Placement tries an avoided endpoint rather than none", "[gateway][placement]")
+{
+    PromptLoad load;
+    for (const auto& [id, endpoint] : load.directory.all())
+        endpoint->health.record(EndpointVerdict::Unreachable, load.time);
+    CHECK(load.placement.choose({ "engines", 1, true, load.none }, load.service));
+}
--- /dev/null
+++ b/test/berylwing/gateway/retry_allowance_test.cpp
@@ -0,0 +1,63 @@
+#include "berylwing/gateway/retry_allowance.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+
+namespace {
+
+using namespace berylwing;
+
+constexpr std::size_t kHosts = 7;
+constexpr RetryBounds kBounds { 0.2, 54, Duration { 10'000 } };
+constexpr Duration kStep { 50 };
+
+} // namespace
+
+TEST_CASE(
+    "RetryAllowance keeps the hosts together within the fleet's bound while all requests fail", "[gateway][retry]")
+{
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { context.get_executor(), [&time] { return time; } };
+    std::vector<std::unique_ptr<RetryAllowance>> hosts;
+    for (std::size_t number = 0; number < kHosts; ++number)
+        hosts.push_back(std::make_unique<RetryAllowance>(clock, kBounds, [] { return kHosts; }));
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> retries;
+    const auto end = time + Duration { 40'000 };
+    // Ten seconds of traffic, then a pause, then traffic again; one host gets most of it.
+    for (; time < end; time += kStep) {
+        const auto second = (end - time) / Duration { 1000 };
+        const bool isPause = second > 15 && second < 25;
+        for (std::size_t host = 0; host < kHosts && !isPause; ++host) {
+            for (int each = 0; each < (host == 0 ? 5 : 1); ++each) {
+                hosts[host]->recordRequest("engines");
+                requests.push_back(time);
+                if (hosts[host]->take("engines"))
+                    retries.push_back(time);
+            }
+        }
+        while (!requests.empty() && requests.front() < time - kBounds.window)
+            requests.pop_front();
+        while (!retries.empty() && retries.front() < time - kBounds.window)
+            retries.pop_front();
+        const auto allowed = kBounds.ratio * static_cast<double>(requests.size()) + kBounds.minimum;
+        REQUIRE(static_cast<double>(retries.size()) <= allowed);
+    }
+}
+
+TEST_CASE("RetryAllowance counts services apart", "[gateway][retry]")
+{
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { context.get_executor(), [&time] { return time; } };
+    RetryAllowance allowance { clock, { 0, 2.5, Duration { 10'000 } }, [] { return std::size_t { 1 }; } };
+    CHECK(allowance.take("engines"));
+    CHECK(allowance.take("engines"));
+    CHECK_FALSE(allowance.take("engines"));
+    CHECK(allowance.take("orders"));
+    time += Duration { 10'001 };
+    CHECK(allowance.take("engines"));
+}
--- /dev/null
+++ b/test/berylwing/gateway/routing_plan_test.cpp
@@ -0,0 +1,58 @@
+#include "berylwing/gateway/routing_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+
+Route routeOf(const std::string& name, const std::string& hostname, const std::string& prefix)
+{
+    Route route;
+    route.name = name;
+    route.hostname = hostname;
+    route.pathPrefix = prefix;
+    return route;
+}
+
+std::string nameOf(const Route* route) { return route == nullptr ? std::string { "none" } : route->name; }
+
+} // namespace
+
+TEST_CASE("RoutingPlan prefers the longest prefix of a host name's routes", "[gateway][plan]")
+{
+    RoutingPlan plan { 1 };
+    plan.add(routeOf("short", "a.example", "/x/"));
+    plan.add(routeOf("long", "a.example", "/x/y/"));
+    plan.add(routeOf("other", "b.example", "/"));
+    CHECK(nameOf(plan.match("a.example", "/x/y/z")) == "long");
+    CHECK(nameOf(plan.match("a.example", "/x/yy")) == "short");
+    CHECK(nameOf(plan.match("a.example", "/x")) == "none");
+    CHECK(nameOf(plan.match("b.example", "/x/y/z")) == "other");
+    CHECK(nameOf(plan.match("c.example", "/x/y/z")) == "none");
+}
+
+TEST_CASE("Route divides requests between services by their weights", "[gateway][plan]")
+{
+    Route route;
+    route.services = { { "old", 90 }, { "new", 10 }, { "off", 0 } };
+    std::size_t toNew = 0;
+    for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+        const auto service = route.serviceFor(hash);
+        REQUIRE(service != "off");
+        toNew += service == "new" ? 1 : 0;
+    }
+    CHECK(toNew == 100);
+    CHECK(Route {}.serviceFor(7).empty());
+}
+
+TEST_CASE("RoutingPlan knows whose a key is", "[gateway][plan]")
+{
+    RoutingPlan plan { 1 };
+    CHECK_FALSE(plan.hasWorkspaces());
+    plan.add(KeyHolder { "shop", 3 }, { "one", "two" });
+    REQUIRE(plan.holderOf("two") != nullptr);
+    CHECK(plan.holderOf("two")->workspace == "shop");
+    CHECK(plan.holderOf("three") == nullptr);
+    CHECK(plan.hasWorkspaces());
+}
--- /dev/null
+++ b/test/platform/headers_test.cpp
@@ -0,0 +1,86 @@
+#include "platform/headers.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+
+std::string textOf(const HeaderFields& fields, const char* name)
+{
+    const auto value = fields[name];
+    return { value.data(), value.size() };
+}
+
+} // namespace
+
+TEST_CASE("readRequest takes the parts of a prompt in order", "[platform]")
+{
+    HeaderFields fields;
+    fields.set("Attempt-Id", "9c41d07be2a35f68");
+    fields.set("Authorization", "Bearer n2ct");
+    fields.set("Deadline-Ms", "6000");
+    fields.set("Prefix-Hash", "5c1e07a2:800, 91bd3f06:410,e4402b7d:250");
+    const auto facts = platform::readRequest(fields);
+    CHECK(facts.attemptId == "9c41d07be2a35f68");
+    CHECK(facts.key == "n2ct");
+    CHECK(facts.patience == Duration { 6000 });
+    REQUIRE(facts.promptParts.size() == 3);
+    CHECK(facts.promptParts[1].id == "91bd3f06");
+    CHECK(facts.promptParts[1].tokens == 410);
+}
+
+TEST_CASE("readRequest does without what is missing or cannot be read", "[platform]")
+{
+    HeaderFields fields;
+    fields.set("Authorization", "Basic abc");
+    fields.set("Deadline-Ms", "soon");
+    fields.set("Prefix-Hash", "junk,,a:b");
+    const auto facts = platform::readRequest(fields);
+    CHECK(facts.key.empty());
+    CHECK_FALSE(facts.patience);
+    REQUIRE(facts.promptParts.size() == 1);
+    CHECK(facts.promptParts[0].tokens == 0);
+}
+
+TEST_CASE("prepareForEndpoint lets no caller set what only this system may", "[platform]")
+{
+    HeaderFields fields;
+    for (const auto* name : { "Kv-Retain", "Pin-Ms", "Kv-Backup", "Kv-From", "Kv-Fetch", "Expect-Version",
+             "Expect-Instance", "Tenant", "Request-Priority", "Authorization" })
+        fields.set(name, "forged");
+    fields.set("Model", "m");
+    fields.set("Attempt-Id", "a1");
+    platform::prepareForEndpoint(fields, { "i-1", "hule930", Duration { 1500 }, 12, "" });
+    CHECK(textOf(fields, "Expect-Instance") == "i-1");
+    CHECK(textOf(fields, "Tenant") == "hule930");
+    CHECK(textOf(fields, "Deadline-Ms") == "1500");
+    CHECK(textOf(fields, "Request-Priority") == "9");
+    CHECK(textOf(fields, "Model") == "m");
+    CHECK(textOf(fields, "Attempt-Id") == "a1");
+    for (const auto& field : fields)
+        CHECK(field.value() != "forged");
+}
+
+TEST_CASE("prepareForEndpoint names no workspace on a public route", "[platform]")
+{
+    HeaderFields fields;
+    fields.set("Tenant", "forged");
+    platform::prepareForEndpoint(fields, { "i-1", "", Duration { 1500 }, 0, "17" });
+    CHECK(fields.count("Tenant") == 0);
+    CHECK(textOf(fields, "Last-Event-Id") == "17");
+}
+
+TEST_CASE("readAnswer tells what an endpoint says of itself", "[platform]")
+{
+    HeaderFields fields;
+    fields.set("Attempt-Id", "a1");
+    fields.set("Not-Executed", "1");
+    fields.set("Connection", "close");
+    fields.set("Keep-Alive", "timeout=7, max=100");
+    const auto facts = platform::readAnswer(503, fields);
+    CHECK(facts.isNotRun);
+    CHECK_FALSE(facts.isSigned);
+    CHECK(facts.closesConnection);
+    CHECK(facts.idleTimeout == Duration { 7000 });
+}
--- /dev/null
+++ b/test/platform/objects_test.cpp
@@ -0,0 +1,94 @@
+#include "platform/objects.hpp"
+
+#include "berylwing/core/finding.hpp"
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+using nlohmann::json;
+
+json configOf()
+{
+    return json::parse(R"({"version":7,
+        "routes":[{"name":"r-1","hostname":"a.example","path_prefix":"/x/","route_kind":"streaming","timeout_ms":4000,
+            "target_latency_ms":500,"priority":0,"service":"s1","max_attempts":2,"public":false,"sticky":true,
+            "resumable":true,"target_gap_ms":200},
+            {"name":"r-2","hostname":"a.example","path_prefix":"/y/","route_kind":"non_idempotent","timeout_ms":2500,
+            "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max_attempts":1}],
+        "services":[{"name":"s1","health_path":"/healthz","max_connections":360,"cold_start_s":3.0,"cold_per_s":9.3}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}],
+        "new_field":{"a":1}})");
+}
+
+json serverOf()
+{
+    return json::parse(R"({"service":"s1","address":"10.128.0.9:8080","zone":"nabeul","version":"v1","slots":64,
+        "state":"ready","cold_remaining_ms":250,"sequence":4,"born":1764800000000})");
+}
+
+} // namespace
+
+TEST_CASE("readPlan reads routes, services, bounds and keys", "[platform]")
+{
+    const auto plan = platform::readPlan(configOf());
+    CHECK(plan.version() == 7);
+    const auto* route = plan.match("a.example", "/x/1");
+    REQUIRE(route != nullptr);
+    CHECK(route->mayRunAgain());
+    CHECK(route->timeout == Duration { 4000 });
+    CHECK(route->serviceFor(0) == "s1");
+    CHECK(plan.match("a.example", "/y/1")->serviceFor(95) == "s2");
+    REQUIRE(plan.service("s1") != nullptr);
+    CHECK(plan.service("s1")->coldRequestsPerSecond == Approx(9.3));
+    CHECK(plan.holderOf("k2")->workspace == "t1");
+    CHECK(plan.holderOf("k2")->priority == 1U);
+    CHECK(plan.callerBounds().idleTimeout == Duration { 15'000 });
+}
+
+TEST_CASE("readPlan reports all faults of a configuration together", "[platform]")
+{
+    auto config = configOf();
+    config["routes"][0].erase("path_prefix");
+    config["routes"][1]["timeout_ms"] = "soon";
+    config["routes"][1]["route_kind"] = "often";
+    config["tenants"][0]["api_keys"][1] = 5;
+    try {
+        static_cast<void>(platform::readPlan(config));
+        FAIL("accepted");
+    } catch (const ConfigurationError& error) {
+        CHECK(error.findings().all().size() == 4);
+        CHECK(error.findings().text().find("config/routes[1]/timeout_ms") != std::string::npos);
+    }
+}
+
+TEST_CASE("readEndpoint reads an entry", "[platform]")
+{
+    const auto record = platform::readEndpoint("i-1", serverOf());
+    CHECK(record.id == "i-1");
+    CHECK(record.address.port == 8080);
+    CHECK(record.coldFor == Duration { 250 });
+    CHECK(record.bornAt == 1764800000000);
+    CHECK_FALSE(record.isDraining);
+}
+
+TEST_CASE("readEndpoint takes no entry of another writer", "[platform]")
+{
+    for (const auto* field : { "service", "address", "zone", "slots", "state" }) {
+        auto missing = serverOf();
+        missing.erase(field);
+        CHECK_THROWS_AS(platform::readEndpoint("i-1", missing), ConfigurationError);
+        auto other = serverOf();
+        other[field] = json::array();
+        CHECK_THROWS_AS(platform::readEndpoint("i-1", other), ConfigurationError);
+    }
+    auto state = serverOf();
+    state["state"] = "asleep";
+    CHECK_THROWS_AS(platform::readEndpoint("i-1", state), ConfigurationError);
+    auto address = serverOf();
+    address["address"] = "10.1.1.1";
+    CHECK_THROWS_AS(platform::readEndpoint("i-1", address), ConfigurationError);
+    CHECK_THROWS_AS(platform::readEndpoint("i-1", json {}), ConfigurationError);
+    CHECK_THROWS_AS(platform::readEndpoint("i-1", json("text")), ConfigurationError);
+}
