Keep shared prompts at the endpoints that hold them

Hosts now tell each other with their digests which endpoints have read which prompt lately; a prompt goes to one of those below its bound, in rendezvous order, before any other.

--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/config/settings.hpp"
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/hash.hpp"
 #include "berylwing/gateway/endpoint_health.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include <boost/intrusive_ptr.hpp>
@@ -36,6 +37,7 @@
     /** @brief Creates an endpoint. @param endpointRecord Entry in the store. */
     explicit GatewayEndpoint(EndpointRecord endpointRecord)
         : record { std::move(endpointRecord) }
+        , hash { hashText(this->record.id) }
     {
     }
 
@@ -46,6 +48,8 @@
     [[nodiscard]] std::uint32_t load() const noexcept { return this->inFlight + this->inFlightElsewhere; }
 
     EndpointRecord record;
+    /** Hash of the id, by which hosts name the endpoint to each other. */
+    std::uint64_t hash;
     EndpointHealth health;
     TimePoint coldUntil {};
     /** Last request that was sent while the endpoint was cold. */
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -1,6 +1,5 @@
 #include "berylwing/gateway/fleet_view.hpp"
 
-#include "berylwing/core/hash.hpp"
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -46,7 +45,7 @@
         if (endpoint->inFlight == 0)
             continue;
         auto& load = *digest.add_loads();
-        load.set_endpoint(hashText(id));
+        load.set_endpoint(endpoint->hash);
         load.set_in_flight(endpoint->inFlight);
     }
     return digest;
@@ -67,7 +66,7 @@
             totals[load.endpoint()] += load.in_flight();
     }
     for (const auto& [id, endpoint] : this->directory.all()) {
-        const auto found = totals.find(hashText(id));
+        const auto found = totals.find(endpoint->hash);
         endpoint->inFlightElsewhere = found == totals.end() ? 0 : found->second;
     }
 }
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -271,8 +271,10 @@
     line.add("plan_age_ms", this->parts.lease.age()).add("endpoint", endpoint.record.id);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { journey.sends });
     line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
-    if (const auto* shared = sharedPart(journey.request.facts.promptParts))
+    if (const auto* shared = sharedPart(journey.request.facts.promptParts)) {
+        this->parts.holders.recordUse(hashText(shared->id), endpoint.hash);
         line.add("prompt", shared->id).add("prompt_tokens", std::int64_t { shared->tokens });
+    }
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(journey.deadline + kDeadlineSlack);
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -34,6 +34,7 @@
     const PlanLease& lease;
     const EndpointDirectory& directory;
     const Placement& placement;
+    PromptHolders& holders;
     RetryAllowance& retries;
     OpenSession open;
     /** Takes note of an endpoint that gave no sign of life. */
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -10,6 +10,7 @@
 class GatewayEndpoint;
 class Placement;
 class PlanLease;
+class PromptHolders;
 class ReachProber;
 class RetryAllowance;
 class RoutingPlan;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -69,7 +69,8 @@
     , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
     , sendToHost { std::move(dependencies.sendToHost) }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->hostNames; } }
-    , placement { hostClock, this->directory, this->coldLimit, gatewaySettings.domain }
+    , holders { hostClock }
+    , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->hostNames.size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, kPlanWait, this->planHooks(), this->log }
@@ -82,8 +83,8 @@
 ForwarderParts Gateway::forwarderParts(OpenSession open)
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        this->retries, std::move(open), [this](const GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); },
-        this->hostMetrics, this->log };
+        this->holders, this->retries, std::move(open),
+        [this](const GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
 void Gateway::start()
@@ -314,7 +315,9 @@
 Task<void> Gateway::sendDigests()
 {
     while (true) {
-        const auto bytes = this->fleet.describe().SerializeAsString();
+        auto digest = this->fleet.describe();
+        this->holders.describe(digest);
+        const auto bytes = digest.SerializeAsString();
         for (const auto& peer : this->peers)
             this->sendToHost(peer, bytes);
         const auto sent = static_cast<Duration::rep>((bytes.size() + kDatagramOverhead) * this->peers.size());
@@ -328,10 +331,12 @@
     const auto isPeer = std::any_of(this->peers.begin(), this->peers.end(),
         [&address](const SocketAddress& peer) { return peer.address == address; });
     wire::Digest digest;
-    if (isPeer && digest.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
-        this->fleet.take(std::move(digest));
-    else
+    if (!isPeer || !digest.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         spdlog::debug("message of {} bytes from {} ignored", bytes.size(), address);
+        return;
+    }
+    this->holders.take(digest);
+    this->fleet.take(std::move(digest));
 }
 
 Task<void> Gateway::maintain()
@@ -340,6 +345,7 @@
         this->directory.dropLapsed();
         this->prober.probeDue();
         this->fleet.dropSilent();
+        this->holders.dropOld();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
     }
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "berylwing/gateway/gateway_settings.hpp"
 #include "berylwing/gateway/placement.hpp"
 #include "berylwing/gateway/plan_lease.hpp"
+#include "berylwing/gateway/prompt_holders.hpp"
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reach_prober.hpp"
 #include "berylwing/gateway/retry_allowance.hpp"
@@ -116,6 +117,7 @@
     FleetView fleet;
     std::function<void(const SocketAddress&, const std::string&)> sendToHost;
     ColdLimit coldLimit;
+    PromptHolders holders;
     Placement placement;
     RetryAllowance retries;
     ReachProber prober;
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -16,6 +16,7 @@
 struct Candidate {
     GatewayEndpointPtr endpoint;
     double score = 0;
+    bool isHolder = false;
 };
 
 /**
@@ -37,11 +38,12 @@
 
 } // namespace
 
-Placement::Placement(
-    const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdLimit& limit, std::string ownDomain)
+Placement::Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdLimit& limit,
+    const PromptHolders& promptHolders, std::string ownDomain)
     : clock { hostClock }
     , directory { endpointDirectory }
     , coldLimit { limit }
+    , holders { promptHolders }
     , domain { std::move(ownDomain) }
 {
 }
@@ -75,6 +77,10 @@
         [](const Candidate& left, const Candidate& right) { return left.score > right.score; });
     if (request.isSticky) {
         const auto bound = boundOf(this->directory, request.service);
+        for (auto& candidate : candidates)
+            candidate.isHolder = this->holders.holds(request.key, candidate.endpoint->hash);
+        std::stable_partition(
+            candidates.begin(), candidates.end(), [](const Candidate& candidate) { return candidate.isHolder; });
         const auto found = std::find_if(candidates.begin(), candidates.end(),
             [bound](const Candidate& candidate) { return candidate.endpoint->load() < bound; });
         if (found != candidates.end())
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/gateway/cold_limit.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
+#include "berylwing/gateway/prompt_holders.hpp"
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,10 +36,11 @@
      * @param hostClock Clock of the host.
      * @param endpointDirectory Endpoints.
      * @param coldLimit Limit of cold endpoints.
+     * @param promptHolders Endpoints that hold shared prompts.
      * @param ownDomain Failure domain of this host, preferred among equals.
      */
     Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdLimit& coldLimit,
-        std::string ownDomain);
+        const PromptHolders& promptHolders, std::string ownDomain);
 
     /**
      * @brief Chooses an endpoint.
@@ -52,6 +54,7 @@
     const Clock& clock;
     const EndpointDirectory& directory;
     const ColdLimit& coldLimit;
+    const PromptHolders& holders;
     std::string domain;
 };
 
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -82,7 +82,8 @@
     EndpointDirectory directory { this->clock, this->log };
     std::vector<std::string> hosts { "here" };
     ColdLimit coldLimit { "here", [this]() -> const std::vector<std::string>& { return this->hosts; } };
-    Placement placement { this->clock, this->directory, this->coldLimit, "domain-0" };
+    PromptHolders holders { this->clock };
+    Placement placement { this->clock, this->directory, this->coldLimit, this->holders, "domain-0" };
     ServiceTraits service { "engines", 0, 9.3, {} };
     std::vector<GatewayEndpointPtr> none;
     std::mt19937 random { 7 };
