--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -15,11 +15,14 @@
 constexpr Duration kPlanWait { 1500 };
 /** A silent connection to the store must be noticed before endpoints that leave have to be out of use. */
 constexpr Duration kEndpointWait { 2500 };
-constexpr Duration kDomainWait { 2500 };
+/** The same for domains that are withdrawn, which may be in use for five seconds. */
+constexpr Duration kDomainWait { 4000 };
+/** Pause after changes of endpoints, which come in clumps; an endpoint that leaves may be used for two seconds. */
+constexpr Duration kEndpointPause { 300 };
 /** Part of a lease that is not used, because clocks of two hosts do not run at quite the same rate. */
 constexpr Duration kLeaseMargin { 100 };
 /** Time between two looks at the list of hosts, whose number divides the fleet's bounds. */
-constexpr Duration kHostListInterval { 10'000 };
+constexpr Duration kHostListInterval { 15'000 };
 constexpr Duration kFirstHostListPause { 1000 };
 constexpr Duration kRegisterPause { 500 };
 /** Time between two digests; within it a host sends one or two requests to an endpoint at the busiest. */
@@ -73,9 +76,12 @@
     , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->hostNames.size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
-    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, kPlanWait, this->planHooks(), this->log }
-    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, kEndpointWait, this->endpointHooks(), this->log }
-    , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, kDomainWait, this->domainHooks(), this->log }
+    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWait, {}, true }, this->planHooks(),
+        this->log }
+    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, { kEndpointWait, kEndpointPause, false },
+        this->endpointHooks(), this->log }
+    , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, { kDomainWait, {}, false }, this->domainHooks(),
+        this->log }
     , forwarder { this->forwarderParts(std::move(dependencies.open)) }
 {
 }
@@ -281,7 +287,7 @@
     bool isFirst = true;
     while (true) {
         try {
-            const auto page = co_await this->client.list(ObjectKind::Host, {}, false);
+            const auto page = co_await this->client.list(ObjectKind::Host, {}, !isFirst);
             this->takeHosts(page.changes);
         } catch (const PlatformError& error) {
             spdlog::debug("hosts not listed: {}", error.what());
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -18,13 +18,12 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, Duration longestWait,
-    StoreFeedHooks feedHooks, DecisionLog& decisionLog)
+StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind,
+    const StoreFeedPace& feedPace, StoreFeedHooks feedHooks, DecisionLog& decisionLog)
     : clock { hostClock }
     , client { storeClient }
     , kind { objectKind }
-    , wait { longestWait }
-    , confirmsChanges { objectKind == ObjectKind::RoutingPlan }
+    , pace { feedPace }
     , hooks { std::move(feedHooks) }
     , log { decisionLog }
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
@@ -58,15 +57,18 @@
 Task<void> StoreFeed::watch()
 {
     const auto sentAt = this->clock.now();
-    const auto length = this->failures > 0 || this->hasChanged ? kProbeWait : this->wait;
+    const auto length = this->failures > 0 || this->hasChanged ? kProbeWait : this->pace.wait;
     const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
     for (const auto& change : batch.changes)
         this->hooks.change(change);
     this->revision = std::max(this->revision, batch.through);
     // An answer with changes may have been given long ago, so the next call asks again at once.
-    this->hasChanged = this->confirmsChanges && !batch.changes.empty();
+    this->hasChanged = this->pace.confirmsChanges && !batch.changes.empty();
     // A watch without a change was answered at the end of its wait, not before.
+    const bool mustPause = !batch.changes.empty() && this->pace.pauseAfterChange > Duration {};
     this->hooks.confirm(batch.changes.empty() ? std::min(sentAt + length, this->clock.now()) : sentAt);
+    if (mustPause)
+        co_await this->clock.sleepFor(this->pace.pauseAfterChange);
 }
 
 Duration StoreFeed::nextPause()
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -22,6 +22,16 @@
     std::function<void()> lose;
 };
 
+/** @brief How a feed asks the store. */
+struct StoreFeedPace {
+    /** Time for which one watch waits, which is also how long a silent connection goes unnoticed. */
+    Duration wait {};
+    /** Pause after a change, in which further ones gather. */
+    Duration pauseAfterChange {};
+    /** Whether each change is followed by a short call that confirms the moment. */
+    bool confirmsChanges = false;
+};
+
 /** @brief Follows the objects of one kind in the platform's store. */
 class StoreFeed {
     [[nodiscard]] Task<void> list();
@@ -34,11 +44,11 @@
      * @param hostClock Clock of the host.
      * @param storeClient Client of the store.
      * @param objectKind Kind of the objects.
-     * @param longestWait Time for which one watch waits, which is also how long a silent connection goes unnoticed.
+     * @param feedPace How the store is asked.
      * @param feedHooks Takes what the store tells.
      * @param decisionLog Log of the host.
      */
-    StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, Duration longestWait,
+    StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, const StoreFeedPace& feedPace,
         StoreFeedHooks feedHooks, DecisionLog& decisionLog);
 
     /** @brief Follows the objects for ever. @return Awaitable. */
@@ -51,9 +61,7 @@
     Clock& clock;
     PlatformClient& client;
     ObjectKind kind;
-    Duration wait;
-    /** Whether each change is followed by a short call that confirms the moment. */
-    bool confirmsChanges;
+    StoreFeedPace pace;
     StoreFeedHooks hooks;
     DecisionLog& log;
     std::minstd_rand random;
