Choose endpoints by what they have still to read; tell hosts that start which prompts are held

Hosts now tell each other the unread tokens of each endpoint; a prompt that nobody holds goes to the first of its order that is not behind the idlest by more than one long prompt; a holder is left only for an endpoint that answers far sooner, since reading anew delays others.

--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -44,6 +44,12 @@
     /** @brief Tells whether the endpoint is cold. @param now Current time. @return True while it is. */
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < this->coldUntil; }
 
+    /** @brief Estimates the tokens of prompts that the endpoint has still to read for all hosts. @return Tokens. */
+    [[nodiscard]] std::uint64_t backlog() const noexcept
+    {
+        return std::uint64_t { this->unreadTokens } + this->unreadTokensElsewhere;
+    }
+
     /** @brief Estimates the requests of all hosts at the endpoint. @return Requests. */
     [[nodiscard]] std::uint32_t load() const noexcept { return this->inFlight + this->inFlightElsewhere; }
 
@@ -58,6 +64,10 @@
     std::uint32_t inFlight = 0;
     /** Requests of other hosts that the endpoint has not finished, as they last told. */
     std::uint32_t inFlightElsewhere = 0;
+    /** Tokens of prompts that the endpoint has still to read for this host. */
+    std::uint32_t unreadTokens = 0;
+    /** The same for other hosts, as they last told. */
+    std::uint32_t unreadTokensElsewhere = 0;
     /** Whether the entry has vanished while the store could not be trusted to keep it. */
     bool isMissing = false;
 };
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -22,17 +22,19 @@
 {
 }
 
-void FleetView::take(wire::Digest digest)
+bool FleetView::take(wire::Digest digest)
 {
     if (digest.host() == this->name)
-        return;
+        return false;
     auto& peer = this->peers[digest.host()];
     const auto known = std::make_tuple(peer.digest.incarnation(), peer.digest.sequence());
     if (std::make_tuple(digest.incarnation(), digest.sequence()) <= known)
-        return;
+        return false;
+    const bool isNew = digest.incarnation() != peer.digest.incarnation();
     peer.digest = std::move(digest);
     peer.receivedAt = this->clock.now();
     this->recount();
+    return isNew;
 }
 
 wire::Digest FleetView::describe()
@@ -47,6 +49,7 @@
         auto& load = *digest.add_loads();
         load.set_endpoint(endpoint->hash);
         load.set_in_flight(endpoint->inFlight);
+        load.set_unread_tokens(endpoint->unreadTokens);
     }
     return digest;
 }
@@ -60,14 +63,18 @@
 
 void FleetView::recount()
 {
-    std::unordered_map<std::uint64_t, std::uint32_t> totals;
+    std::unordered_map<std::uint64_t, wire::EndpointLoad> totals;
     for (const auto& [host, peer] : this->peers) {
-        for (const auto& load : peer.digest.loads())
-            totals[load.endpoint()] += load.in_flight();
+        for (const auto& load : peer.digest.loads()) {
+            auto& total = totals[load.endpoint()];
+            total.set_in_flight(total.in_flight() + load.in_flight());
+            total.set_unread_tokens(total.unread_tokens() + load.unread_tokens());
+        }
     }
     for (const auto& [id, endpoint] : this->directory.all()) {
-        const auto found = totals.find(endpoint->hash);
-        endpoint->inFlightElsewhere = found == totals.end() ? 0 : found->second;
+        const auto& total = totals[endpoint->hash];
+        endpoint->inFlightElsewhere = total.in_flight();
+        endpoint->unreadTokensElsewhere = total.unread_tokens();
     }
 }
 
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -33,8 +33,12 @@
     FleetView(const Clock& hostClock, EndpointDirectory& endpointDirectory, std::string ownName,
         std::uint64_t ownIncarnation);
 
-    /** @brief Takes a digest of another host unless a newer one is known. @param digest Digest. */
-    void take(wire::Digest digest);
+    /**
+     * @brief Takes a digest of another host unless a newer one is known.
+     * @param digest Digest.
+     * @return True if the host is new or has started again.
+     */
+    bool take(wire::Digest digest);
 
     /** @brief Describes this host's requests. @return Digest. */
     [[nodiscard]] wire::Digest describe();
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -35,6 +35,14 @@
     return parts.size() > 1 ? &parts[parts.size() - 2] : &parts.back();
 }
 
+std::uint32_t sharedTokensOf(const std::vector<PromptPart>& parts)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t place = 0; place + 1 < parts.size(); ++place)
+        tokens += parts[place].tokens;
+    return tokens;
+}
+
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
@@ -58,6 +66,27 @@
 
 } // namespace
 
+/** Counts a prompt among what its endpoint has still to read, until the endpoint begins to answer. */
+class PromptReading {
+public:
+    PromptReading(GatewayEndpointPtr readingEndpoint, std::uint32_t promptTokens)
+        : endpoint { std::move(readingEndpoint) }
+        , tokens { promptTokens }
+    {
+        this->endpoint->unreadTokens += this->tokens;
+    }
+
+    ~PromptReading() { this->finish(); }
+    PromptReading(const PromptReading&) = delete;
+    PromptReading& operator=(const PromptReading&) = delete;
+
+    void finish() { this->endpoint->unreadTokens -= std::exchange(this->tokens, 0); }
+
+private:
+    GatewayEndpointPtr endpoint;
+    std::uint32_t tokens;
+};
+
 /** What is known of a request on its way. */
 struct Forwarder::Journey {
     GatewayRequest& request;
@@ -137,7 +166,8 @@
         return this->giveUp(journey, Refusal::ConfigurationStale);
     const auto* shared = journey.route->isSticky ? sharedPart(journey.request.facts.promptParts) : nullptr;
     const auto key = shared == nullptr ? journey.requestHash : hashText(shared->id);
-    const PlacementRequest wanted { journey.service, key, shared != nullptr, journey.tried };
+    const PlacementRequest wanted { journey.service, key, sharedTokensOf(journey.request.facts.promptParts),
+        shared != nullptr, journey.tried };
     endpoint = this->parts.placement.choose(wanted, journey.traits);
     if (!endpoint)
         return this->giveUp(journey, journey.lastFailure);
@@ -271,13 +301,19 @@
     line.add("plan_age_ms", this->parts.lease.age()).add("endpoint", endpoint.record.id);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { journey.sends });
     line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
-    if (const auto* shared = sharedPart(journey.request.facts.promptParts)) {
+    const auto& parts = journey.request.facts.promptParts;
+    auto unread = parts.empty() ? 0 : parts.back().tokens;
+    if (const auto* shared = sharedPart(parts)) {
+        if (!this->parts.holders.holds(hashText(shared->id), endpoint.hash))
+            unread += sharedTokensOf(parts);
         this->parts.holders.recordUse(hashText(shared->id), endpoint.hash);
         line.add("prompt", shared->id).add("prompt_tokens", std::int64_t { shared->tokens });
     }
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
+    PromptReading reading { &endpoint, unread };
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(journey.deadline + kDeadlineSlack);
+    reading.finish();
     if (head.facts.isNotRun || head.status == kMisdirected) {
         // Another process has the address, so the entry is out of date until the store says otherwise.
         const bool isOther = head.status == kMisdirected;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -342,7 +342,8 @@
         return;
     }
     this->holders.take(digest);
-    this->fleet.take(std::move(digest));
+    if (this->fleet.take(std::move(digest)))
+        this->holders.announceAll();
 }
 
 Task<void> Gateway::maintain()
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -13,10 +13,18 @@
 /** Requests beyond that multiple that are always allowed, so that few requests are not spread for nothing. */
 constexpr double kLoadSlack = 2.5;
 
+/** Tokens by which a predicted wait may exceed the shortest one for the sake of a prompt's order: one long prompt. */
+constexpr std::uint64_t kBacklogSlack = 10'000;
+
+/** Tokens that reading a prompt anew counts beyond its own, since it also delays all others at the endpoint. */
+constexpr std::uint64_t kReadingPenalty = 40'000;
+
 struct Candidate {
     GatewayEndpointPtr endpoint;
     double score = 0;
     bool isHolder = false;
+    /** Tokens that the endpoint has to read before it answers. */
+    std::uint64_t tokensAhead = 0;
 };
 
 /**
@@ -61,38 +69,50 @@
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
         return isTried || !this->isUsable(*endpoint, service, now);
     });
-    std::vector<Candidate> candidates;
-    for (const auto& endpoint : open) {
-        if (!endpoint->health.isEjected(now))
-            candidates.push_back({ endpoint, rendezvousScore(request.key, endpoint->record.id) });
-    }
+    auto candidates = open;
+    std::erase_if(candidates, [now](const GatewayEndpointPtr& endpoint) { return endpoint->health.isEjected(now); });
     // When all seem bad the fault is more likely elsewhere, and trying one is better than refusing.
-    if (candidates.empty()) {
-        for (const auto& endpoint : open)
-            candidates.push_back({ endpoint, rendezvousScore(request.key, endpoint->record.id) });
-    }
+    if (candidates.empty())
+        candidates = std::move(open);
     if (candidates.empty())
         return nullptr;
-    std::sort(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.score > right.score; });
-    if (request.isSticky) {
-        const auto bound = boundOf(this->directory, request.service);
-        for (auto& candidate : candidates)
-            candidate.isHolder = this->holders.holds(request.key, candidate.endpoint->hash);
-        std::stable_partition(
-            candidates.begin(), candidates.end(), [](const Candidate& candidate) { return candidate.isHolder; });
-        const auto found = std::find_if(candidates.begin(), candidates.end(),
-            [bound](const Candidate& candidate) { return candidate.endpoint->load() < bound; });
-        if (found != candidates.end())
-            return found->endpoint;
+    const auto endpoint = request.isSticky ? this->chooseForPrompt(request, candidates) : nullptr;
+    return endpoint ? endpoint : this->chooseIdlest(candidates);
+}
+
+GatewayEndpointPtr Placement::chooseForPrompt(
+    const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& endpoints) const
+{
+    const auto bound = boundOf(this->directory, request.service);
+    std::vector<Candidate> candidates;
+    for (const auto& endpoint : endpoints) {
+        if (endpoint->load() >= bound)
+            continue;
+        const bool isHolder = this->holders.holds(request.key, endpoint->hash);
+        const auto tokensAhead = endpoint->backlog() + (isHolder ? 0 : request.sharedTokens + kReadingPenalty);
+        candidates.push_back({ endpoint, rendezvousScore(request.key, endpoint->record.id), isHolder, tokensAhead });
     }
-    const auto least
-        = std::min_element(candidates.begin(), candidates.end(), [this](const Candidate& left, const Candidate& right) {
-              if (left.endpoint->inFlight != right.endpoint->inFlight)
-                  return left.endpoint->inFlight < right.endpoint->inFlight;
-              return left.endpoint->record.domain == this->domain && right.endpoint->record.domain != this->domain;
-          });
-    return least->endpoint;
+    if (candidates.empty())
+        return nullptr;
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        return left.isHolder != right.isHolder ? left.isHolder : left.score > right.score;
+    });
+    const auto shortest = std::min_element(candidates.begin(), candidates.end(),
+        [](const Candidate& left, const Candidate& right) { return left.tokensAhead < right.tokensAhead; });
+    const auto most = shortest->tokensAhead + kBacklogSlack;
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+        [most](const Candidate& candidate) { return candidate.tokensAhead <= most; });
+    return found->endpoint;
+}
+
+GatewayEndpointPtr Placement::chooseIdlest(const std::vector<GatewayEndpointPtr>& candidates) const
+{
+    return *std::min_element(
+        candidates.begin(), candidates.end(), [this](const GatewayEndpointPtr& left, const GatewayEndpointPtr& right) {
+            if (left->load() != right->load())
+                return left->load() < right->load();
+            return left->record.domain == this->domain && right->record.domain != this->domain;
+        });
 }
 
 } // namespace berylwing
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -14,6 +14,8 @@
     std::string_view service;
     /** Hash of the prompt's shared part, or of the request if it shares nothing. */
     std::uint64_t key = 0;
+    /** Tokens of the parts of the prompt that other requests share. */
+    std::uint32_t sharedTokens = 0;
     /** Whether the endpoint that has read the shared part before should be chosen. */
     bool isSticky = false;
     /** Endpoints that have been tried. */
@@ -23,11 +25,16 @@
 /**
  * @brief Chooses the endpoint of a request.
  *
- * Requests that share a prompt go to the first endpoint of a rendezvous order that does not bear much more than the
- * mean; all others go to the endpoint with the fewest requests in flight. It answers loads in which a few prompts are
- * asked for far more often than others, and endpoints that fail or turn cold among sound ones.
+ * Requests that share a prompt go to an endpoint that holds it, or else to the first of a rendezvous order, unless that
+ * bears much more than the mean or has so much to read that another one would answer sooner. All others go to the
+ * endpoint with the fewest requests in flight. It answers loads in which a few prompts are asked for far more often
+ * than others, prompts that come all at once to endpoints that hold none, and endpoints that fail or turn cold among
+ * sound ones.
  */
 class Placement {
+    [[nodiscard]] GatewayEndpointPtr chooseForPrompt(
+        const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& candidates) const;
+    [[nodiscard]] GatewayEndpointPtr chooseIdlest(const std::vector<GatewayEndpointPtr>& candidates) const;
     [[nodiscard]] bool isUsable(const GatewayEndpoint& endpoint, const ServiceTraits& service, TimePoint now) const;
 
 public:
--- a/src/berylwing/gateway/prompt_holders.cpp
+++ b/src/berylwing/gateway/prompt_holders.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kAnnouncedFor { 800 };
 /** Time between two looks for prompts to forget, since each looks at all of them. */
 constexpr Duration kDropInterval { 5000 };
+/** Announcements in one digest, which has to fit into a datagram. */
+constexpr std::size_t kMostAnnounced = 1000;
 /** Prompts that are remembered; at a hundred bytes each they take 5 MB. */
 constexpr std::size_t kMostPrompts = 50'000;
 
@@ -35,12 +37,25 @@
     const auto now = this->clock.now();
     auto& holder = this->find(prompt, endpoint);
     holder.usedAt = now;
+    holder.usedHereAt = now;
     if (holder.announcedAt + kAnnounceAgain > now)
         return;
     holder.announcedAt = now;
     this->announcements.push_back({ prompt, endpoint, now });
 }
 
+void PromptHolders::announceAll()
+{
+    const auto now = this->clock.now();
+    this->announcements.clear();
+    for (const auto& [prompt, list] : this->holders) {
+        for (const auto& holder : list) {
+            if (holder.usedHereAt + kAnnounceAgain > now && this->announcements.size() < kMostAnnounced)
+                this->announcements.push_back({ prompt, holder.endpoint, now });
+        }
+    }
+}
+
 void PromptHolders::take(const wire::Digest& digest)
 {
     const auto now = this->clock.now();
--- a/src/berylwing/gateway/prompt_holders.hpp
+++ b/src/berylwing/gateway/prompt_holders.hpp
@@ -20,6 +20,8 @@
         std::uint64_t endpoint = 0;
         TimePoint usedAt {};
         TimePoint announcedAt {};
+        /** Last use by this host. */
+        TimePoint usedHereAt {};
     };
 
     struct Announcement {
@@ -41,6 +43,9 @@
      */
     void recordUse(std::uint64_t prompt, std::uint64_t endpoint);
 
+    /** @brief Announces again what this host has used lately, for a host that has just started. */
+    void announceAll();
+
     /** @brief Takes what another host has announced. @param digest Digest. */
     void take(const wire::Digest& digest);
 
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -52,7 +52,7 @@
             for (int each = 0; each < requestsPerStep; ++each) {
                 const auto key = share(this->random) < hotShare ? 0 : prompt(this->random);
                 const auto endpoint = this->placement.choose(
-                    { "engines", hashText(std::to_string(key)), true, this->none }, this->service);
+                    { "engines", hashText(std::to_string(key)), 0, true, this->none }, this->service);
                 REQUIRE(endpoint);
                 ++result.arrivals;
                 result.overLimit += endpoint->inFlight > 2 * this->mean() + 3 ? 1 : 0;
@@ -121,11 +121,13 @@
     std::map<std::string, std::string> before;
     for (int prompt = 0; prompt < 500; ++prompt) {
         const auto name = std::to_string(prompt);
-        before[name] = load.placement.choose({ "engines", hashText(name), true, load.none }, load.service)->record.id;
+        before[name]
+            = load.placement.choose({ "engines", hashText(name), 0, true, load.none }, load.service)->record.id;
     }
     load.directory.remove("engine-5");
     for (const auto& [name, id] : before) {
-        const auto now = load.placement.choose({ "engines", hashText(name), true, load.none }, load.service)->record.id;
+        const auto now
+            = load.placement.choose({ "engines", hashText(name), 0, true, load.none }, load.service)->record.id;
         if (id != "engine-5")
             REQUIRE(now == id);
         CHECK(now != "engine-5");
@@ -140,11 +142,11 @@
         endpoint->inFlight = endpoint->record.domain == "domain-0" ? 1 : 2;
     load.directory.all().at("engine-3")->inFlight = 1;
     for (std::uint64_t key = 0; key < 20; ++key) {
-        const auto endpoint = load.placement.choose({ "engines", key, false, load.none }, load.service);
+        const auto endpoint = load.placement.choose({ "engines", key, 0, false, load.none }, load.service);
         CHECK(endpoint->record.domain == "domain-0");
     }
     load.directory.all().at("engine-3")->inFlight = 0;
-    CHECK(load.placement.choose({ "engines", 1, false, load.none }, load.service)->record.id == "engine-3");
+    CHECK(load.placement.choose({ "engines", 1, 0, false, load.none }, load.service)->record.id == "engine-3");
 }
 
 TEST_CASE("Placement tries an avoided endpoint rather than none", "[gateway][placement]")
@@ -152,5 +154,59 @@
     PromptLoad load;
     for (const auto& [id, endpoint] : load.directory.all())
         endpoint->health.record(EndpointVerdict::Unreachable, load.time);
-    CHECK(load.placement.choose({ "engines", 1, true, load.none }, load.service));
+    CHECK(load.placement.choose({ "engines", 1, 0, true, load.none }, load.service));
+}
+
+TEST_CASE("Placement leaves prompts at the endpoints that hold them when others join", "[gateway][placement]")
+{
+    PromptLoad load;
+    std::map<std::string, GatewayEndpointPtr> before;
+    for (int prompt = 0; prompt < 500; ++prompt) {
+        const auto name = std::to_string(prompt);
+        before[name] = load.placement.choose({ "engines", hashText(name), 0, true, load.none }, load.service);
+        load.holders.recordUse(hashText(name), before[name]->hash);
+    }
+    for (int number = 0; number < 6; ++number) {
+        EndpointRecord record;
+        record.id = "joined-" + std::to_string(number);
+        record.service = "engines";
+        record.domain = "domain-0";
+        load.directory.put(std::move(record));
+    }
+    for (const auto& [name, endpoint] : before)
+        CHECK(load.placement.choose({ "engines", hashText(name), 0, true, load.none }, load.service) == endpoint);
+}
+
+TEST_CASE(
+    "Placement spreads prompts that no endpoint holds by what endpoints have still to read", "[gateway][placement]")
+{
+    // All prompts of a service come within a second to endpoints that hold none, as after a start.
+    constexpr std::uint32_t kTokens = 8600;
+    PromptLoad load;
+    std::uint64_t total = 0;
+    std::uint64_t most = 0;
+    for (int prompt = 0; prompt < 72; ++prompt) {
+        const auto key = hashText(std::to_string(prompt));
+        const auto endpoint = load.placement.choose({ "engines", key, kTokens, true, load.none }, load.service);
+        endpoint->unreadTokens += kTokens;
+        load.holders.recordUse(key, endpoint->hash);
+        total += kTokens;
+        most = std::max(most, endpoint->backlog());
+    }
+    // Four prompts an endpoint at the mean; by rendezvous alone the busiest endpoint would get ten of these.
+    CHECK(most <= total / kEndpoints + 2 * kTokens);
+}
+
+TEST_CASE("Placement leaves a holder only for an endpoint that answers far sooner", "[gateway][placement]")
+{
+    constexpr std::uint32_t kTokens = 8600;
+    PromptLoad load;
+    const auto key = hashText("prompt");
+    const PlacementRequest request { "engines", key, kTokens, true, load.none };
+    const auto holder = load.placement.choose(request, load.service);
+    load.holders.recordUse(key, holder->hash);
+    holder->unreadTokens = 3 * kTokens;
+    CHECK(load.placement.choose(request, load.service) == holder);
+    holder->unreadTokens = 20 * kTokens;
+    CHECK(load.placement.choose(request, load.service) != holder);
 }
