Move repeatable requests away from endpoints that cannot be reached

A connection that was not answered now ends the repeatable calls at its endpoint on which nothing was heard.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -12,6 +12,15 @@
 
 } // namespace
 
+void GatewayEndpoint::abortSilentCalls(TimePoint since)
+{
+    for (auto place = this->repeatableCalls.begin(); place != this->repeatableCalls.end();) {
+        auto& call = *place++;
+        if (call.lastSignAt < since)
+            call.abort();
+    }
+}
+
 bool EndpointDirectory::mayBeLapsed(TimePoint now) const noexcept
 {
     if (this->storeLostAt == TimePoint {})
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -5,9 +5,11 @@
 #include "berylwing/core/hash.hpp"
 #include "berylwing/gateway/endpoint_health.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
+#include <boost/intrusive/list.hpp>
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -31,6 +33,14 @@
     std::uint64_t bornAt = 0;
 };
 
+/** @brief Call at an endpoint that may go on elsewhere. */
+struct RepeatableCall : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    /** Last time at which the endpoint gave a sign of life on the call. */
+    TimePoint lastSignAt {};
+    /** Ends the call, so that it goes on elsewhere. */
+    std::function<void()> abort;
+};
+
 /** @brief Endpoint as this host sees it; requests in flight keep it alive after the store has dropped it. */
 class GatewayEndpoint : public boost::intrusive_ref_counter<GatewayEndpoint, boost::thread_unsafe_counter> {
 public:
@@ -53,6 +63,9 @@
     /** @brief Estimates the requests of all hosts at the endpoint. @return Requests. */
     [[nodiscard]] std::uint32_t load() const noexcept { return this->inFlight + this->inFlightElsewhere; }
 
+    /** @brief Ends the repeatable calls on which nothing was heard since a moment. @param since Moment. */
+    void abortSilentCalls(TimePoint since);
+
     EndpointRecord record;
     /** Hash of the id, by which hosts name the endpoint to each other. */
     std::uint64_t hash;
@@ -68,6 +81,8 @@
     std::uint32_t unreadTokens = 0;
     /** The same for other hosts, as they last told. */
     std::uint32_t unreadTokensElsewhere = 0;
+    /** Calls in progress that may go on elsewhere. */
+    boost::intrusive::list<RepeatableCall, boost::intrusive::constant_time_size<false>> repeatableCalls;
     /** Whether the entry has vanished while the store could not be trusted to keep it. */
     bool isMissing = false;
 };
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -311,6 +311,11 @@
     }
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
     PromptReading reading { &endpoint, unread };
+    RepeatableCall call;
+    call.lastSignAt = this->parts.clock.now();
+    call.abort = session.abort;
+    if (journey.route->mayRunAgain())
+        endpoint.repeatableCalls.push_back(call);
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(journey.deadline + kDeadlineSlack);
     reading.finish();
@@ -327,7 +332,7 @@
     if (journey.isHeadWritten && !isSuccess(head.status))
         throw EndpointError { EndpointFault::Broken, "the endpoint does not go on with the stream" };
     auto end = AttemptEnd::Whole;
-    co_await this->deliver(journey, head, session, end);
+    co_await this->deliver(journey, head, session, call, end);
     if (end != AttemptEnd::Whole) {
         ++journey.runs;
         journey.lastFailure = Refusal::EndpointBroken;
@@ -344,7 +349,8 @@
     co_await journey.sink.head(head);
 }
 
-Task<void> Forwarder::deliver(Journey& journey, const AnswerHead& head, EndpointSession& session, AttemptEnd& end)
+Task<void> Forwarder::deliver(
+    Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call, AttemptEnd& end)
 {
     const auto type = head.fields["Content-Type"];
     const bool isEvents
@@ -352,6 +358,7 @@
     const auto deadline = journey.deadline + kDeadlineSlack;
     std::string collected;
     while (const auto bytes = co_await session.readBody(deadline)) {
+        call.lastSignAt = this->parts.clock.now();
         if (isEvents) {
             const auto whole = journey.events.take(*bytes);
             if (whole.empty())
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -38,7 +38,7 @@
     RetryAllowance& retries;
     OpenSession open;
     /** Takes note of an endpoint that gave no sign of life. */
-    std::function<void(const GatewayEndpoint&)> noteSilence;
+    std::function<void(GatewayEndpoint&)> noteSilence;
     Metrics& metrics;
     DecisionLog& log;
 };
@@ -62,7 +62,7 @@
     [[nodiscard]] Task<AttemptEnd> attempt(Journey& journey, GatewayEndpointPtr endpoint);
     [[nodiscard]] Task<AttemptEnd> exchange(Journey& journey, GatewayEndpoint& endpoint, EndpointSession& session);
     [[nodiscard]] Task<void> deliver(
-        Journey& journey, const AnswerHead& head, EndpointSession& session, AttemptEnd& end);
+        Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call, AttemptEnd& end);
     [[nodiscard]] EndpointRequest toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const;
     [[nodiscard]] bool isTrusted(const Journey& journey) const;
     [[nodiscard]] Task<void> writeHead(Journey& journey, const AnswerHead& head);
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -90,7 +90,7 @@
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
         this->holders, this->retries, std::move(open),
-        [this](const GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); }, this->hostMetrics, this->log };
+        [this](GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
 void Gateway::start()
--- a/src/berylwing/gateway/reach_prober.cpp
+++ b/src/berylwing/gateway/reach_prober.cpp
@@ -8,6 +8,8 @@
 
 /** Time within which the silence of two endpoints points to their domain; a cut shows at many within a second. */
 constexpr Duration kSuspicionWindow { 1000 };
+/** Silence of a call that, with a connection that was not answered, means that its endpoint is out of reach. */
+constexpr Duration kSilentCall { 300 };
 
 } // namespace
 
@@ -20,14 +22,17 @@
 {
 }
 
-void ReachProber::noteSilence(const GatewayEndpoint& endpoint)
+void ReachProber::noteSilence(GatewayEndpoint& endpoint)
 {
     const auto now = this->clock.now();
+    endpoint.abortSilentCalls(now - kSilentCall);
     auto& last = this->silences[endpoint.record.domain];
     const bool isSecond = last.endpointId != endpoint.record.id && last.at + kSuspicionWindow > now;
     last = { endpoint.record.id, now };
-    if (isSecond)
-        this->suspectDomain(endpoint.record.domain, now);
+    if (!isSecond)
+        return;
+    last = {};
+    this->suspectDomain(endpoint.record.domain, now);
 }
 
 void ReachProber::suspectDomain(const std::string& domain, TimePoint now)
@@ -53,12 +58,15 @@
 
 Task<void> ReachProber::probe(GatewayEndpointPtr endpoint)
 {
+    const auto begun = this->clock.now();
     try {
         const auto session = co_await this->open(*endpoint, ConnectionUse::Fresh);
         session->abort();
         endpoint->health.recordProbe(true, this->clock.now());
     } catch (const EndpointError&) {
         endpoint->health.recordProbe(false, this->clock.now());
+        // What waits for an endpoint that cannot be reached goes on elsewhere, where it may.
+        endpoint->abortSilentCalls(begun);
     }
 }
 
--- a/src/berylwing/gateway/reach_prober.hpp
+++ b/src/berylwing/gateway/reach_prober.hpp
@@ -36,7 +36,7 @@
         Clock& hostClock, EndpointDirectory& endpointDirectory, OpenSession openSession, DecisionLog& decisionLog);
 
     /** @brief Takes note that an endpoint gave no sign of life. @param endpoint Endpoint. */
-    void noteSilence(const GatewayEndpoint& endpoint);
+    void noteSilence(GatewayEndpoint& endpoint);
 
     /** @brief Starts the probes that are due. */
     void probeDue();
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -312,6 +312,32 @@
         [](const ReceivedRequest& request) { return request.endpoint.starts_with("knox-b"); }));
 }
 
+TEST_CASE("Gateway moves repeatable requests away from endpoints that a probe cannot reach", "[gateway][reach]")
+{
+    // A cut: requests under way hear nothing more, and new connections are not answered.
+    ServingBench bench;
+    bench.setAll(EndpointManner::Hang);
+    std::vector<std::shared_ptr<GatewayBench::Answer>> waiting;
+    for (int request = 0; request < 6; ++request)
+        waiting.push_back(bench.start("status" + std::to_string(request), "/status/1"));
+    const auto order = bench.start("order", "/order/1");
+    bench.advance(Duration { 300 });
+    for (const auto& id : ServingBench::ids())
+        bench.manners[id] = id.starts_with("knox-a") ? EndpointManner::Answer : EndpointManner::Silent;
+    const auto cut = bench.time;
+    static_cast<void>(bench.askAtOnce("later", 12, "/status/1"));
+    bench.advance(Duration { 500 });
+    for (const auto& answer : waiting) {
+        if (answer->outcome && answer->outcome->isWhole())
+            CHECK(answer->endedAt - cut < Duration { 1000 });
+    }
+    const auto moved = std::count_if(waiting.begin(), waiting.end(),
+        [](const auto& answer) { return answer->outcome && answer->outcome->isWhole(); });
+    // Two of the six endpoints can still be reached, and what waits there goes on waiting.
+    CHECK(moved >= 3);
+    CHECK(bench.runsOf("order") == 1);
+}
+
 TEST_CASE("Gateway that stops is unready at once and refuses new requests only when no new connection can come",
     "[gateway][stop]")
 {
