--- a/src/berylwing/daemon/daemon.cpp
+++ b/src/berylwing/daemon/daemon.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/daemon/daemon.hpp"
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/wall_clock.hpp"
 #include "berylwing/host/host.hpp"
 #include "berylwing/http/caller_server.hpp"
 #include "berylwing/http/endpoint_client.hpp"
@@ -10,7 +11,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <chrono>
 #include <csignal>
 #include <memory>
 #include <optional>
@@ -20,12 +20,6 @@
 
 namespace {
 
-std::int64_t wallTimeMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 Identity identityOf(const Settings& settings)
 {
     return { settings.host, settings.domain, static_cast<std::uint64_t>(wallTimeMs()), settings.link.address,
--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/finding.hpp"
+#include "berylwing/core/wall_clock.hpp"
 #include "berylwing/gateway/gateway.hpp"
 #include "berylwing/http/endpoint_session.hpp"
 #include "berylwing/http/gateway_server.hpp"
@@ -13,7 +14,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <chrono>
 #include <csignal>
 #include <memory>
 #include <unistd.h>
@@ -26,12 +26,6 @@
 constexpr Duration kExitMargin { 300 };
 constexpr Duration kStopCheckInterval { 50 };
 
-std::uint64_t wallTimeMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 /** The gateway with its sockets. */
 class GatewayDaemon {
 public:
@@ -43,7 +37,8 @@
         , gateway { this->clock, this->settings, this->protocol,
             { platform::makeStoreExchange(this->settings.platform), makeEndpointSessions(this->clock, this->protocol),
                 [this](const SocketAddress& to, const std::string& bytes) { this->digests.send(to, bytes); },
-                [](std::string_view lines) { return writeWithoutWaiting(STDOUT_FILENO, lines); }, wallTimeMs() } }
+                [](std::string_view lines) { return writeWithoutWaiting(STDOUT_FILENO, lines); },
+                static_cast<std::uint64_t>(wallTimeMs()) } }
         , callers { this->clock, this->settings.callers, this->gateway }
         , readiness { this->clock.executor(), this->settings.readiness, this->answers() }
         , metrics { this->clock.executor(), this->settings.metrics, this->answers() }
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -139,7 +139,9 @@
     const auto took = this->clock.now() - request.arrivedAt;
     if (outcome.isWhole()) {
         LogLine line { LogEvent::RequestAnswered };
-        line.add("first_byte_ms", request.firstByteAt.value_or(this->clock.now()) - request.arrivedAt);
+        const auto firstByte = request.firstByteAt.value_or(this->clock.now()) - request.arrivedAt;
+        this->hostMetrics.observeAnswer(firstByte, took);
+        line.add("first_byte_ms", firstByte);
         this->log.write(request.facts.attemptId, std::move(line.add("took_ms", took)));
         co_return outcome;
     }
--- a/src/berylwing/http/answer_reader.cpp
+++ b/src/berylwing/http/answer_reader.cpp
@@ -38,10 +38,31 @@
     this->current->skip(answersHead);
 }
 
+bool AnswerReader::isSilence(const boost::system::error_code& error) const
+{
+    return this->isExpired || error == asio::error::timed_out;
+}
+
+Task<void> AnswerReader::connect(SocketAddress address, Duration timeout)
+{
+    this->connection = std::make_unique<PooledConnection>(this->clock.executor());
+    this->connection->openedAt = this->clock.now();
+    this->expectLifeUntil(this->clock.now() + timeout);
+    auto& socket = this->connection->socket;
+    const asio::ip::tcp::endpoint target { asio::ip::make_address(address.address), address.port };
+    boost::system::error_code error;
+    co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        throw EndpointError { this->isSilence(error) ? EndpointFault::Silent : EndpointFault::NotSent,
+            error.message() };
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay { true }, ignored);
+    this->expectLifeUntil(TimePoint::max());
+}
+
 void AnswerReader::throwBroken(const boost::system::error_code& error) const
 {
-    const bool isSilent = this->isExpired || error == asio::error::timed_out;
-    throw EndpointError { isSilent ? EndpointFault::Silent : EndpointFault::Broken, error.message() };
+    throw EndpointError { this->isSilence(error) ? EndpointFault::Silent : EndpointFault::Broken, error.message() };
 }
 
 void AnswerReader::expectLifeUntil(TimePoint deadline)
--- a/src/berylwing/http/answer_reader.hpp
+++ b/src/berylwing/http/answer_reader.hpp
@@ -12,6 +12,7 @@
 /** @brief Reads one answer after another from a connection to an endpoint, piece by piece. */
 class AnswerReader {
     [[nodiscard]] Task<void> readMore(TimePoint deadline);
+    [[nodiscard]] bool isSilence(const boost::system::error_code& error) const;
     [[noreturn]] void throwBroken(const boost::system::error_code& error) const;
     void parse();
 
@@ -27,6 +28,14 @@
      */
     AnswerReader(Clock& hostClock, CallWatches& watches, std::string& bodyScratch);
 
+    /**
+     * @brief Opens a new connection.
+     * @param address Endpoint.
+     * @param timeout Time for the endpoint's sign of life, in milliseconds.
+     * @throws EndpointError With Silent if the endpoint gave none, else with NotSent.
+     */
+    [[nodiscard]] Task<void> connect(SocketAddress address, Duration timeout);
+
     /** @brief Reads the head of the next answer. @param deadline Deadline. @throws EndpointError If none comes. */
     [[nodiscard]] Task<void> readHead(TimePoint deadline);
 
@@ -47,9 +56,6 @@
     /** @brief Sets the time until which the endpoint has to show a sign of life. @param deadline Deadline. */
     void expectLifeUntil(TimePoint deadline);
 
-    /** @brief Tells whether the endpoint gave no sign of life in time. @return True if the call was ended for it. */
-    [[nodiscard]] bool hasExpired() const noexcept { return this->isExpired; }
-
     /** @brief Closes the connection at once; a pending operation fails. */
     void abort();
 
--- a/src/berylwing/http/endpoint_client.cpp
+++ b/src/berylwing/http/endpoint_client.cpp
@@ -89,19 +89,12 @@
             this->reader.connection = this->client->pool.take(this->address);
         if (this->reader.connection)
             co_return;
-        const auto& clock = this->client->clock;
-        this->reader.connection = std::make_unique<PooledConnection>(clock.executor());
-        this->reader.connection->openedAt = clock.now();
-        this->reader.expectLifeUntil(clock.now() + kConnectTimeout);
-        boost::system::error_code error;
-        const asio::ip::tcp::endpoint target { asio::ip::make_address(this->address.address), this->address.port };
-        auto& socket = this->reader.connection->socket;
-        co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            throw EndpointError { EndpointFault::NotSent, error.message() };
-        boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay { true }, ignored);
-        this->reader.expectLifeUntil(TimePoint::max());
+        try {
+            co_await this->reader.connect(this->address, kConnectTimeout);
+        } catch (const EndpointError& error) {
+            // Whatever kept the connection from being made, no byte of the request was sent.
+            throw EndpointError { EndpointFault::NotSent, error.what() };
+        }
     }
 
     Task<void> send(const EndpointCall& call)
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -74,23 +74,13 @@
 
     Task<void> connect(ConnectionUse use)
     {
-        const auto& clock = this->sessions->clock;
         const auto mostIdle = use == ConnectionUse::AnyIdle ? Duration::max() : kSurelyOpen;
         if (use != ConnectionUse::Fresh)
             this->reader.connection = this->sessions->pool.take(this->address, mostIdle);
         if (this->reader.connection)
             co_return;
-        this->reader.connection = std::make_unique<PooledConnection>(clock.executor());
-        this->reader.connection->openedAt = clock.now();
-        this->reader.expectLifeUntil(clock.now() + kConnectTimeout);
-        auto& socket = this->reader.connection->socket;
-        const asio::ip::tcp::endpoint target { asio::ip::make_address(this->address.address), this->address.port };
-        boost::system::error_code error;
-        co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
-        if (error)
-            this->throwNotConnected(error);
-        detectLostPeer(socket, kUnackedLimit);
-        this->reader.expectLifeUntil(TimePoint::max());
+        co_await this->reader.connect(this->address, kConnectTimeout);
+        detectLostPeer(this->reader.connection->socket, kUnackedLimit);
     }
 
     Task<void> send(const EndpointRequest& request)
@@ -143,12 +133,6 @@
     void abort() { this->reader.abort(); }
 
 private:
-    [[noreturn]] void throwNotConnected(const boost::system::error_code& error) const
-    {
-        const bool isSilent = this->reader.hasExpired() || error == asio::error::timed_out;
-        throw EndpointError { isSilent ? EndpointFault::Silent : EndpointFault::NotSent, error.message() };
-    }
-
     using Outgoing = http::request<http::string_body>;
 
     static Task<void> write(std::shared_ptr<Session> session, std::shared_ptr<Outgoing> outgoing)
--- a/src/berylwing/telemetry/decision_log.cpp
+++ b/src/berylwing/telemetry/decision_log.cpp
@@ -1,8 +1,8 @@
 #include "berylwing/telemetry/decision_log.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/core/wall_clock.hpp"
 #include <algorithm>
-#include <chrono>
 #include <climits>
 #include <nlohmann/json.hpp>
 #include <poll.h>
@@ -31,12 +31,6 @@
     return nlohmann::json(std::string { text }).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
-std::int64_t wallTimeMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 } // namespace
 
 LogLine::LogLine(LogEvent event)
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -22,6 +22,17 @@
     return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
 }
 
+/** Upper bounds in seconds, around the targets of first tokens (0.15 to 0.6 s) and of deadlines (up to 15 s). */
+const prometheus::Histogram::BucketBoundaries kLatencyBounds { 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.4, 0.5, 0.6, 1.0,
+    2.5, 5.0, 15.0 };
+
+prometheus::Histogram* makeHistogram(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, kLatencyBounds);
+}
+
+double secondsOf(Duration length) { return std::chrono::duration<double> { length }.count(); }
+
 std::uint64_t read(const prometheus::Counter* counter) { return static_cast<std::uint64_t>(counter->Value()); }
 
 } // namespace
@@ -40,6 +51,10 @@
                       .Help("Requests in flight at owned endpoints.")
                       .Register(*this->registry)
                       .Add({}) }
+    , firstByteSeconds { makeHistogram(
+          *this->registry, "berylwing_first_byte_seconds", "Time from a request to the first byte of its answer.") }
+    , answerSeconds { makeHistogram(
+          *this->registry, "berylwing_answer_seconds", "Time from a request to the end of its whole answer.") }
 {
 }
 
@@ -72,6 +87,12 @@
 
 void Metrics::addRelayedChunk() { this->relayedChunks->Increment(); }
 
+void Metrics::observeAnswer(Duration firstByte, Duration whole)
+{
+    this->firstByteSeconds->Observe(secondsOf(firstByte));
+    this->answerSeconds->Observe(secondsOf(whole));
+}
+
 void Metrics::setInFlight(std::size_t count) { this->inFlight->Set(static_cast<double>(count)); }
 
 } // namespace berylwing
--- a/src/berylwing/telemetry/metrics.hpp
+++ b/src/berylwing/telemetry/metrics.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "berylwing/core/clock.hpp"
 #include "berylwing/core/reasons.hpp"
 #include <array>
 #include <cstdint>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
 
@@ -58,6 +60,10 @@
     /** @brief Counts a relayed chunk of an answer. */
     void addRelayedChunk();
 
+    /** @brief Takes the times of a whole answer. @param firstByte Time to its first byte. @param whole Time to its end.
+     */
+    void observeAnswer(Duration firstByte, Duration whole);
+
     /** @brief Sets the number of requests in flight at this host's endpoints. @param count Requests. */
     void setInFlight(std::size_t count);
 
@@ -71,6 +77,8 @@
     prometheus::Counter* platformCallCount;
     prometheus::Counter* relayedChunks;
     prometheus::Gauge* inFlight;
+    prometheus::Histogram* firstByteSeconds;
+    prometheus::Histogram* answerSeconds;
 };
 
 } // namespace berylwing
