Build the caller's connection under the sanitizers

Cause: g++ 12 takes the allocation of a coroutine frame that holds a large array for a mismatched one under -fsanitize; the buffer for what a refused caller still sends is on the heap now.

--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -2,7 +2,6 @@
 
 #include "berylwing/http/gateway_answer.hpp"
 #include "berylwing/relay/response_sink.hpp"
-#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -35,6 +34,13 @@
     return Refusal::BadRequest;
 }
 
+/** A connection that ended or broke needs no answer; anything else is a fault of what the caller sent. */
+bool isFaultOfInput(const boost::system::error_code& error)
+{
+    return error.category() != asio::error::get_system_category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+}
+
 std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
 
 /** Host name without a port. */
@@ -102,7 +108,7 @@
         co_await http::async_read(this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     if (!error)
         co_return true;
-    if (error != http::error::end_of_stream && this->socket.is_open())
+    if (this->socket.is_open() && isFaultOfInput(error))
         co_await this->refuseInput(error);
     co_return false;
 }
@@ -133,9 +139,6 @@
 
 Task<void> GatewayConnection::refuseInput(const boost::system::error_code& error)
 {
-    // A connection that broke needs no answer; anything else is a fault of what the caller sent.
-    if (error.category() == asio::error::get_system_category() || error == http::error::partial_message)
-        co_return;
     const auto reason = refusalOf(error);
     this->gateway.refuseInput(reason, error.message());
     this->keepAlive = false;
@@ -144,7 +147,7 @@
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     // Closing with unread bytes would reset the connection before the caller has read the refusal.
     this->expireAt(this->clock.now() + kLinger);
-    std::array<char, 4096> rest {};
+    std::string rest(kReadBytes, '\0');
     boost::system::error_code ended;
     while (!ended)
         co_await this->socket.async_read_some(asio::buffer(rest), asio::redirect_error(asio::use_awaitable, ended));
