--- a/src/berylwing/client/main.cpp
+++ b/src/berylwing/client/main.cpp
@@ -1,11 +1,9 @@
 #include "berylwing/client/command_line.hpp"
 
-#include <charconv>
 #include <cstdlib>
 #include <exception>
 #include <gflags/gflags.h>
 #include <iostream>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,30 +11,13 @@
 DEFINE_bool(json, false, "Print JSON for programs in place of tables.");
 DEFINE_int64(expected_version, -1, "Write only over this version; 0 for an object that does not exist yet.");
 
-namespace {
-
-std::optional<berylwing::SocketAddress> parseAddress(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return std::nullopt;
-    berylwing::SocketAddress address { text.substr(0, colon), 0 };
-    const auto end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-    if (parsed.ec != std::errc {} || parsed.ptr != end)
-        return std::nullopt;
-    return address;
-}
-
-} // namespace
-
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage(berylwing::kClientHelp);
     gflags::SetVersionString("0.1.0");
     gflags::SetCommandLineOption("tryfromenv", "platform");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto platform = parseAddress(FLAGS_platform);
+    const auto platform = berylwing::parseSocketAddress(FLAGS_platform);
     if (!platform) {
         std::cerr << "--platform: found " << FLAGS_platform << ", allowed: ADDRESS:PORT\n";
         return static_cast<int>(berylwing::ExitCode::Usage);
--- a/src/berylwing/config/settings.cpp
+++ b/src/berylwing/config/settings.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/config/settings.hpp"
 
 #include "berylwing/config/document_reader.hpp"
+#include <charconv>
 
 namespace berylwing {
 
@@ -36,6 +37,19 @@
 
 } // namespace
 
+std::optional<SocketAddress> parseSocketAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos || colon == 0)
+        return std::nullopt;
+    SocketAddress address { std::string { text.substr(0, colon) }, 0 };
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
+    if (parsed.ec != std::errc {} || parsed.ptr != end || address.port == 0)
+        return std::nullopt;
+    return address;
+}
+
 Settings readSettings(std::string_view text, std::string_view place)
 {
     Findings findings;
--- a/src/berylwing/config/settings.hpp
+++ b/src/berylwing/config/settings.hpp
@@ -4,6 +4,7 @@
 #include "berylwing/core/enum_names.hpp"
 #include "berylwing/telemetry/log.hpp"
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,13 @@
     std::uint16_t port = 0;
 };
 
+/**
+ * @brief Parses an address and a port.
+ * @param text Text, as 10.0.0.1:80.
+ * @return Address and port, or nothing if the text is not allowed.
+ */
+[[nodiscard]] std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+
 /** @brief Keys with which the daemons of one fleet recognise each other, in the Z85 form of CURVE keys. */
 struct FleetKeys {
     std::string serverPublic;
--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -103,9 +103,8 @@
             try {
                 // Addresses stay as they are until the next start; bounds come into force at once.
                 const auto next = this->reload();
-                this->settings.planLease = next.planLease;
                 this->settings.stopGrace = next.stopGrace;
-                this->settings.retries = next.retries;
+                this->gateway.reload(next);
                 line.add("findings", std::int64_t { 0 });
             } catch (const std::exception& error) {
                 line.add("error", error.what());
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -144,9 +144,6 @@
         return this->endpoints;
     }
 
-    /** @brief Counts the endpoints. @return Number of known endpoints. */
-    [[nodiscard]] std::size_t size() const noexcept { return this->endpoints.size(); }
-
 private:
     const Clock& clock;
     DecisionLog& log;
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -43,6 +43,11 @@
     return tokens;
 }
 
+Duration retryAfterOf(std::uint64_t requestHash)
+{
+    return kShortRetryAfter + Duration { static_cast<Duration::rep>(requestHash % kRetrySpreadMs) };
+}
+
 std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
@@ -64,8 +69,6 @@
     GatewayEndpointPtr endpoint;
 };
 
-} // namespace
-
 /** Counts a prompt among what its endpoint has still to read, until the endpoint begins to answer. */
 class PromptReading {
 public:
@@ -87,6 +90,8 @@
     std::uint32_t tokens;
 };
 
+} // namespace
+
 /** What is known of a request on its way. */
 struct Forwarder::Journey {
     GatewayRequest& request;
@@ -97,6 +102,11 @@
     std::string service {};
     ServiceTraits traits {};
     std::uint64_t requestHash = 0;
+    /** Part of the prompt by which the request is placed; none if it shares nothing. */
+    const PromptPart* shared = nullptr;
+    /** Hash of that part. */
+    std::uint64_t promptKey = 0;
+    std::uint32_t sharedTokens = 0;
     TimePoint deadline {};
     std::vector<GatewayEndpointPtr> tried {};
     unsigned sends = 0;
@@ -121,8 +131,7 @@
 {
     const auto& facts = journey.request.facts;
     journey.requestHash = hashText(facts.attemptId);
-    const Duration retryAfter { kShortRetryAfter.count()
-        + static_cast<Duration::rep>(journey.requestHash % kRetrySpreadMs) };
+    const auto retryAfter = retryAfterOf(journey.requestHash);
     if (!journey.plan)
         return NotRun { Refusal::ConfigurationUnknown, retryAfter };
     if (facts.attemptId.empty())
@@ -145,6 +154,12 @@
     const auto patience = std::min(facts.patience.value_or(journey.route->timeout), journey.route->timeout);
     journey.deadline = journey.request.arrivedAt + patience;
     journey.events.resumeAfter(facts.lastEventId);
+    if (journey.route->isSticky)
+        journey.shared = sharedPart(facts.promptParts);
+    if (journey.shared != nullptr) {
+        journey.promptKey = hashText(journey.shared->id);
+        journey.sharedTokens = sharedTokensOf(facts.promptParts);
+    }
     return std::nullopt;
 }
 
@@ -152,8 +167,7 @@
 {
     if (journey.runs > 0)
         return OutcomeUnknown { reason };
-    const Duration spread { static_cast<Duration::rep>(journey.requestHash % kRetrySpreadMs) };
-    return NotRun { reason, kShortRetryAfter + spread };
+    return NotRun { reason, retryAfterOf(journey.requestHash) };
 }
 
 std::optional<Outcome> Forwarder::endBefore(Journey& journey, GatewayEndpointPtr& endpoint)
@@ -164,10 +178,9 @@
         return this->giveUp(journey, Refusal::DeadlinePassed);
     if (!this->isTrusted(journey))
         return this->giveUp(journey, Refusal::ConfigurationStale);
-    const auto* shared = journey.route->isSticky ? sharedPart(journey.request.facts.promptParts) : nullptr;
-    const auto key = shared == nullptr ? journey.requestHash : hashText(shared->id);
-    const PlacementRequest wanted { journey.service, key, sharedTokensOf(journey.request.facts.promptParts),
-        shared != nullptr, journey.tried };
+    const bool isSticky = journey.shared != nullptr;
+    const auto key = isSticky ? journey.promptKey : journey.requestHash;
+    const PlacementRequest wanted { journey.service, key, journey.sharedTokens, isSticky, journey.tried };
     endpoint = this->parts.placement.choose(wanted, journey.traits);
     if (!endpoint)
         return this->giveUp(journey, journey.lastFailure);
@@ -303,11 +316,11 @@
     line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
     const auto& parts = journey.request.facts.promptParts;
     auto unread = parts.empty() ? 0 : parts.back().tokens;
-    if (const auto* shared = sharedPart(parts)) {
-        if (!this->parts.holders.holds(hashText(shared->id), endpoint.hash))
-            unread += sharedTokensOf(parts);
-        this->parts.holders.recordUse(hashText(shared->id), endpoint.hash);
-        line.add("prompt", shared->id).add("prompt_tokens", std::int64_t { shared->tokens });
+    if (journey.shared != nullptr) {
+        if (!this->parts.holders.holds(journey.promptKey, endpoint.hash))
+            unread += journey.sharedTokens;
+        this->parts.holders.recordUse(journey.promptKey, endpoint.hash);
+        line.add("prompt", journey.shared->id).add("prompt_tokens", std::int64_t { journey.shared->tokens });
     }
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
     PromptReading reading { &endpoint, unread };
@@ -331,8 +344,7 @@
         throw EndpointError { EndpointFault::Broken, "the answer is not the endpoint's own" };
     if (journey.isHeadWritten && !isSuccess(head.status))
         throw EndpointError { EndpointFault::Broken, "the endpoint does not go on with the stream" };
-    auto end = AttemptEnd::Whole;
-    co_await this->deliver(journey, head, session, call, end);
+    const auto end = co_await this->deliver(journey, head, session, call);
     if (end != AttemptEnd::Whole) {
         ++journey.runs;
         journey.lastFailure = Refusal::EndpointBroken;
@@ -349,8 +361,8 @@
     co_await journey.sink.head(head);
 }
 
-Task<void> Forwarder::deliver(
-    Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call, AttemptEnd& end)
+Task<Forwarder::AttemptEnd> Forwarder::deliver(
+    Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call)
 {
     const auto type = head.fields["Content-Type"];
     const bool isEvents
@@ -374,19 +386,16 @@
         co_await journey.sink.body(collected);
         collected.clear();
     }
-    if (!journey.events.rest().empty()) {
-        journey.events.dropRest();
+    if (!journey.events.rest().empty())
         throw EndpointError { EndpointFault::Broken, "the stream ended inside an event" };
-    }
     // An endpoint's own failure is passed on only if no other endpoint may still answer.
     if (head.status >= kFirstServerError && !journey.isHeadWritten && journey.route->mayRunAgain()
-        && journey.runs + 1 < journey.route->mostAttempts) {
-        end = AttemptEnd::MayHaveRun;
-        co_return;
-    }
+        && journey.runs + 1 < journey.route->mostAttempts)
+        co_return AttemptEnd::MayHaveRun;
     co_await this->writeHead(journey, head);
     if (!collected.empty())
         co_await journey.sink.body(collected);
+    co_return AttemptEnd::Whole;
 }
 
 } // namespace berylwing
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -61,8 +61,8 @@
     [[nodiscard]] bool mayTryAgain(Journey& journey, AttemptEnd end);
     [[nodiscard]] Task<AttemptEnd> attempt(Journey& journey, GatewayEndpointPtr endpoint);
     [[nodiscard]] Task<AttemptEnd> exchange(Journey& journey, GatewayEndpoint& endpoint, EndpointSession& session);
-    [[nodiscard]] Task<void> deliver(
-        Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call, AttemptEnd& end);
+    [[nodiscard]] Task<AttemptEnd> deliver(
+        Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call);
     [[nodiscard]] EndpointRequest toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const;
     [[nodiscard]] bool isTrusted(const Journey& journey) const;
     [[nodiscard]] Task<void> writeHead(Journey& journey, const AnswerHead& head);
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -125,6 +125,12 @@
     this->log.write(line.add("in_progress", static_cast<std::int64_t>(this->requests)));
 }
 
+void Gateway::reload(const GatewaySettings& next)
+{
+    this->lease.setLength(next.planLease - kLeaseMargin);
+    this->retries.setBounds(next.retries);
+}
+
 CallerBounds Gateway::callerBounds() const { return this->plan ? this->plan->callerBounds() : CallerBounds {}; }
 
 Task<Outcome> Gateway::handle(GatewayRequest& request, const AnswerSink& sink)
@@ -178,7 +184,6 @@
 {
     return {
         [this](const std::vector<VersionedObject>& objects) {
-            this->directory.regainStore();
             std::set<std::string, std::less<>> ids;
             for (const auto& object : objects) {
                 ids.insert(object.name);
@@ -186,10 +191,7 @@
             }
             this->directory.retain(ids);
         },
-        [this](const VersionedObject& object) {
-            this->directory.regainStore();
-            this->takeEndpoint(object);
-        },
+        [this](const VersionedObject& object) { this->takeEndpoint(object); },
         [this](TimePoint) { this->directory.regainStore(); },
         [this] { this->directory.loseStore(); },
     };
@@ -289,8 +291,8 @@
     bool isFirst = true;
     while (true) {
         try {
-            const auto page = co_await this->client.list(ObjectKind::Host, {}, !isFirst);
-            this->takeHosts(page.changes);
+            const auto all = co_await this->client.listAll(ObjectKind::Host, !isFirst);
+            this->takeHosts(all.changes);
         } catch (const PlatformError& error) {
             spdlog::debug("hosts not listed: {}", error.what());
         }
@@ -308,9 +310,13 @@
         if (object.name == this->settings.host)
             continue;
         names.push_back(object.name);
-        const auto address = object.value.value("address", std::string {});
-        if (!address.empty())
-            addresses.push_back({ address, object.value.value("port", std::uint16_t { 0 }) });
+        try {
+            addresses.push_back(
+                { object.value.at("address").get<std::string>(), object.value.at("port").get<std::uint16_t>() });
+        } catch (const nlohmann::json::exception& error) {
+            // The host still counts for the fleet's bounds, which only makes the parts of all others smaller.
+            spdlog::warn("entry of host {} not understood: {}", object.name, error.what());
+        }
     }
     if (names.size() != this->hostNames.size()) {
         LogLine line { LogEvent::HostsCounted };
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -74,6 +74,9 @@
     /** @brief Begins a stop: the balancer is told to send no new connections. */
     void beginStop();
 
+    /** @brief Takes changed settings: the lease of the plan and the retry bounds. @param next Settings. */
+    void reload(const GatewaySettings& next);
+
     /** @brief Takes this host out of the list of hosts. @return Awaitable. */
     [[nodiscard]] Task<void> unregisterHost();
 
--- a/src/berylwing/gateway/gateway_settings.cpp
+++ b/src/berylwing/gateway/gateway_settings.cpp
@@ -1,7 +1,6 @@
 #include "berylwing/gateway/gateway_settings.hpp"
 
 #include "berylwing/config/document_reader.hpp"
-#include <charconv>
 
 namespace berylwing {
 
@@ -19,15 +18,10 @@
     DocumentReader& reader, const std::string& name, std::string_view place, Findings& findings)
 {
     const auto text = reader.text(name);
-    SocketAddress address;
-    const auto colon = text.rfind(':');
-    if (colon != std::string::npos) {
-        address.address = text.substr(0, colon);
-        std::from_chars(text.data() + colon + 1, text.data() + text.size(), address.port);
-    }
-    if (address.address.empty() || address.port == 0)
-        findings.add(std::string { place } + "/" + name, "\"" + text + "\"", "an address and a port, as 10.0.0.1:80");
-    return address;
+    if (auto address = parseSocketAddress(text))
+        return *address;
+    findings.add(std::string { place } + "/" + name, "\"" + text + "\"", "an address and a port, as 10.0.0.1:80");
+    return {};
 }
 
 } // namespace
--- a/src/berylwing/gateway/plan_lease.hpp
+++ b/src/berylwing/gateway/plan_lease.hpp
@@ -23,6 +23,9 @@
     {
     }
 
+    /** @brief Changes the time for which a confirmation holds. @param leaseLength Time. */
+    void setLength(Duration leaseLength) noexcept { this->length = leaseLength; }
+
     /** @brief Takes note that the plan was current. @param when Moment at which it surely was. */
     void confirm(TimePoint when) noexcept { this->confirmedAt = std::max(this->confirmedAt, when); }
 
--- a/src/berylwing/gateway/protocol.hpp
+++ b/src/berylwing/gateway/protocol.hpp
@@ -16,7 +16,7 @@
     /** Turns the headers of a caller into those for an endpoint. */
     std::function<void(HeaderFields&, const EndpointRequestFacts&)> prepareForEndpoint;
     /** Reads the head of an endpoint's answer. */
-    std::function<AnswerFacts(unsigned status, const HeaderFields&)> readAnswer;
+    std::function<AnswerFacts(const HeaderFields&)> readAnswer;
     /** Marks a refusal of this host with the attempt to which it belongs. */
     std::function<void(HeaderFields&, const std::string& attemptId)> markRefusal;
     /** Reads a stored routing plan; throws ConfigurationError. */
--- a/src/berylwing/gateway/retry_allowance.hpp
+++ b/src/berylwing/gateway/retry_allowance.hpp
@@ -38,6 +38,9 @@
      */
     RetryAllowance(const Clock& hostClock, const RetryBounds& fleetBounds, HostCount fleetSize);
 
+    /** @brief Changes the bounds of the whole fleet. @param fleetBounds Bounds. */
+    void setBounds(const RetryBounds& fleetBounds) { this->bounds = fleetBounds; }
+
     /** @brief Counts a request of a caller. @param service Service of its route. */
     void recordRequest(const std::string& service);
 
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -2,7 +2,6 @@
 
 #include "berylwing/core/hash.hpp"
 #include <algorithm>
-#include <string>
 #include <utility>
 
 namespace berylwing {
@@ -33,41 +32,28 @@
 Task<void> StoreFeed::list()
 {
     const auto sentAt = this->clock.now();
-    std::vector<VersionedObject> objects;
-    std::string after;
-    std::uint64_t through = 0;
-    bool hasMore = true;
-    while (hasMore) {
-        auto page = co_await this->client.list(this->kind, after, false);
-        // Changes between two pages are seen by the watch that follows, if it begins at the first page's revision.
-        if (through == 0)
-            through = page.through;
-        hasMore = page.hasMore && !page.changes.empty();
-        if (hasMore)
-            after = page.changes.back().name;
-        std::move(page.changes.begin(), page.changes.end(), std::back_inserter(objects));
-    }
-    this->revision = through;
+    const auto all = co_await this->client.listAll(this->kind, false);
+    this->revision = all.through;
     this->mustList = false;
     this->hasList = true;
-    this->hooks.replaceAll(objects);
+    this->hooks.replaceAll(all.changes);
     this->hooks.confirm(sentAt);
 }
 
 Task<void> StoreFeed::watch()
 {
     const auto sentAt = this->clock.now();
-    const auto length = this->failures > 0 || this->hasChanged ? kProbeWait : this->pace.wait;
+    const auto length = this->failures > 0 || this->mustConfirm ? kProbeWait : this->pace.wait;
     const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
     for (const auto& change : batch.changes)
         this->hooks.change(change);
     this->revision = std::max(this->revision, batch.through);
-    // An answer with changes may have been given long ago, so the next call asks again at once.
-    this->hasChanged = this->pace.confirmsChanges && !batch.changes.empty();
+    const bool hasChanges = !batch.changes.empty();
     // A watch without a change was answered at the end of its wait, not before.
-    const bool mustPause = !batch.changes.empty() && this->pace.pauseAfterChange > Duration {};
-    this->hooks.confirm(batch.changes.empty() ? std::min(sentAt + length, this->clock.now()) : sentAt);
-    if (mustPause)
+    this->hooks.confirm(hasChanges ? sentAt : std::min(sentAt + length, this->clock.now()));
+    // An answer with changes may have been given long ago, so the next call asks again at once.
+    this->mustConfirm = hasChanges && this->pace.confirmsChanges;
+    if (hasChanges && this->pace.pauseAfterChange > Duration {})
         co_await this->clock.sleepFor(this->pace.pauseAfterChange);
 }
 
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -68,7 +68,7 @@
     std::uint64_t revision = 0;
     bool hasList = false;
     bool mustList = true;
-    bool hasChanged = false;
+    bool mustConfirm = false;
     unsigned failures = 0;
 };
 
--- a/src/berylwing/http/caller_connection.cpp
+++ b/src/berylwing/http/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/http/caller_connection.hpp"
 
 #include "berylwing/http/error_document.hpp"
+#include "berylwing/http/http_text.hpp"
 #include "berylwing/telemetry/log.hpp"
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -31,8 +32,6 @@
     return "r" + std::to_string(++counter);
 }
 
-std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
-
 CallerRequest toCallerRequest(const http::request<http::string_body>& request)
 {
     CallerRequest caller;
@@ -51,17 +50,6 @@
     return caller;
 }
 
-Refusal refusalOf(const boost::system::error_code& error)
-{
-    if (error == http::error::body_limit)
-        return Refusal::BodyTooLarge;
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
-        return Refusal::TooManyHeaders;
-    if (error == beast::error::timeout)
-        return Refusal::SlowSender;
-    return Refusal::BadRequest;
-}
-
 /** One connection and the answer that is being written to it. */
 class Connection {
 public:
@@ -112,7 +100,7 @@
     {
         if (error == http::error::end_of_stream)
             co_return false;
-        const auto reason = refusalOf(error);
+        const auto reason = refusalOfInput(error);
         this->host.countRefusal(reason);
         const auto requestId = nextRequestId();
         logRequest(LogLevel::Info, requestId, "input refused: " + error.message());
--- a/src/berylwing/http/endpoint_client.cpp
+++ b/src/berylwing/http/endpoint_client.cpp
@@ -4,6 +4,7 @@
 #include "berylwing/http/endpoint_pool.hpp"
 #include "berylwing/http/endpoint_probe.hpp"
 #include "berylwing/http/http_call.hpp"
+#include "berylwing/http/http_text.hpp"
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -21,8 +22,6 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 constexpr Duration kConnectTimeout { 1000 };
 
-std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
-
 HttpRequest toRequest(const EndpointCall& call)
 {
     const auto& source = call.request;
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -108,7 +108,7 @@
             co_await this->reader.readHead(deadline);
             auto& response = this->reader.parser().get();
             const auto status = response.result_int();
-            this->facts = this->sessions->protocol.readAnswer(status, response);
+            this->facts = this->sessions->protocol.readAnswer(response);
             const bool isForeign = !this->facts.attemptId.empty() && this->facts.attemptId != this->attemptId;
             if (status >= kFirstFinalStatus && !isForeign)
                 break;
@@ -162,8 +162,11 @@
     /** Keeps the connection for the next call if nothing is outstanding on it. */
     void release()
     {
-        if (!this->isWritten || this->facts.closesConnection || !this->reader.isReusable())
+        if (!this->isWritten || this->facts.closesConnection || !this->reader.isReusable()) {
+            // A body that is still being written would keep the connection open for nothing.
+            this->reader.abort();
             return;
+        }
         this->reader.connection->idleLimit = idleLimitOf(this->facts);
         this->sessions->pool.give(this->address, std::move(this->reader.connection));
     }
--- a/src/berylwing/http/gateway_answer.cpp
+++ b/src/berylwing/http/gateway_answer.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/http/gateway_answer.hpp"
 
+#include "berylwing/http/error_document.hpp"
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -14,36 +15,16 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttpVersion = 11;
+constexpr unsigned kServiceUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
 constexpr double kMsPerSecond = 1000;
 
-http::status statusOfNotRun(Refusal reason)
+/** A gateway promises that a request has not run with 503, also when its deadline has passed. */
+unsigned gatewayStatusOf(const Outcome& outcome)
 {
-    switch (reason) {
-    case Refusal::BadRequest:
-        return http::status::bad_request;
-    case Refusal::UnknownWorkspace:
-        return http::status::unauthorized;
-    case Refusal::UnknownRoute:
-        return http::status::not_found;
-    case Refusal::BodyTooLarge:
-        return http::status::payload_too_large;
-    case Refusal::TooManyHeaders:
-        return http::status::request_header_fields_too_large;
-    case Refusal::SlowSender:
-        return http::status::request_timeout;
-    case Refusal::RateLimit:
-    case Refusal::TokenLimit:
-        return http::status::too_many_requests;
-    default:
-        return http::status::service_unavailable;
-    }
-}
-
-http::status statusOf(const Outcome& outcome)
-{
-    if (outcome.execution == Execution::NotRun)
-        return statusOfNotRun(*outcome.reason);
-    return outcome.reason == Refusal::DeadlinePassed ? http::status::gateway_timeout : http::status::bad_gateway;
+    if (outcome.reason != Refusal::DeadlinePassed)
+        return statusOf(outcome);
+    return outcome.execution == Execution::NotRun ? kServiceUnavailable : kGatewayTimeout;
 }
 
 } // namespace
@@ -94,7 +75,8 @@
 
 std::string formatRefusal(const Outcome& outcome, HeaderFields fields, bool keepAlive)
 {
-    http::response<http::string_body> response { statusOf(outcome), kHttpVersion };
+    http::response<http::string_body> response { http::status::ok, kHttpVersion };
+    response.result(gatewayStatusOf(outcome));
     static_cast<HeaderFields&>(response.base()) = std::move(fields);
     response.set(http::field::content_type, "application/json");
     if (outcome.retryAfter > Duration {})
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/http/gateway_connection.hpp"
 
 #include "berylwing/http/gateway_answer.hpp"
+#include "berylwing/http/http_text.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,15 +26,6 @@
 /** Time for a caller to read a refusal of input that it is still sending. */
 constexpr Duration kLinger { 500 };
 
-Refusal refusalOf(const boost::system::error_code& error)
-{
-    if (error == http::error::body_limit)
-        return Refusal::BodyTooLarge;
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
-        return Refusal::TooManyHeaders;
-    return Refusal::BadRequest;
-}
-
 /** A connection that ended or broke needs no answer; anything else is a fault of what the caller sent. */
 bool isFaultOfInput(const boost::system::error_code& error)
 {
@@ -41,8 +33,6 @@
         && error != http::error::partial_message;
 }
 
-std::string textOf(beast::string_view view) { return { view.data(), view.size() }; }
-
 /** Host name without a port. */
 std::string hostnameOf(const HeaderFields& fields)
 {
@@ -139,7 +129,7 @@
 
 Task<void> GatewayConnection::refuseInput(const boost::system::error_code& error)
 {
-    const auto reason = refusalOf(error);
+    const auto reason = refusalOfInput(error);
     this->gateway.refuseInput(reason, error.message());
     this->keepAlive = false;
     co_await this->writeRefusal(NotRun { reason });
@@ -167,6 +157,9 @@
     request.fields = std::move(message.base());
     removeConnectionFields(request.fields);
     this->expireAt(TimePoint::max());
+    // Set before the task runs, since a refusal may be ready before its first step.
+    this->isWatching = true;
+    this->isWatchStopping = false;
     spawn(this->clock.executor(), "caller watch", this->watchCaller(request));
     const AnswerSink sink {
         [this](const AnswerHead& head) { return this->writeHead(head); },
@@ -188,8 +181,6 @@
 Task<void> GatewayConnection::watchCaller(GatewayRequest& request)
 {
     const auto self = this->shared_from_this();
-    this->isWatching = true;
-    this->isWatchStopping = false;
     while (!this->isWatchStopping && this->buffer.size() < kMostPipelinedBytes) {
         boost::system::error_code error;
         const auto size = co_await this->socket.async_read_some(
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -1,6 +1,8 @@
 #include "berylwing/store/platform_client.hpp"
 
 #include "berylwing/telemetry/metrics.hpp"
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace berylwing {
@@ -122,6 +124,17 @@
     co_return std::move(reply.batch);
 }
 
+Task<WatchBatch> PlatformClient::listAll(ObjectKind kind, bool allowStale)
+{
+    auto all = co_await this->list(kind, {}, allowStale);
+    while (all.hasMore && !all.changes.empty()) {
+        auto page = co_await this->list(kind, all.changes.back().name, allowStale);
+        all.hasMore = page.hasMore && !page.changes.empty();
+        std::move(page.changes.begin(), page.changes.end(), std::back_inserter(all.changes));
+    }
+    co_return all;
+}
+
 Task<WatchBatch> PlatformClient::watchKind(ObjectKind kind, std::uint64_t after, Duration wait)
 {
     PlatformCall request;
--- a/src/berylwing/store/platform_client.hpp
+++ b/src/berylwing/store/platform_client.hpp
@@ -76,6 +76,15 @@
      */
     [[nodiscard]] Task<WatchBatch> list(ObjectKind kind, std::string afterName, bool allowStale);
 
+    /**
+     * @brief Reads all objects of a kind, page by page.
+     * @param kind Kind of the objects.
+     * @param allowStale Whether the pages may be some seconds old.
+     * @return Objects, complete through the revision of the first page; a watch from there shows what came later.
+     * @throws PlatformError If the platform does not answer.
+     */
+    [[nodiscard]] Task<WatchBatch> listAll(ObjectKind kind, bool allowStale);
+
     /**
      * @brief Waits for changes of the objects of a kind.
      * @param kind Kind of the objects.
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -350,6 +350,32 @@
     CHECK(isRefused(*bench.ask("two"), Refusal::HostLeaving, Execution::NotRun));
 }
 
+TEST_CASE("Gateway counts hosts although an entry of one cannot be read", "[gateway][store]")
+{
+    GatewayBench bench;
+    bench.platform.store.write(ObjectKind::Host, "foreign", nlohmann::json::array({ 1, 2 }));
+    bench.platform.store.write(ObjectKind::Host, "half", { { "address", 7 } });
+    bench.advance(Duration { 3000 });
+    bench.platform.store.write(ObjectKind::Host, "knox-b-1", { { "address", "127.0.0.2" }, { "port", 7000 } });
+    bench.advance(Duration { 20'000 });
+    CHECK(bench.logText.find("\"event\":\"hosts_counted\",\"hosts\":3") != std::string::npos);
+    CHECK(bench.logText.find("\"event\":\"hosts_counted\",\"hosts\":4") != std::string::npos);
+}
+
+TEST_CASE("Gateway takes a changed lease at a reload", "[gateway][lease]")
+{
+    ServingBench bench;
+    GatewaySettings settings;
+    settings.planLease = Duration { 20'000 };
+    bench.gateway->reload(settings);
+    bench.platform.trouble = PlatformTrouble::Down;
+    bench.advance(Duration { 10'000 });
+    CHECK(bench.ask("one", "/status/1")->outcome->isWhole());
+    settings.planLease = Duration { 5000 };
+    bench.gateway->reload(settings);
+    CHECK(isRefused(*bench.ask("two", "/status/1"), Refusal::ConfigurationStale, Execution::NotRun));
+}
+
 TEST_CASE("Gateway writes no key and no body into its log", "[gateway][log]")
 {
     ServingBench bench;
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -78,7 +78,7 @@
     fields.set("Not-Executed", "1");
     fields.set("Connection", "close");
     fields.set("Keep-Alive", "timeout=7, max=100");
-    const auto facts = platform::readAnswer(503, fields);
+    const auto facts = platform::readAnswer(fields);
     CHECK(facts.isNotRun);
     CHECK_FALSE(facts.isSigned);
     CHECK(facts.closesConnection);
