--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -317,8 +317,10 @@
     // A cut: requests under way hear nothing more, and new connections are not answered.
     ServingBench bench;
     bench.setAll(EndpointManner::Hang);
+    constexpr int kRequests = 6;
     std::vector<std::shared_ptr<GatewayBench::Answer>> waiting;
-    for (int request = 0; request < 6; ++request)
+    waiting.reserve(kRequests);
+    for (int request = 0; request < kRequests; ++request)
         waiting.push_back(bench.start("status" + std::to_string(request), "/status/1"));
     const auto order = bench.start("order", "/order/1");
     bench.advance(Duration { 300 });
--- a/test/support/gateway_bench.cpp
+++ b/test/support/gateway_bench.cpp
@@ -201,6 +201,7 @@
     const std::string& prefix, int count, const std::string& path)
 {
     std::vector<std::shared_ptr<Answer>> answers;
+    answers.reserve(static_cast<std::size_t>(count));
     for (int request = 0; request < count; ++request)
         answers.push_back(this->start(prefix + std::to_string(request), path));
     constexpr Duration kLongEnough { 1000 };
