--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -87,6 +87,14 @@
         this->storeRegainedAt = this->clock.now();
 }
 
+void EndpointDirectory::noteOutage(TimePoint endedAt) noexcept
+{
+    if (endedAt <= this->storeRegainedAt)
+        return;
+    this->storeLostAt = endedAt;
+    this->storeRegainedAt = endedAt;
+}
+
 void EndpointDirectory::dropLapsed()
 {
     if (this->mayBeLapsed(this->clock.now()))
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -47,7 +47,7 @@
     /** @brief Creates an endpoint. @param endpointRecord Entry in the store. */
     explicit GatewayEndpoint(EndpointRecord endpointRecord)
         : record { std::move(endpointRecord) }
-        , hash { hashText(this->record.id) }
+        , hash { static_cast<std::uint32_t>(hashText(this->record.id)) }
     {
     }
 
@@ -68,7 +68,7 @@
 
     EndpointRecord record;
     /** Hash of the id, by which hosts name the endpoint to each other. */
-    std::uint64_t hash;
+    std::uint32_t hash;
     EndpointHealth health;
     TimePoint coldUntil {};
     /** Last request that was sent while the endpoint was cold. */
@@ -118,6 +118,9 @@
     /** @brief Takes note that the store has answered. */
     void regainStore();
 
+    /** @brief Takes note of an outage of the store that another host saw. @param endedAt End of the outage. */
+    void noteOutage(TimePoint endedAt) noexcept;
+
     /** @brief Drops the endpoints that have not come back in time after an outage of the store. */
     void dropLapsed();
 
--- /dev/null
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/digest.pb.h"
+#include "berylwing/gateway/fleet_view.hpp"
+#include "berylwing/gateway/host_roster.hpp"
+#include "berylwing/gateway/prompt_holders.hpp"
+#include "berylwing/gateway/store_feed.hpp"
+#include "berylwing/gateway/use_queue.hpp"
+#include "berylwing/telemetry/decision_log.hpp"
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylwing {
+
+class Metrics;
+
+/** @brief Parts of a host that take part in the exchange with other hosts. */
+struct FleetExchangeParts {
+    Clock& clock;
+    /** Failure domain of this host. */
+    std::string domain;
+    std::string host;
+    FleetView& fleet;
+    HostRoster& roster;
+    PromptHolders& holders;
+    /** Feeds whose news delegates pass on. */
+    std::vector<StoreFeed*> feeds;
+    /** Sends a message to another host, or drops it. */
+    std::function<void(const SocketAddress&, const std::string& bytes)> send;
+    Metrics& metrics;
+    DecisionLog& log;
+};
+
+/**
+ * @brief Exchange of digests inside a group of hosts, and of summaries between the delegates of groups.
+ *
+ * Hosts of a group tell each other their loads. Its delegates add what they see in the platform's store and what the
+ * delegates of other groups tell of those groups.
+ */
+class FleetExchange {
+    [[nodiscard]] wire::Digest makeDigest();
+    [[nodiscard]] std::size_t sendDigest(wire::Digest digest);
+    [[nodiscard]] std::size_t sendSummaries();
+    [[nodiscard]] std::vector<HostEntry> delegatesOf(const std::string& domain) const;
+    void takeDigest(wire::Digest digest);
+    void takeSummary(const wire::GroupSummary& summary);
+    void noteDelegation(bool isDelegate);
+
+public:
+    /** @brief Creates an exchange that has not begun. @param exchangeParts Parts of the host. */
+    explicit FleetExchange(FleetExchangeParts exchangeParts);
+
+    /** @brief Sends messages for ever. @return Awaitable. */
+    [[nodiscard]] Task<void> run();
+
+    /** @brief Takes a message of another host. @param address Sender. @param bytes Message. */
+    void receive(const std::string& address, std::string_view bytes);
+
+private:
+    FleetExchangeParts parts;
+    /** Uses of this host's group for delegates of other groups. */
+    UseQueue usesForOthers;
+    /** Uses of other groups for the hosts of this host's group. */
+    UseQueue usesForGroup;
+    /** Hosts that have sent a summary lately, by name. */
+    std::map<std::string, TimePoint, std::less<>> summarySenders;
+    TimePoint summariesSentAt {};
+    bool wasDelegate = false;
+};
+
+} // namespace berylwing
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -1,7 +1,9 @@
 #include "berylwing/gateway/fleet_view.hpp"
 
+#include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/host_roster.hpp"
+#include <algorithm>
 #include <tuple>
-#include <unordered_map>
 #include <utility>
 
 namespace berylwing {
@@ -10,6 +12,8 @@
 
 /** Time for which a digest holds; some of its successors may be lost, and streams last a second or two. */
 constexpr Duration kDigestLife { 3000 };
+/** Silence after which another host stands in for a delegate; endpoints that leave may be used for two seconds. */
+constexpr Duration kDelegateSilence { 1200 };
 
 } // namespace
 
@@ -18,18 +22,19 @@
     : clock { hostClock }
     , directory { endpointDirectory }
     , name { std::move(ownName) }
+    , rank { hashText(this->name) }
     , incarnation { ownIncarnation }
 {
 }
 
-bool FleetView::take(wire::Digest digest)
+std::optional<bool> FleetView::take(wire::Digest digest)
 {
     if (digest.host() == this->name)
-        return false;
+        return std::nullopt;
     auto& peer = this->peers[digest.host()];
     const auto known = std::make_tuple(peer.digest.incarnation(), peer.digest.sequence());
     if (std::make_tuple(digest.incarnation(), digest.sequence()) <= known)
-        return false;
+        return std::nullopt;
     const bool isNew = digest.incarnation() != peer.digest.incarnation();
     peer.digest = std::move(digest);
     peer.receivedAt = this->clock.now();
@@ -37,44 +42,145 @@
     return isNew;
 }
 
+void FleetView::take(const wire::GroupSummary& summary)
+{
+    this->summaries.insert_or_assign(summary.domain(), Summary { summary.loads(), this->clock.now() });
+    this->recount();
+}
+
 wire::Digest FleetView::describe()
 {
     wire::Digest digest;
     digest.set_host(this->name);
     digest.set_incarnation(this->incarnation);
     digest.set_sequence(++this->sequence);
+    digest.set_sent_at_ms(static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count()));
+    digest.set_reaches_store(this->reachesStore);
     for (const auto& [id, endpoint] : this->directory.all()) {
         if (endpoint->inFlight == 0)
             continue;
-        auto& load = *digest.add_loads();
-        load.set_endpoint(endpoint->hash);
-        load.set_in_flight(endpoint->inFlight);
-        load.set_unread_tokens(endpoint->unreadTokens);
+        auto& loads = *digest.mutable_loads();
+        loads.add_endpoints(endpoint->hash);
+        loads.add_in_flight(endpoint->inFlight);
+        loads.add_unread_tokens(endpoint->unreadTokens);
+    }
+    if (!this->isDelegate())
+        return digest;
+    digest.set_is_delegate(true);
+    for (const auto& [endpoint, load] : this->hasOwnSummaries() ? this->loadsElsewhere() : Loads {}) {
+        digest.mutable_elsewhere()->add_endpoints(endpoint);
+        digest.mutable_elsewhere()->add_in_flight(load.inFlight);
+        digest.mutable_elsewhere()->add_unread_tokens(load.unreadTokens);
     }
     return digest;
 }
 
+wire::EndpointLoads FleetView::describeGroup() const
+{
+    Loads totals;
+    for (const auto& [host, peer] : this->peers)
+        add(totals, peer.digest.loads());
+    wire::EndpointLoads loads;
+    for (const auto& [id, endpoint] : this->directory.all()) {
+        const auto& total = totals[endpoint->hash];
+        if (total.inFlight + endpoint->inFlight == 0)
+            continue;
+        loads.add_endpoints(endpoint->hash);
+        loads.add_in_flight(total.inFlight + endpoint->inFlight);
+        loads.add_unread_tokens(total.unreadTokens + endpoint->unreadTokens);
+    }
+    return loads;
+}
+
+wire::ClockEcho FleetView::echoFor(const std::string& host) const
+{
+    wire::ClockEcho echo;
+    const auto found = this->peers.find(host);
+    if (found == this->peers.end())
+        return echo;
+    echo.set_incarnation(found->second.digest.incarnation());
+    echo.set_sent_at_ms(found->second.digest.sent_at_ms());
+    echo.set_held_ms(static_cast<std::uint64_t>((this->clock.now() - found->second.receivedAt).count()));
+    return echo;
+}
+
+std::optional<TimePoint> FleetView::earliestSending(const wire::Digest& digest) const
+{
+    // An echo of an earlier process would speak of another clock.
+    if (!digest.has_echo() || digest.echo().incarnation() != this->incarnation)
+        return std::nullopt;
+    const auto echoed = digest.echo().sent_at_ms() + digest.echo().held_ms();
+    return TimePoint { Duration { static_cast<Duration::rep>(echoed) } };
+}
+
+bool FleetView::isHeard(const Peer& peer) const { return this->clock.now() < peer.receivedAt + kDelegateSilence; }
+
+bool FleetView::isDelegate() const
+{
+    const auto better = std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+        const auto& peer = entry.second;
+        if (!this->isHeard(peer))
+            return false;
+        if (peer.digest.reaches_store() != this->reachesStore)
+            return peer.digest.reaches_store();
+        return hashText(entry.first) < this->rank;
+    });
+    return static_cast<std::size_t>(better) < kDelegates;
+}
+
+bool FleetView::hasDelegate() const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+        const auto& digest = entry.second.digest;
+        return digest.is_delegate() && digest.reaches_store() && this->isHeard(entry.second);
+    });
+}
+
 void FleetView::dropSilent()
 {
     const auto oldest = this->clock.now() - kDigestLife;
-    if (std::erase_if(this->peers, [oldest](const auto& peer) { return peer.second.receivedAt < oldest; }) > 0)
+    const auto isSilent = [oldest](const auto& entry) { return entry.second.receivedAt < oldest; };
+    if (std::erase_if(this->peers, isSilent) + std::erase_if(this->summaries, isSilent) > 0)
         this->recount();
 }
 
-void FleetView::recount()
+void FleetView::add(Loads& totals, const wire::EndpointLoads& loads)
 {
-    std::unordered_map<std::uint64_t, wire::EndpointLoad> totals;
+    const auto count = std::min({ loads.endpoints_size(), loads.in_flight_size(), loads.unread_tokens_size() });
+    for (int place = 0; place < count; ++place) {
+        auto& total = totals[loads.endpoints(place)];
+        total.inFlight += loads.in_flight(place);
+        total.unreadTokens += loads.unread_tokens(place);
+    }
+}
+
+FleetView::Loads FleetView::loadsElsewhere() const
+{
+    Loads totals;
+    if (this->hasOwnSummaries()) {
+        for (const auto& [domain, summary] : this->summaries)
+            add(totals, summary.loads);
+        return totals;
+    }
+    const Peer* latest = nullptr;
     for (const auto& [host, peer] : this->peers) {
-        for (const auto& load : peer.digest.loads()) {
-            auto& total = totals[load.endpoint()];
-            total.set_in_flight(total.in_flight() + load.in_flight());
-            total.set_unread_tokens(total.unread_tokens() + load.unread_tokens());
-        }
+        if (peer.digest.has_elsewhere() && (latest == nullptr || peer.receivedAt > latest->receivedAt))
+            latest = &peer;
     }
+    if (latest != nullptr)
+        add(totals, latest->digest.elsewhere());
+    return totals;
+}
+
+void FleetView::recount()
+{
+    auto totals = this->loadsElsewhere();
+    for (const auto& [host, peer] : this->peers)
+        add(totals, peer.digest.loads());
     for (const auto& [id, endpoint] : this->directory.all()) {
         const auto& total = totals[endpoint->hash];
-        endpoint->inFlightElsewhere = total.in_flight();
-        endpoint->unreadTokensElsewhere = total.unread_tokens();
+        endpoint->inFlightElsewhere = total.inFlight;
+        endpoint->unreadTokensElsewhere = total.unreadTokens;
     }
 }
 
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -5,21 +5,41 @@
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace berylwing {
 
 /**
  * @brief What the other hosts have told about their requests.
  *
- * A digest is a whole picture, so that lost, doubled and overtaken ones do no harm.
+ * A digest is a whole picture, so that lost, doubled and overtaken ones do no harm. The first hosts of a group that
+ * are heard are its delegates; each host decides so by itself, and a host too many only costs some calls.
  */
 class FleetView {
-    struct PeerDigest {
+    struct Peer {
         wire::Digest digest;
         TimePoint receivedAt {};
     };
 
+    struct Summary {
+        wire::EndpointLoads loads;
+        TimePoint receivedAt {};
+    };
+
+    /** Load of one endpoint. */
+    struct Load {
+        std::uint32_t inFlight = 0;
+        std::uint32_t unreadTokens = 0;
+    };
+
+    using Loads = std::unordered_map<std::uint32_t, Load>;
+
+    static void add(Loads& totals, const wire::EndpointLoads& loads);
+    [[nodiscard]] Loads loadsElsewhere() const;
+    [[nodiscard]] bool isHeard(const Peer& peer) const;
+    [[nodiscard]] bool hasOwnSummaries() const { return !this->summaries.empty(); }
     void recount();
 
 public:
@@ -36,23 +56,55 @@
     /**
      * @brief Takes a digest of another host unless a newer one is known.
      * @param digest Digest.
-     * @return True if the host is new or has started again.
+     * @return True if the host is new or has started again; nothing if the digest is not newer.
      */
-    bool take(wire::Digest digest);
+    std::optional<bool> take(wire::Digest digest);
+
+    /** @brief Takes what a delegate of another group tells. @param summary Loads of that group. */
+    void take(const wire::GroupSummary& summary);
 
     /** @brief Describes this host's requests. @return Digest. */
     [[nodiscard]] wire::Digest describe();
 
-    /** @brief Forgets hosts that have been silent for too long. */
+    /** @brief Describes the requests of this host and its group. @return Loads. */
+    [[nodiscard]] wire::EndpointLoads describeGroup() const;
+
+    /** @brief Answers the clock of a peer. @param host Peer. @return Echo, empty if the peer was not heard. */
+    [[nodiscard]] wire::ClockEcho echoFor(const std::string& host) const;
+
+    /**
+     * @brief Tells when a message was sent, at the earliest, on the clock of this host.
+     *
+     * The time that it took on its way is not known, so the sender echoes the last time that it heard of this host.
+     * @param digest Digest of a peer.
+     * @return Moment; nothing if the peer has not heard of this process.
+     */
+    [[nodiscard]] std::optional<TimePoint> earliestSending(const wire::Digest& digest) const;
+
+    /** @brief Sets whether this host's calls to the store are answered. @param isReached Whether they are. */
+    void setReachesStore(bool isReached) noexcept { this->reachesStore = isReached; }
+
+    /** @brief Tells whether this host watches the store for its group. @return True for the first hosts that are heard.
+     */
+    [[nodiscard]] bool isDelegate() const;
+
+    /** @brief Tells whether another host watches the store for this one. @return True if it was heard lately. */
+    [[nodiscard]] bool hasDelegate() const;
+
+    /** @brief Forgets hosts and groups that have been silent for too long. */
     void dropSilent();
 
 private:
     const Clock& clock;
     EndpointDirectory& directory;
     std::string name;
+    std::uint64_t rank;
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
-    std::map<std::string, PeerDigest, std::less<>> peers;
+    bool reachesStore = true;
+    std::map<std::string, Peer, std::less<>> peers;
+    /** What delegates of other groups have told, by failure domain. */
+    std::map<std::string, Summary, std::less<>> summaries;
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -319,7 +319,7 @@
     if (journey.shared != nullptr) {
         if (!this->parts.holders.holds(journey.promptKey, endpoint.hash))
             unread += journey.sharedTokens;
-        this->parts.holders.recordUse(journey.promptKey, endpoint.hash);
+        this->parts.holders.recordUse({ journey.promptKey, endpoint.hash });
         line.add("prompt", journey.shared->id).add("prompt_tokens", std::int64_t { journey.shared->tokens });
     }
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -21,16 +21,13 @@
 constexpr Duration kEndpointPause { 300 };
 /** Part of a lease that is not used, because clocks of two hosts do not run at quite the same rate. */
 constexpr Duration kLeaseMargin { 100 };
-/** Time between two looks at the list of hosts, whose number divides the fleet's bounds. */
-constexpr Duration kHostListInterval { 15'000 };
-constexpr Duration kFirstHostListPause { 1000 };
+/** Hosts matter for the sharing of the fleet's bounds only, so a silent connection may go unnoticed for longer. */
+constexpr Duration kHostWait { 10'000 };
+/** Hosts that start together register within a second. */
+constexpr Duration kHostPause { 1000 };
+/** Pause in which versions of the plan that come in quick succession gather; a version has two seconds to apply. */
+constexpr Duration kPlanFetchPause { 300 };
 constexpr Duration kRegisterPause { 500 };
-/** Time between two digests; within it a host sends one or two requests to an endpoint at the busiest. */
-constexpr Duration kDigestInterval { 200 };
-/** Bytes a millisecond that a host spends on digests, two thirds of what control may cost at the target size. */
-constexpr Duration::rep kDigestBytesPerMs = 8;
-/** Headers of a datagram on the wire. */
-constexpr std::size_t kDatagramOverhead = 42;
 constexpr Duration kMaintenanceInterval { 100 };
 /** Time after which the balancer has surely seen two unready answers, one a second, and sends no new connection. */
 constexpr Duration kBalancerDelay { 2600 };
@@ -68,20 +65,22 @@
     , client { std::move(dependencies.platform), this->hostMetrics }
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin }
     , directory { hostClock, this->log }
-    , hostNames { gatewaySettings.host }
+    , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
     , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
-    , sendToHost { std::move(dependencies.sendToHost) }
-    , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->hostNames; } }
+    , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , holders { hostClock }
     , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
-    , retries { hostClock, gatewaySettings.retries, [this] { return this->hostNames.size(); } }
+    , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
-    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWait, {}, true }, this->planHooks(),
-        this->log }
-    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, { kEndpointWait, kEndpointPause, false },
+    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWait, {}, true, kPlanFetchPause },
+        this->planHooks(), this->log }
+    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, { kEndpointWait, kEndpointPause, false, {} },
         this->endpointHooks(), this->log }
-    , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, { kDomainWait, {}, false }, this->domainHooks(),
-        this->log }
+    , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, { kDomainWait, {}, false, {} },
+        this->domainHooks(), this->log }
+    , hostFeed { hostClock, this->client, ObjectKind::Host, { kHostWait, kHostPause, false, kHostPause },
+        this->hostHooks(), this->log }
+    , exchange { this->exchangeParts(std::move(dependencies.sendToHost)) }
     , forwarder { this->forwarderParts(std::move(dependencies.open)) }
 {
 }
@@ -93,6 +92,13 @@
         [this](GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
+FleetExchangeParts Gateway::exchangeParts(std::function<void(const SocketAddress&, const std::string&)> sendToHost)
+{
+    return { this->clock, this->settings.domain, this->settings.host, this->fleet, this->roster, this->holders,
+        { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
+        this->hostMetrics, this->log };
+}
+
 void Gateway::start()
 {
     this->log.write(LogLine { LogEvent::Started });
@@ -100,9 +106,10 @@
     spawn(executor, "plan feed", this->planFeed.run());
     spawn(executor, "endpoint feed", this->endpointFeed.run());
     spawn(executor, "domain feed", this->domainFeed.run());
-    spawn(executor, "host list", this->followHosts());
+    spawn(executor, "host feed", this->hostFeed.run());
+    spawn(executor, "host entry", this->registerHost());
     spawn(executor, "maintenance", this->maintain());
-    spawn(executor, "digests", this->sendDigests());
+    spawn(executor, "digests", this->exchange.run());
 }
 
 bool Gateway::isReady() const
@@ -177,6 +184,8 @@
         [this](const VersionedObject& object) { this->takePlan(object); },
         [this](TimePoint when) { this->lease.confirm(when); },
         [] {},
+        [](TimePoint) {},
+        [this] { return this->isWatchedElsewhere(); },
     };
 }
 
@@ -194,6 +203,8 @@
         [this](const VersionedObject& object) { this->takeEndpoint(object); },
         [this](TimePoint) { this->directory.regainStore(); },
         [this] { this->directory.loseStore(); },
+        [this](TimePoint endedAt) { this->directory.noteOutage(endedAt); },
+        [this] { return this->isWatchedElsewhere(); },
     };
 }
 
@@ -209,9 +220,36 @@
         [this](const VersionedObject& object) { this->takeDomain(object); },
         [](TimePoint) {},
         [] {},
+        [](TimePoint) {},
+        [this] { return this->isWatchedElsewhere(); },
     };
 }
 
+StoreFeedHooks Gateway::hostHooks()
+{
+    return {
+        [this](const std::vector<VersionedObject>& objects) {
+            std::set<std::string, std::less<>> names;
+            for (const auto& object : objects) {
+                names.insert(object.name);
+                this->takeHost(object);
+            }
+            this->roster.retain(names);
+            this->logHostCount();
+        },
+        [this](const VersionedObject& object) {
+            this->takeHost(object);
+            this->logHostCount();
+        },
+        [](TimePoint) {},
+        [] {},
+        [](TimePoint) {},
+        [this] { return this->isWatchedElsewhere(); },
+    };
+}
+
+bool Gateway::isWatchedElsewhere() const { return !this->fleet.isDelegate() && this->fleet.hasDelegate(); }
+
 void Gateway::takePlan(const VersionedObject& object)
 {
     if (object.value.is_null())
@@ -285,73 +323,30 @@
     }
 }
 
-Task<void> Gateway::followHosts()
+void Gateway::takeHost(const VersionedObject& object)
 {
-    co_await this->registerHost();
-    bool isFirst = true;
-    while (true) {
-        try {
-            const auto all = co_await this->client.listAll(ObjectKind::Host, !isFirst);
-            this->takeHosts(all.changes);
-        } catch (const PlatformError& error) {
-            spdlog::debug("hosts not listed: {}", error.what());
-        }
-        // Hosts that start together register within the first second.
-        co_await this->clock.sleepFor(isFirst ? kFirstHostListPause : kHostListInterval);
-        isFirst = false;
-    }
-}
-
-void Gateway::takeHosts(const std::vector<VersionedObject>& objects)
-{
-    std::vector<std::string> names { this->settings.host };
-    std::vector<SocketAddress> addresses;
-    for (const auto& object : objects) {
-        if (object.name == this->settings.host)
-            continue;
-        names.push_back(object.name);
-        try {
-            addresses.push_back(
-                { object.value.at("address").get<std::string>(), object.value.at("port").get<std::uint16_t>() });
-        } catch (const nlohmann::json::exception& error) {
-            // The host still counts for the fleet's bounds, which only makes the parts of all others smaller.
-            spdlog::warn("entry of host {} not understood: {}", object.name, error.what());
-        }
-    }
-    if (names.size() != this->hostNames.size()) {
-        LogLine line { LogEvent::HostsCounted };
-        this->log.write(line.add("hosts", static_cast<std::int64_t>(names.size())));
+    if (object.value.is_null()) {
+        this->roster.remove(object.name);
+        return;
     }
-    this->hostNames = std::move(names);
-    this->peers = std::move(addresses);
-}
-
-Task<void> Gateway::sendDigests()
-{
-    while (true) {
-        auto digest = this->fleet.describe();
-        this->holders.describe(digest);
-        const auto bytes = digest.SerializeAsString();
-        for (const auto& peer : this->peers)
-            this->sendToHost(peer, bytes);
-        const auto sent = static_cast<Duration::rep>((bytes.size() + kDatagramOverhead) * this->peers.size());
-        this->hostMetrics.addControlBytes(static_cast<std::size_t>(sent));
-        co_await this->clock.sleepFor(std::max(kDigestInterval, Duration { sent / kDigestBytesPerMs }));
+    HostEntry entry { object.name, {}, {} };
+    try {
+        entry.domain = object.value.at("domain").get<std::string>();
+        entry.address = { object.value.at("address").get<std::string>(), object.value.at("port").get<std::uint16_t>() };
+    } catch (const nlohmann::json::exception& error) {
+        // The host still counts for the fleet's bounds, which only makes the parts of all others smaller.
+        spdlog::warn("entry of host {} not understood: {}", object.name, error.what());
     }
+    this->roster.put(std::move(entry));
 }
 
-void Gateway::receive(const std::string& address, std::string_view bytes)
+void Gateway::logHostCount()
 {
-    const auto isPeer = std::any_of(this->peers.begin(), this->peers.end(),
-        [&address](const SocketAddress& peer) { return peer.address == address; });
-    wire::Digest digest;
-    if (!isPeer || !digest.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
-        spdlog::debug("message of {} bytes from {} ignored", bytes.size(), address);
+    const auto count = this->roster.names().size();
+    if (std::exchange(this->loggedHosts, count) == count)
         return;
-    }
-    this->holders.take(digest);
-    if (this->fleet.take(std::move(digest)))
-        this->holders.announceAll();
+    LogLine line { LogEvent::HostsCounted };
+    this->log.write(line.add("hosts", static_cast<std::int64_t>(count)));
 }
 
 Task<void> Gateway::maintain()
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -3,9 +3,11 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/cold_limit.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
+#include "berylwing/gateway/fleet_exchange.hpp"
 #include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/forwarder.hpp"
 #include "berylwing/gateway/gateway_settings.hpp"
+#include "berylwing/gateway/host_roster.hpp"
 #include "berylwing/gateway/placement.hpp"
 #include "berylwing/gateway/plan_lease.hpp"
 #include "berylwing/gateway/prompt_holders.hpp"
@@ -38,14 +40,17 @@
     [[nodiscard]] StoreFeedHooks planHooks();
     [[nodiscard]] StoreFeedHooks endpointHooks();
     [[nodiscard]] StoreFeedHooks domainHooks();
+    [[nodiscard]] StoreFeedHooks hostHooks();
+    [[nodiscard]] bool isWatchedElsewhere() const;
     void takePlan(const VersionedObject& object);
     void takeEndpoint(const VersionedObject& object);
     void takeDomain(const VersionedObject& object);
     [[nodiscard]] Task<void> registerHost();
-    [[nodiscard]] Task<void> followHosts();
     [[nodiscard]] Task<void> maintain();
-    [[nodiscard]] Task<void> sendDigests();
-    void takeHosts(const std::vector<VersionedObject>& objects);
+    void takeHost(const VersionedObject& object);
+    void logHostCount();
+    [[nodiscard]] FleetExchangeParts exchangeParts(
+        std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
 
 public:
@@ -87,7 +92,7 @@
     [[nodiscard]] Task<Outcome> handle(GatewayRequest& request, const AnswerSink& sink);
 
     /** @brief Takes a message of another host. @param address Sender. @param bytes Message. */
-    void receive(const std::string& address, std::string_view bytes);
+    void receive(const std::string& address, std::string_view bytes) { this->exchange.receive(address, bytes); }
 
     /** @brief Counts and logs input that is no request. @param reason Reason. @param error What was wrong. */
     void refuseInput(Refusal reason, std::string_view error);
@@ -114,11 +119,9 @@
     PlanLease lease;
     std::shared_ptr<const RoutingPlan> plan;
     EndpointDirectory directory;
-    std::vector<std::string> hostNames;
-    /** Addresses of the other hosts. */
-    std::vector<SocketAddress> peers;
+    HostRoster roster;
+    std::size_t loggedHosts = 1;
     FleetView fleet;
-    std::function<void(const SocketAddress&, const std::string&)> sendToHost;
     ColdLimit coldLimit;
     PromptHolders holders;
     Placement placement;
@@ -127,6 +130,8 @@
     StoreFeed planFeed;
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
+    StoreFeed hostFeed;
+    FleetExchange exchange;
     Forwarder forwarder;
     std::optional<TimePoint> stoppingSince;
     std::size_t requests = 0;
--- /dev/null
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -0,0 +1,101 @@
+#include "berylwing/gateway/host_roster.hpp"
+
+#include "berylwing/core/hash.hpp"
+#include <algorithm>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+/** Hosts of a fleet in which each one can tell all others; a group of a larger fleet has some 17. */
+constexpr std::size_t kMostInOneGroup = 18;
+
+} // namespace
+
+HostRoster::HostRoster(HostEntry ownEntry)
+    : own { std::move(ownEntry) }
+{
+    this->recount();
+}
+
+void HostRoster::recount()
+{
+    this->allNames = { this->own.name };
+    for (const auto& [name, entry] : this->hosts)
+        this->allNames.push_back(name);
+    this->isOneGroup = this->allNames.size() <= kMostInOneGroup;
+}
+
+void HostRoster::put(HostEntry entry)
+{
+    if (entry.name == this->own.name)
+        return;
+    auto name = entry.name;
+    this->hosts.insert_or_assign(std::move(name), std::move(entry));
+    this->recount();
+}
+
+void HostRoster::remove(std::string_view name)
+{
+    const auto found = this->hosts.find(name);
+    if (found == this->hosts.end())
+        return;
+    this->hosts.erase(found);
+    this->recount();
+}
+
+void HostRoster::retain(const std::set<std::string, std::less<>>& names)
+{
+    std::erase_if(this->hosts, [&names](const auto& host) { return !names.contains(host.first); });
+    this->recount();
+}
+
+std::vector<HostEntry> HostRoster::group() const
+{
+    std::vector<HostEntry> members;
+    for (const auto& [name, entry] : this->hosts) {
+        const bool isMember = this->isOneGroup || entry.domain == this->own.domain;
+        if (isMember && !entry.address.address.empty())
+            members.push_back(entry);
+    }
+    return members;
+}
+
+std::set<std::string> HostRoster::otherGroups() const
+{
+    std::set<std::string> domains;
+    for (const auto& [name, entry] : this->hosts) {
+        if (!this->isOneGroup && entry.domain != this->own.domain && !entry.address.address.empty())
+            domains.insert(entry.domain);
+    }
+    return domains;
+}
+
+std::vector<HostEntry> HostRoster::likelyDelegates(std::string_view domain) const
+{
+    std::vector<HostEntry> members;
+    for (const auto& [name, entry] : this->hosts) {
+        if (entry.domain == domain && !entry.address.address.empty())
+            members.push_back(entry);
+    }
+    std::sort(members.begin(), members.end(),
+        [](const HostEntry& left, const HostEntry& right) { return hashText(left.name) < hashText(right.name); });
+    members.resize(std::min(members.size(), kDelegates));
+    return members;
+}
+
+const HostEntry* HostRoster::find(std::string_view name) const
+{
+    const auto found = this->hosts.find(name);
+    return found == this->hosts.end() ? nullptr : &found->second;
+}
+
+const HostEntry* HostRoster::findByAddress(std::string_view address) const
+{
+    const auto found = std::find_if(this->hosts.begin(), this->hosts.end(),
+        [address](const auto& host) { return host.second.address.address == address; });
+    return found == this->hosts.end() ? nullptr : &found->second;
+}
+
+} // namespace berylwing
--- a/src/berylwing/gateway/prompt_holders.cpp
+++ b/src/berylwing/gateway/prompt_holders.cpp
@@ -11,37 +11,35 @@
 constexpr Duration kHeldFor { 60'000 };
 /** Time after which a use is announced again, so that hosts that have started since learn of it. */
 constexpr Duration kAnnounceAgain { 10'000 };
-/** Time for which each digest repeats an announcement, so that some of them may be lost. */
-constexpr Duration kAnnouncedFor { 800 };
 /** Time between two looks for prompts to forget, since each looks at all of them. */
 constexpr Duration kDropInterval { 5000 };
-/** Announcements in one digest, which has to fit into a datagram. */
-constexpr std::size_t kMostAnnounced = 1000;
 /** Prompts that are remembered; at a hundred bytes each they take 5 MB. */
 constexpr std::size_t kMostPrompts = 50'000;
 
 } // namespace
 
-PromptHolders::Holder& PromptHolders::find(std::uint64_t prompt, std::uint64_t endpoint)
+PromptHolders::Holder* PromptHolders::find(const PromptUse& use)
 {
-    auto& list = this->holders[prompt];
+    if (this->holders.size() >= kMostPrompts && !this->holders.contains(use.prompt))
+        return nullptr;
+    auto& list = this->holders[use.prompt];
     const auto found = std::find_if(
-        list.begin(), list.end(), [endpoint](const Holder& holder) { return holder.endpoint == endpoint; });
-    return found == list.end() ? list.emplace_back(Holder { endpoint }) : *found;
+        list.begin(), list.end(), [&use](const Holder& holder) { return holder.endpoint == use.endpoint; });
+    return found == list.end() ? &list.emplace_back(Holder { use.endpoint }) : &*found;
 }
 
-void PromptHolders::recordUse(std::uint64_t prompt, std::uint64_t endpoint)
+void PromptHolders::recordUse(const PromptUse& use)
 {
-    if (this->holders.size() >= kMostPrompts && !this->holders.contains(prompt))
+    auto* holder = this->find(use);
+    if (holder == nullptr)
         return;
     const auto now = this->clock.now();
-    auto& holder = this->find(prompt, endpoint);
-    holder.usedAt = now;
-    holder.usedHereAt = now;
-    if (holder.announcedAt + kAnnounceAgain > now)
+    holder->usedAt = now;
+    holder->usedHereAt = now;
+    if (holder->announcedAt + kAnnounceAgain > now)
         return;
-    holder.announcedAt = now;
-    this->announcements.push_back({ prompt, endpoint, now });
+    holder->announcedAt = now;
+    this->announcements.push(use);
 }
 
 void PromptHolders::announceAll()
@@ -50,34 +48,27 @@
     this->announcements.clear();
     for (const auto& [prompt, list] : this->holders) {
         for (const auto& holder : list) {
-            if (holder.usedHereAt + kAnnounceAgain > now && this->announcements.size() < kMostAnnounced)
-                this->announcements.push_back({ prompt, holder.endpoint, now });
+            if (holder.usedHereAt + kAnnounceAgain > now)
+                this->announcements.push({ prompt, holder.endpoint });
         }
     }
 }
 
-void PromptHolders::take(const wire::Digest& digest)
+std::vector<PromptUse> PromptHolders::take(const wire::PromptUses& uses)
 {
+    std::vector<PromptUse> unknown;
     const auto now = this->clock.now();
-    for (const auto& use : digest.uses()) {
-        if (this->holders.size() >= kMostPrompts && !this->holders.contains(use.prompt()))
+    for (int place = 0; place < std::min(uses.prompts_size(), uses.endpoints_size()); ++place) {
+        const PromptUse use { uses.prompts(place), uses.endpoints(place) };
+        auto* holder = this->find(use);
+        if (holder == nullptr)
             continue;
-        auto& holder = this->find(use.prompt(), use.endpoint());
-        holder.usedAt = now;
-        holder.announcedAt = now;
-    }
-}
-
-void PromptHolders::describe(wire::Digest& digest)
-{
-    const auto oldest = this->clock.now() - kAnnouncedFor;
-    while (!this->announcements.empty() && this->announcements.front().since < oldest)
-        this->announcements.pop_front();
-    for (const auto& announcement : this->announcements) {
-        auto& use = *digest.add_uses();
-        use.set_prompt(announcement.prompt);
-        use.set_endpoint(announcement.endpoint);
+        if (holder->announcedAt + kAnnounceAgain <= now)
+            unknown.push_back(use);
+        holder->usedAt = now;
+        holder->announcedAt = now;
     }
+    return unknown;
 }
 
 void PromptHolders::dropOld()
@@ -92,7 +83,7 @@
     }
 }
 
-bool PromptHolders::holds(std::uint64_t prompt, std::uint64_t endpoint) const
+bool PromptHolders::holds(std::uint64_t prompt, std::uint32_t endpoint) const
 {
     const auto found = this->holders.find(prompt);
     return found != this->holders.end()
--- a/src/berylwing/gateway/prompt_holders.hpp
+++ b/src/berylwing/gateway/prompt_holders.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
-#include "berylwing/gateway/digest.pb.h"
+#include "berylwing/gateway/use_queue.hpp"
 #include <cstdint>
-#include <deque>
 #include <unordered_map>
 #include <vector>
 
@@ -17,40 +16,38 @@
  */
 class PromptHolders {
     struct Holder {
-        std::uint64_t endpoint = 0;
+        std::uint32_t endpoint = 0;
         TimePoint usedAt {};
         TimePoint announcedAt {};
         /** Last use by this host. */
         TimePoint usedHereAt {};
     };
 
-    struct Announcement {
-        std::uint64_t prompt = 0;
-        std::uint64_t endpoint = 0;
-        TimePoint since {};
-    };
-
-    Holder& find(std::uint64_t prompt, std::uint64_t endpoint);
+    Holder* find(const PromptUse& use);
 
 public:
     /** @brief Creates an empty register. @param hostClock Clock of the host. */
     explicit PromptHolders(const Clock& hostClock)
         : clock { hostClock }
+        , announcements { hostClock }
     {
     }
 
-    /** @brief Takes note that this host sends a prompt to an endpoint. @param prompt Prompt. @param endpoint Endpoint.
-     */
-    void recordUse(std::uint64_t prompt, std::uint64_t endpoint);
+    /** @brief Takes note that this host sends a prompt to an endpoint. @param use Prompt and endpoint. */
+    void recordUse(const PromptUse& use);
 
     /** @brief Announces again what this host has used lately, for a host that has just started. */
     void announceAll();
 
-    /** @brief Takes what another host has announced. @param digest Digest. */
-    void take(const wire::Digest& digest);
+    /**
+     * @brief Takes what another host has announced.
+     * @param uses Uses.
+     * @return Uses that were not known to be announced before.
+     */
+    std::vector<PromptUse> take(const wire::PromptUses& uses);
 
-    /** @brief Adds this host's announcements. @param digest Digest to be sent. */
-    void describe(wire::Digest& digest);
+    /** @brief Adds this host's announcements. @param uses Part of the message to be sent. */
+    void describe(wire::PromptUses& uses) { this->announcements.describe(uses); }
 
     /** @brief Forgets prompts that were not asked for lately. */
     void dropOld();
@@ -61,12 +58,12 @@
      * @param endpoint Hash of the endpoint's id.
      * @return True if it has read the prompt lately.
      */
-    [[nodiscard]] bool holds(std::uint64_t prompt, std::uint64_t endpoint) const;
+    [[nodiscard]] bool holds(std::uint64_t prompt, std::uint32_t endpoint) const;
 
 private:
     const Clock& clock;
     std::unordered_map<std::uint64_t, std::vector<Holder>> holders;
-    std::deque<Announcement> announcements;
+    UseQueue announcements;
     TimePoint lastDropAt {};
 };
 
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -14,6 +14,20 @@
 constexpr Duration kFirstPause { 60 };
 /** Longest pause, so that a returned store is noticed well within the time that keys stay valid. */
 constexpr Duration kLongestPause { 500 };
+/** Time for which each message repeats a change, so that some of them may be lost. */
+constexpr Duration kNewsRepeat { 1500 };
+/** Largest document that is passed on in messages between hosts; larger ones are fetched from the store. */
+constexpr std::size_t kMostNewsBytes = 1000;
+/** Changes in one message, which has to fit into a datagram. */
+constexpr std::size_t kMostNewsChanges = 40;
+/** Time after which news have to be confirmed by others; a few messages may be lost in it. */
+constexpr Duration kNewsLife { 1200 };
+/** Time between two looks at whether the news are still fresh. */
+constexpr Duration kRestCheck { 250 };
+/** Time between two calls of a host that does not reach the store while another one does. */
+constexpr Duration kRetryWhileWatched { 3000 };
+/** Time for which other hosts are told of an outage, longer than entries that lapsed in it are waited for. */
+constexpr Duration kOutageTold { 4000 };
 
 } // namespace
 
@@ -26,37 +40,139 @@
     , hooks { std::move(feedHooks) }
     , log { decisionLog }
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
+    , newsArrived { hostClock }
 {
 }
 
+void StoreFeed::apply(const VersionedObject& change, std::uint64_t through)
+{
+    this->hooks.change(change);
+    this->recentChanges.push_back({ change, through, this->clock.now() });
+}
+
+void StoreFeed::dropOldChanges()
+{
+    const auto oldest = this->clock.now() - kNewsRepeat;
+    while (!this->recentChanges.empty()
+        && (this->recentChanges.front().at < oldest || this->recentChanges.size() > kMostNewsChanges)) {
+        this->recentAfter = std::max(this->recentAfter, this->recentChanges.front().through);
+        this->recentChanges.pop_front();
+    }
+}
+
 Task<void> StoreFeed::list()
 {
     const auto sentAt = this->clock.now();
     const auto all = co_await this->client.listAll(this->kind, false);
     this->revision = all.through;
+    this->recentChanges.clear();
+    this->recentAfter = this->revision;
     this->mustList = false;
     this->hasList = true;
+    this->missesSince.reset();
     this->hooks.replaceAll(all.changes);
+    this->confirmedAt = std::max(this->confirmedAt, sentAt);
     this->hooks.confirm(sentAt);
 }
 
 Task<void> StoreFeed::watch()
 {
     const auto sentAt = this->clock.now();
-    const auto length = this->failures > 0 || this->mustConfirm ? kProbeWait : this->pace.wait;
+    const bool isShort = this->failures > 0 || this->mustConfirm || this->missesSince;
+    const auto length = isShort ? kProbeWait : this->pace.wait;
     const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
     for (const auto& change : batch.changes)
-        this->hooks.change(change);
+        this->apply(change, batch.through);
     this->revision = std::max(this->revision, batch.through);
+    this->missesSince.reset();
     const bool hasChanges = !batch.changes.empty();
     // A watch without a change was answered at the end of its wait, not before.
-    this->hooks.confirm(hasChanges ? sentAt : std::min(sentAt + length, this->clock.now()));
+    const auto when = hasChanges ? sentAt : std::min(sentAt + length, this->clock.now());
+    this->confirmedAt = std::max(this->confirmedAt, when);
+    this->hooks.confirm(when);
     // An answer with changes may have been given long ago, so the next call asks again at once.
     this->mustConfirm = hasChanges && this->pace.confirmsChanges;
     if (hasChanges && this->pace.pauseAfterChange > Duration {})
         co_await this->clock.sleepFor(this->pace.pauseAfterChange);
 }
 
+wire::StoreNews StoreFeed::describeNews()
+{
+    this->dropOldChanges();
+    const auto now = this->clock.now();
+    wire::StoreNews news;
+    news.set_kind(static_cast<std::uint32_t>(this->kind));
+    news.set_after(this->recentAfter);
+    news.set_through(this->revision);
+    for (const auto& recent : this->recentChanges) {
+        auto value = recent.object.value.is_null() ? std::string {} : recent.object.value.dump();
+        if (value.size() > kMostNewsBytes) {
+            // Whoever is behind has to fetch the document, and with it all that came before.
+            news.clear_changes();
+            news.set_after(recent.through);
+            continue;
+        }
+        auto& change = *news.add_changes();
+        change.set_name(recent.object.name);
+        change.set_revision(recent.through);
+        change.set_value(std::move(value));
+    }
+    news.set_confirmed_age_ms(static_cast<std::uint64_t>((now - this->confirmedAt).count()));
+    if (this->outageEndedAt && now < *this->outageEndedAt + kOutageTold)
+        news.set_outage_ended_age_ms(static_cast<std::uint64_t>((now - *this->outageEndedAt).count()));
+    return news;
+}
+
+bool StoreFeed::applyNews(const wire::StoreNews& news)
+{
+    for (const auto& change : news.changes()) {
+        if (change.revision() <= this->revision)
+            continue;
+        nlohmann::json value;
+        if (!change.value().empty())
+            value = nlohmann::json::parse(change.value(), nullptr, false);
+        if (value.is_discarded())
+            return false;
+        this->apply({ this->kind, change.name(), change.revision(), std::move(value) }, change.revision());
+    }
+    return true;
+}
+
+void StoreFeed::takeNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
+{
+    // A feed that has no list yet, or has to list again, does not know what the changes are changes of.
+    if (!this->hasList || this->mustList)
+        return;
+    const auto now = this->clock.now();
+    this->newsAt = now;
+    if (news.has_outage_ended_age_ms())
+        this->hooks.noteOutage(now - Duration { static_cast<Duration::rep>(news.outage_ended_age_ms()) });
+    if (this->revision < news.after() || !this->applyNews(news)) {
+        if (!this->missesSince)
+            this->missesSince = now;
+        this->newsArrived.notifyAll();
+        return;
+    }
+    this->revision = std::max(this->revision, news.through());
+    if (!sentAt)
+        return;
+    const auto when = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
+    this->confirmedAt = std::max(this->confirmedAt, when);
+    this->hooks.confirm(when);
+}
+
+bool StoreFeed::mayRest() const
+{
+    if (this->mustList || !this->hooks.isWatchedElsewhere())
+        return false;
+    const auto now = this->clock.now();
+    if (this->missesSince)
+        return now < *this->missesSince + this->pace.pauseBeforeFetch;
+    if (this->failures > 0 && now >= this->triedAt + kRetryWhileWatched)
+        return false;
+    return now < this->newsAt + kNewsLife;
+}
+
 Duration StoreFeed::nextPause()
 {
     const auto longest = std::min(kLongestPause, kFirstPause * (1U << std::min(this->failures, 4U)));
@@ -64,35 +180,56 @@
     return Duration { spread(this->random) };
 }
 
+void StoreFeed::noteSuccess()
+{
+    if (this->failures == 0)
+        return;
+    LogLine line { LogEvent::DependencyRegained };
+    line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
+    this->log.write(line.add("failures", std::int64_t { this->failures }));
+    this->failures = 0;
+    this->outageEndedAt = this->clock.now();
+}
+
+void StoreFeed::noteFailure(const PlatformError& error)
+{
+    if (this->failures == 0) {
+        LogLine line { LogEvent::DependencyLost };
+        line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
+        this->log.write(line.add("revision", static_cast<std::int64_t>(this->revision)).add("error", error.what()));
+    }
+    ++this->failures;
+    this->hooks.lose();
+}
+
 Task<void> StoreFeed::run()
 {
     while (true) {
+        if (this->mayRest()) {
+            co_await this->newsArrived.waitUntil(this->clock.now() + kRestCheck);
+            continue;
+        }
         bool hasFailed = false;
+        this->triedAt = this->clock.now();
         try {
             if (this->mustList)
                 co_await this->list();
             else
                 co_await this->watch();
-            if (this->failures > 0) {
-                LogLine line { LogEvent::DependencyRegained };
-                line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
-                this->log.write(line.add("failures", std::int64_t { this->failures }));
-            }
-            this->failures = 0;
+            this->noteSuccess();
         } catch (const PlatformError& error) {
-            hasFailed = error.fault() != PlatformFault::HistoryGone;
-            this->mustList = this->mustList || !hasFailed;
-            LogLine line { LogEvent::DependencyLost };
-            line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
-            line.add("revision", static_cast<std::int64_t>(this->revision)).add("error", error.what());
-            if (this->failures == 0)
-                this->log.write(line);
+            if (error.fault() == PlatformFault::HistoryGone) {
+                LogLine line { LogEvent::HistoryLost };
+                line.add("kind", kObjectKindNames[this->kind]);
+                this->log.write(line.add("revision", static_cast<std::int64_t>(this->revision)));
+                this->mustList = true;
+                continue;
+            }
+            hasFailed = true;
+            this->noteFailure(error);
         }
-        if (!hasFailed)
-            continue;
-        ++this->failures;
-        this->hooks.lose();
-        co_await this->clock.sleepFor(this->nextPause());
+        if (hasFailed)
+            co_await this->clock.sleepFor(this->nextPause());
     }
 }
 
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/event.hpp"
+#include "berylwing/gateway/digest.pb.h"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include <cstdint>
+#include <deque>
 #include <functional>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -20,6 +24,10 @@
     std::function<void(TimePoint)> confirm;
     /** Takes note that a call to the store has failed. */
     std::function<void()> lose;
+    /** Takes note of the end of an outage that another host saw. */
+    std::function<void(TimePoint)> noteOutage;
+    /** Tells whether another host watches the store for this one. */
+    std::function<bool()> isWatchedElsewhere;
 };
 
 /** @brief How a feed asks the store. */
@@ -30,13 +38,33 @@
     Duration pauseAfterChange {};
     /** Whether each change is followed by a short call that confirms the moment. */
     bool confirmsChanges = false;
+    /** Pause before a change that another host told of without its document is fetched. */
+    Duration pauseBeforeFetch {};
 };
 
-/** @brief Follows the objects of one kind in the platform's store. */
+/**
+ * @brief Follows the objects of one kind in the platform's store.
+ *
+ * While another host watches the store and tells what it sees, the feed takes that and asks the store only for what it
+ * has missed. Without news of other hosts it asks by itself.
+ */
 class StoreFeed {
+    struct RecentChange {
+        VersionedObject object;
+        /** Revision of the answer that brought the change, which is not lower than that of the change itself. */
+        std::uint64_t through = 0;
+        TimePoint at {};
+    };
+
     [[nodiscard]] Task<void> list();
     [[nodiscard]] Task<void> watch();
     [[nodiscard]] Duration nextPause();
+    [[nodiscard]] bool mayRest() const;
+    void apply(const VersionedObject& change, std::uint64_t through);
+    [[nodiscard]] bool applyNews(const wire::StoreNews& news);
+    void dropOldChanges();
+    void noteSuccess();
+    void noteFailure(const PlatformError& error);
 
 public:
     /**
@@ -57,6 +85,22 @@
     /** @brief Tells whether the objects have been listed. @return True after the first complete list. */
     [[nodiscard]] bool isListed() const noexcept { return this->hasList; }
 
+    /** @brief Reads the kind of the objects. @return Kind. */
+    [[nodiscard]] ObjectKind objectKind() const noexcept { return this->kind; }
+
+    /** @brief Tells whether the last call to the store was answered. @return False during an outage. */
+    [[nodiscard]] bool reachesStore() const noexcept { return this->failures == 0; }
+
+    /** @brief Describes what this host has seen lately, for hosts that do not ask the store. @return News. */
+    [[nodiscard]] wire::StoreNews describeNews();
+
+    /**
+     * @brief Takes what another host has seen.
+     * @param news News of the feed's kind.
+     * @param sentAt Earliest moment at which they may have been sent; nothing if it is not known.
+     */
+    void takeNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt);
+
 private:
     Clock& clock;
     PlatformClient& client;
@@ -65,7 +109,18 @@
     StoreFeedHooks hooks;
     DecisionLog& log;
     std::minstd_rand random;
+    Event newsArrived;
     std::uint64_t revision = 0;
+    /** Changes that other hosts are told of. */
+    std::deque<RecentChange> recentChanges;
+    /** Revision after which recentChanges has all changes. */
+    std::uint64_t recentAfter = 0;
+    TimePoint confirmedAt {};
+    TimePoint triedAt {};
+    TimePoint newsAt {};
+    std::optional<TimePoint> outageEndedAt;
+    /** Time since which a change is known to exist that was told of without its document. */
+    std::optional<TimePoint> missesSince;
     bool hasList = false;
     bool mustList = true;
     bool mustConfirm = false;
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -17,6 +17,8 @@
     SettingsReloaded,
     DependencyLost,
     DependencyRegained,
+    HistoryLost,
+    DelegateChanged,
     PlanTaken,
     PlanRejected,
     EndpointSeen,
@@ -39,13 +41,15 @@
 };
 
 /** @brief Names of the log events. */
-inline constexpr EnumNames<LogEvent, 25> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 27> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
     "settings_reloaded",
     "dependency_lost",
     "dependency_regained",
+    "history_lost",
+    "delegate_changed",
     "plan_taken",
     "plan_rejected",
     "endpoint_seen",
--- /dev/null
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -0,0 +1,141 @@
+#include "support/gateway_fleet.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+/** Time in which hosts that start together find each other. */
+constexpr Duration kSettling { 6000 };
+/** Time for which an endpoint may be used after it began to leave. */
+constexpr Duration kDrainBound { 2000 };
+/** Time after which a version of the plan has to be in force. */
+constexpr Duration kPlanBound { 2000 };
+
+const std::vector<std::string> kDomains { "knox-a", "knox-b", "chatt-a" };
+
+/** Fleet that has settled, with a plan and some endpoints. */
+class SettledFleet : public GatewayFleet {
+public:
+    explicit SettledFleet(int hostsPerDomain)
+        : GatewayFleet { hostsPerDomain, kDomains }
+    {
+        this->putPlan(1);
+        for (int number = 1; number <= 4; ++number)
+            this->putEndpoint("engine-" + std::to_string(number));
+        this->advance(kSettling);
+    }
+
+    /** Calls of all hosts in ten seconds in which endpoints change four times a second. */
+    int callsWhileEndpointsChange()
+    {
+        const auto before = this->calls();
+        for (int round = 0; round < 40; ++round) {
+            this->putEndpoint("flapping", round % 2 == 1);
+            this->advance(Duration { 250 });
+        }
+        return this->calls() - before;
+    }
+
+    [[nodiscard]] std::vector<Host*> delegates() const
+    {
+        std::vector<Host*> found;
+        for (const auto& [address, host] : this->hosts) {
+            const auto last = host->logText.rfind("\"delegate\":");
+            if (last != std::string::npos && host->logText.at(last + std::string { "\"delegate\":" }.size()) == '1')
+                found.push_back(host.get());
+        }
+        return found;
+    }
+};
+
+} // namespace
+
+TEST_CASE("Two hosts of each group watch the store for all others", "[gateway][exchange]")
+{
+    SettledFleet small { 2 };
+    SettledFleet large { 9 };
+    CHECK(small.delegates().size() == 2);
+    CHECK(large.delegates().size() == 2 * kDomains.size());
+    const auto callsOfSmall = small.callsWhileEndpointsChange();
+    const auto callsOfLarge = large.callsWhileEndpointsChange();
+    // Calls grow with the number of groups, not with the number of hosts.
+    CHECK(callsOfLarge <= static_cast<int>(kDomains.size()) * callsOfSmall + 27);
+}
+
+TEST_CASE("All hosts learn in time of an endpoint that leaves and of a new plan", "[gateway][exchange]")
+{
+    SettledFleet fleet { 9 };
+    const auto loss = GENERATE(0, 1, 2);
+    const auto delegates = fleet.delegates();
+    for (int lost = 0; lost < loss; ++lost)
+        delegates[static_cast<std::size_t>(lost)]->isIsolated = true;
+    fleet.putEndpoint("engine-1", true);
+    fleet.putPlan(7);
+    fleet.advance(std::min(kDrainBound, kPlanBound));
+    CHECK(fleet.hostsWithLog("\"endpoint\":\"engine-1\",\"service\":\"engines\",\"state\":\"leaving\"")
+        == fleet.hosts.size());
+    CHECK(fleet.hostsWithLog("\"plan\":7") == fleet.hosts.size());
+}
+
+TEST_CASE("A host that was suspended does not trust old news of its delegates", "[gateway][exchange]")
+{
+    SettledFleet fleet { 9 };
+    const auto delegates = fleet.delegates();
+    GatewayFleet::Host* member = nullptr;
+    for (const auto& [address, each] : fleet.hosts) {
+        const bool isDelegate = std::find(delegates.begin(), delegates.end(), each.get()) != delegates.end();
+        if (!isDelegate && each->settings.domain == kDomains.front())
+            member = each.get();
+    }
+    REQUIRE(member != nullptr);
+    CHECK(member->gateway->isReady());
+    member->isSuspended = true;
+    fleet.platform.cutOff.insert(member->settings.host);
+    fleet.advance(Duration { 1000 });
+    // The others fall silent, so that all that waits for the host is old.
+    for (const auto& [address, each] : fleet.hosts)
+        each->isIsolated = each.get() != member;
+    fleet.advance(Duration { 5000 });
+    fleet.resume(*member);
+    CHECK_FALSE(member->gateway->isReady());
+}
+
+TEST_CASE("A group that is cut off from all others asks the store itself", "[gateway][exchange]")
+{
+    SettledFleet fleet { 9 };
+    for (const auto& [address, host] : fleet.hosts)
+        host->isIsolated = host->settings.domain == "knox-b";
+    fleet.advance(Duration { 8000 });
+    for (const auto& [address, host] : fleet.hosts)
+        CHECK(host->gateway->isReady());
+}
+
+TEST_CASE("Hosts that the store turns away serve on by the news of those that it serves", "[gateway][exchange]")
+{
+    SettledFleet fleet { 9 };
+    const auto delegates = fleet.delegates();
+    fleet.platform.cutOff.insert(delegates[0]->settings.host);
+    fleet.advance(Duration { 9000 });
+    for (const auto& [address, host] : fleet.hosts)
+        CHECK(host->gateway->isReady());
+}
+
+TEST_CASE("Control traffic of a host that is no delegate keeps to what the target allows", "[gateway][exchange]")
+{
+    constexpr std::size_t kMostBytesPerSecond = 12 * 1024;
+    SettledFleet fleet { 17 };
+    const auto delegates = fleet.delegates();
+    std::map<GatewayFleet::Host*, std::size_t> before;
+    for (const auto& [address, host] : fleet.hosts)
+        before[host.get()] = host->bytesSent;
+    fleet.advance(Duration { 10'000 });
+    for (const auto& [host, bytes] : before) {
+        if (std::find(delegates.begin(), delegates.end(), host) == delegates.end())
+            CHECK((host->bytesSent - bytes) / 10 <= kMostBytesPerSecond);
+    }
+}
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -1,7 +1,10 @@
 #include "berylwing/gateway/fleet_view.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 namespace {
 
@@ -85,3 +88,110 @@
     fixture.here.view.dropSilent();
     CHECK(fixture.here.endpoint().load() == 0);
 }
+
+TEST_CASE("FleetView makes the two first hosts that are heard delegates", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    std::vector<std::unique_ptr<FleetFixture::Host>> hosts;
+    for (const auto* name : { "a", "b", "c", "d", "e" })
+        hosts.push_back(std::make_unique<FleetFixture::Host>(fixture.clock, name, 1));
+    for (const auto& host : hosts)
+        CHECK(host->view.isDelegate());
+    const auto exchange = [&hosts](std::size_t silent) {
+        for (std::size_t from = 0; from < hosts.size(); ++from) {
+            const auto digest = hosts[from]->view.describe();
+            for (std::size_t to = 0; to < hosts.size() && from != silent; ++to) {
+                if (to != from)
+                    hosts[to]->view.take(digest);
+            }
+        }
+    };
+    const auto delegates = [&hosts](std::size_t silent) {
+        std::vector<std::size_t> found;
+        for (std::size_t host = 0; host < hosts.size(); ++host) {
+            if (host != silent && hosts[host]->view.isDelegate())
+                found.push_back(host);
+        }
+        return found;
+    };
+    exchange(hosts.size());
+    exchange(hosts.size());
+    const auto first = delegates(hosts.size());
+    REQUIRE(first.size() == 2);
+    for (const auto& host : hosts)
+        CHECK(host->view.hasDelegate());
+
+    SECTION("another one stands in for a delegate that falls silent")
+    {
+        for (int round = 0; round < 8; ++round) {
+            fixture.time += Duration { 200 };
+            exchange(first[0]);
+        }
+        const auto next = delegates(first[0]);
+        CHECK(next.size() == 2);
+        CHECK(std::count(next.begin(), next.end(), first[1]) == 1);
+    }
+    SECTION("a host that does not reach the store stands back")
+    {
+        hosts[first[0]]->view.setReachesStore(false);
+        exchange(hosts.size());
+        exchange(hosts.size());
+        const auto next = delegates(hosts.size());
+        CHECK(next.size() == 2);
+        CHECK(std::count(next.begin(), next.end(), first[0]) == 0);
+    }
+    SECTION("two go on as delegates while nobody reaches the store, but none watches for others")
+    {
+        for (const auto& host : hosts)
+            host->view.setReachesStore(false);
+        exchange(hosts.size());
+        exchange(hosts.size());
+        CHECK(delegates(hosts.size()).size() == 2);
+        for (const auto& host : hosts)
+            CHECK_FALSE(host->view.hasDelegate());
+    }
+}
+
+TEST_CASE("FleetView takes the loads of other groups from their delegates and passes them on", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    wire::GroupSummary summary;
+    summary.set_domain("chatt-a");
+    summary.mutable_loads()->add_endpoints(fixture.here.endpoint().hash);
+    summary.mutable_loads()->add_in_flight(7);
+    summary.mutable_loads()->add_unread_tokens(900);
+    fixture.there.view.take(summary);
+    CHECK(fixture.there.endpoint().load() == 7);
+    fixture.there.endpoint().inFlight = 2;
+    fixture.here.view.take(fixture.there.view.describe());
+    CHECK(fixture.here.endpoint().load() == 9);
+    CHECK(fixture.here.endpoint().backlog() == 900);
+
+    // The group's own loads are told to other groups, those of third groups are not.
+    fixture.there.view.take(fixture.here.view.describe());
+    const auto group = fixture.there.view.describeGroup();
+    REQUIRE(group.in_flight_size() == 1);
+    CHECK(group.in_flight(0) == 2);
+
+    fixture.time += Duration { 4000 };
+    fixture.there.view.dropSilent();
+    CHECK(fixture.there.endpoint().load() == 2);
+}
+
+TEST_CASE("FleetView bounds the age of a message by its own clock, however long it was on its way", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    CHECK_FALSE(fixture.here.view.earliestSending(fixture.there.view.describe()));
+    const auto sentHere = fixture.time;
+    fixture.there.view.take(fixture.here.view.describe());
+    fixture.time += Duration { 100 };
+    auto digest = fixture.there.view.describe();
+    *digest.mutable_echo() = fixture.there.view.echoFor("here");
+    // The host is suspended while the message lies in its socket.
+    fixture.time += Duration { 6000 };
+    const auto sending = fixture.here.view.earliestSending(digest);
+    REQUIRE(sending);
+    CHECK(*sending == sentHere + Duration { 100 });
+    const FleetFixture::Host restarted { fixture.clock, "here", 2 };
+    CHECK_FALSE(restarted.view.earliestSending(digest));
+}
--- /dev/null
+++ b/test/berylwing/gateway/host_roster_test.cpp
@@ -0,0 +1,66 @@
+#include "berylwing/gateway/host_roster.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+
+HostEntry entryOf(const std::string& domain, int number)
+{
+    const auto name = domain + "-" + std::to_string(number);
+    return { name, domain, { "10." + std::to_string(domain.size()) + ".0." + std::to_string(number), 7000 } };
+}
+
+/** Roster of host "a-1" in a fleet with some hosts in each of three domains. */
+HostRoster rosterOf(int hostsPerDomain)
+{
+    HostRoster roster { entryOf("a", 1) };
+    for (const auto* domain : { "a", "bb", "ccc" }) {
+        for (int number = 1; number <= hostsPerDomain; ++number)
+            roster.put(entryOf(domain, number));
+    }
+    return roster;
+}
+
+} // namespace
+
+TEST_CASE("HostRoster takes a small fleet as one group", "[gateway][roster]")
+{
+    const auto roster = rosterOf(3);
+    CHECK(roster.names().size() == 9);
+    CHECK(roster.group().size() == 8);
+    CHECK(roster.otherGroups().empty());
+}
+
+TEST_CASE("HostRoster takes each failure domain of a large fleet as a group", "[gateway][roster]")
+{
+    const auto roster = rosterOf(17);
+    CHECK(roster.names().size() == 51);
+    const auto group = roster.group();
+    CHECK(group.size() == 16);
+    CHECK(std::all_of(group.begin(), group.end(), [](const HostEntry& entry) { return entry.domain == "a"; }));
+    CHECK(roster.otherGroups() == std::set<std::string> { "bb", "ccc" });
+    CHECK(roster.likelyDelegates("bb").size() == kDelegates);
+}
+
+TEST_CASE("HostRoster counts hosts whose entry it cannot read, but sends them nothing", "[gateway][roster]")
+{
+    HostRoster roster { entryOf("a", 1) };
+    roster.put({ "strange", {}, {} });
+    CHECK(roster.names().size() == 2);
+    CHECK(roster.group().empty());
+}
+
+TEST_CASE("HostRoster drops the hosts that a list does not hold", "[gateway][roster]")
+{
+    auto roster = rosterOf(2);
+    roster.retain({ "a-2", "bb-1" });
+    CHECK(roster.names().size() == 3);
+    roster.remove("bb-1");
+    CHECK(roster.names().size() == 2);
+    CHECK(roster.find("bb-1") == nullptr);
+    REQUIRE(roster.findByAddress("10.1.0.2") != nullptr);
+    CHECK(roster.findByAddress("10.1.0.2")->name == "a-2");
+}
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -164,7 +164,7 @@
     for (int prompt = 0; prompt < 500; ++prompt) {
         const auto name = std::to_string(prompt);
         before[name] = load.placement.choose({ "engines", hashText(name), 0, true, load.none }, load.service);
-        load.holders.recordUse(hashText(name), before[name]->hash);
+        load.holders.recordUse({ hashText(name), before[name]->hash });
     }
     for (int number = 0; number < 6; ++number) {
         EndpointRecord record;
@@ -189,7 +189,7 @@
         const auto key = hashText(std::to_string(prompt));
         const auto endpoint = load.placement.choose({ "engines", key, kTokens, true, load.none }, load.service);
         endpoint->unreadTokens += kTokens;
-        load.holders.recordUse(key, endpoint->hash);
+        load.holders.recordUse({ key, endpoint->hash });
         total += kTokens;
         most = std::max(most, endpoint->backlog());
     }
@@ -204,7 +204,7 @@
     const auto key = hashText("prompt");
     const PlacementRequest request { "engines", key, kTokens, true, load.none };
     const auto holder = load.placement.choose(request, load.service);
-    load.holders.recordUse(key, holder->hash);
+    load.holders.recordUse({ key, holder->hash });
     holder->unreadTokens = 3 * kTokens;
     CHECK(load.placement.choose(request, load.service) == holder);
     holder->unreadTokens = 20 * kTokens;
--- a/test/berylwing/gateway/prompt_holders_test.cpp
+++ b/test/berylwing/gateway/prompt_holders_test.cpp
@@ -7,14 +7,14 @@
 
 using namespace berylwing;
 
-/** Registers of two hosts that exchange digests. */
+/** Registers of two hosts that tell each other their uses. */
 class HoldersFixture {
 public:
-    wire::Digest digestOf(PromptHolders& holders)
+    wire::PromptUses usesOf(PromptHolders& holders)
     {
-        wire::Digest digest;
-        holders.describe(digest);
-        return digest;
+        wire::PromptUses uses;
+        holders.describe(uses);
+        return uses;
     }
 
     boost::asio::io_context context { 1 };
@@ -29,10 +29,10 @@
 TEST_CASE("PromptHolders tells other hosts of a use, also if some digests are lost", "[gateway][holders]")
 {
     HoldersFixture fixture;
-    fixture.here.recordUse(1, 10);
-    static_cast<void>(fixture.digestOf(fixture.here));
+    fixture.here.recordUse({ 1, 10 });
+    static_cast<void>(fixture.usesOf(fixture.here));
     fixture.time += Duration { 400 };
-    fixture.there.take(fixture.digestOf(fixture.here));
+    fixture.there.take(fixture.usesOf(fixture.here));
     CHECK(fixture.there.holds(1, 10));
     CHECK_FALSE(fixture.there.holds(1, 11));
     CHECK_FALSE(fixture.there.holds(2, 10));
@@ -43,8 +43,8 @@
     HoldersFixture fixture;
     std::size_t announced = 0;
     for (int round = 0; round < 40; ++round) {
-        fixture.here.recordUse(1, 10);
-        announced += static_cast<std::size_t>(fixture.digestOf(fixture.here).uses_size());
+        fixture.here.recordUse({ 1, 10 });
+        announced += static_cast<std::size_t>(fixture.usesOf(fixture.here).prompts_size());
         fixture.time += Duration { 200 };
     }
     CHECK(announced <= 5);
@@ -53,30 +53,55 @@
 TEST_CASE("PromptHolders does not announce what another host has just announced", "[gateway][holders]")
 {
     HoldersFixture fixture;
-    fixture.here.recordUse(1, 10);
-    fixture.there.take(fixture.digestOf(fixture.here));
-    fixture.there.recordUse(1, 10);
-    CHECK(fixture.digestOf(fixture.there).uses_size() == 0);
+    fixture.here.recordUse({ 1, 10 });
+    fixture.there.take(fixture.usesOf(fixture.here));
+    fixture.there.recordUse({ 1, 10 });
+    CHECK(fixture.usesOf(fixture.there).prompts_size() == 0);
 }
 
 TEST_CASE("PromptHolders tells a host that has started all that is in use", "[gateway][holders]")
 {
     HoldersFixture fixture;
-    for (std::uint64_t prompt = 1; prompt <= 50; ++prompt)
-        fixture.here.recordUse(prompt, prompt % 7);
+    for (std::uint32_t prompt = 1; prompt <= 50; ++prompt)
+        fixture.here.recordUse({ prompt, prompt % 7 });
     fixture.time += Duration { 5000 };
-    CHECK(fixture.digestOf(fixture.here).uses_size() == 0);
+    CHECK(fixture.usesOf(fixture.here).prompts_size() == 0);
     fixture.here.announceAll();
-    fixture.there.take(fixture.digestOf(fixture.here));
-    for (std::uint64_t prompt = 1; prompt <= 50; ++prompt)
+    fixture.there.take(fixture.usesOf(fixture.here));
+    for (std::uint32_t prompt = 1; prompt <= 50; ++prompt)
         CHECK(fixture.there.holds(prompt, prompt % 7));
 }
 
 TEST_CASE("PromptHolders forgets a prompt that nobody asks for", "[gateway][holders]")
 {
     HoldersFixture fixture;
-    fixture.here.recordUse(1, 10);
+    fixture.here.recordUse({ 1, 10 });
     fixture.time += Duration { 70'000 };
     fixture.here.dropOld();
     CHECK_FALSE(fixture.here.holds(1, 10));
 }
+
+TEST_CASE("PromptHolders passes on a use once, however often it is announced", "[gateway][holders]")
+{
+    HoldersFixture fixture;
+    fixture.here.recordUse({ 1, 10 });
+    const auto uses = fixture.usesOf(fixture.here);
+    const auto first = fixture.there.take(uses);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].prompt == 1);
+    CHECK(first[0].endpoint == 10);
+    CHECK(fixture.there.take(uses).empty());
+    fixture.time += Duration { 11'000 };
+    CHECK(fixture.there.take(uses).size() == 1);
+}
+
+TEST_CASE("PromptHolders ignores uses whose lists do not match", "[gateway][holders]")
+{
+    HoldersFixture fixture;
+    wire::PromptUses uses;
+    uses.add_prompts(1);
+    uses.add_prompts(2);
+    uses.add_endpoints(10);
+    CHECK(fixture.there.take(uses).size() == 1);
+    CHECK_FALSE(fixture.there.holds(2, 10));
+}
--- /dev/null
+++ b/test/support/gateway_fleet.cpp
@@ -0,0 +1,125 @@
+#include "support/gateway_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylwing::test {
+
+namespace {
+
+constexpr Duration kStep { 10 };
+constexpr std::uint16_t kPort = 7000;
+
+EndpointRecord recordOf(const std::string& name, const nlohmann::json& value)
+{
+    EndpointRecord record;
+    record.id = name;
+    record.service = "engines";
+    record.isDraining = value.at("draining");
+    return record;
+}
+
+} // namespace
+
+GatewayFleet::GatewayFleet(int hostsPerDomain, const std::vector<std::string>& domains)
+    : clock { this->context.get_executor(), [this] { return this->time; } }
+{
+    this->protocol.readPlan = [](const nlohmann::json& value) { return RoutingPlan { value.at("version") }; };
+    this->protocol.readEndpoint = recordOf;
+    for (std::size_t domain = 0; domain < domains.size(); ++domain) {
+        for (int number = 1; number <= hostsPerDomain; ++number) {
+            this->addHost(domains[domain], domains[domain] + "-" + std::to_string(number),
+                "10." + std::to_string(domain) + ".0." + std::to_string(number));
+        }
+    }
+    this->settle();
+}
+
+GatewayFleet::~GatewayFleet() { this->context.destroyPending(); }
+
+void GatewayFleet::addHost(const std::string& domain, const std::string& name, const std::string& address)
+{
+    auto host = std::make_unique<Host>();
+    auto& added = *host;
+    added.settings.host = name;
+    added.settings.domain = domain;
+    added.settings.digests = { address, kPort };
+    added.settings.planLease = Duration { 5000 };
+    GatewayDependencies dependencies;
+    const auto exchange = this->platform.exchangeOf(name, this->clock);
+    dependencies.platform = [&added, exchange](const PlatformCall& call) {
+        ++added.calls;
+        return exchange(call);
+    };
+    dependencies.sendToHost
+        = [this, &added](const SocketAddress& to, const std::string& bytes) { this->deliver(added, to, bytes); };
+    dependencies.logWriter = [&added](std::string_view lines) {
+        added.logText += lines;
+        return lines.size();
+    };
+    dependencies.incarnation = 1;
+    added.gateway = std::make_unique<Gateway>(this->clock, added.settings, this->protocol, std::move(dependencies));
+    this->hosts.emplace(address, std::move(host));
+    added.gateway->start();
+}
+
+void GatewayFleet::deliver(Host& from, const SocketAddress& to, const std::string& bytes)
+{
+    from.bytesSent += bytes.size();
+    const auto found = this->hosts.find(to.address);
+    if (found == this->hosts.end() || from.isIsolated || from.isSuspended || found->second->isIsolated)
+        return;
+    const auto& sender = from.settings.digests.address;
+    if (found->second->isSuspended)
+        found->second->held.emplace_back(sender, bytes);
+    else
+        found->second->gateway->receive(sender, bytes);
+}
+
+void GatewayFleet::resume(Host& host)
+{
+    host.isSuspended = false;
+    for (const auto& [sender, bytes] : std::exchange(host.held, {}))
+        host.gateway->receive(sender, bytes);
+}
+
+void GatewayFleet::settle()
+{
+    this->context.restart();
+    this->context.poll();
+}
+
+void GatewayFleet::advance(Duration length)
+{
+    for (const auto until = this->time + length; this->time < until;) {
+        this->time += kStep;
+        this->clock.fireDue();
+        this->settle();
+    }
+}
+
+void GatewayFleet::putPlan(std::uint64_t version)
+{
+    this->platform.store.write(ObjectKind::RoutingPlan, "main", { { "version", version } });
+}
+
+void GatewayFleet::putEndpoint(const std::string& id, bool isDraining)
+{
+    this->platform.store.write(ObjectKind::Endpoint, id, { { "draining", isDraining } });
+}
+
+std::size_t GatewayFleet::hostsWithLog(const std::string& text) const
+{
+    return static_cast<std::size_t>(std::count_if(this->hosts.begin(), this->hosts.end(),
+        [&text](const auto& host) { return host.second->logText.find(text) != std::string::npos; }));
+}
+
+int GatewayFleet::calls() const
+{
+    int total = 0;
+    for (const auto& [address, host] : this->hosts)
+        total += host->calls;
+    return total;
+}
+
+} // namespace berylwing::test
