Let one host of a group watch the store and hand over what others ask for

Change: one watcher a group; a host that misses a change asks the watcher for it with its digest; while the plan's feed does not reach the store the other feeds wait for it, and hosts that are not watcher try every three seconds.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -39,7 +39,7 @@
         this->parts.fleet.setReachesStore(reachesStore);
         auto digest = this->makeDigest();
         const bool isDelegate = digest.is_delegate();
-        this->noteDelegation(isDelegate);
+        this->noteRoles(digest);
         auto sent = this->sendDigest(std::move(digest));
         if (isDelegate)
             sent += this->sendSummaries();
@@ -50,24 +50,31 @@
     }
 }
 
-void FleetExchange::noteDelegation(bool isDelegate)
+void FleetExchange::noteRoles(const wire::Digest& digest)
 {
-    if (std::exchange(this->wasDelegate, isDelegate) == isDelegate)
+    const bool wasDelegate = std::exchange(this->isDelegate, digest.is_delegate());
+    const bool wasWatcher = std::exchange(this->isWatcher, digest.is_watcher());
+    if (wasDelegate == this->isDelegate && wasWatcher == this->isWatcher)
         return;
-    LogLine line { LogEvent::DelegateChanged };
-    this->parts.log.write(line.add("delegate", std::int64_t { isDelegate }));
+    LogLine line { LogEvent::RolesChanged };
+    line.add("delegate", std::int64_t { this->isDelegate }).add("watcher", std::int64_t { this->isWatcher });
+    this->parts.log.write(line);
 }
 
 wire::Digest FleetExchange::makeDigest()
 {
     auto digest = this->parts.fleet.describe();
     this->parts.holders.describe(*digest.mutable_uses());
-    if (!digest.is_delegate())
-        return digest;
-    this->usesForGroup.describe(*digest.mutable_uses());
+    if (digest.is_delegate())
+        this->usesForGroup.describe(*digest.mutable_uses());
     for (auto* feed : this->parts.feeds) {
-        if (feed->isListed())
+        if (digest.is_watcher() && feed->isListed())
             *digest.add_news() = feed->describeNews();
+        if (const auto after = feed->missesAfter()) {
+            auto& request = *digest.add_requests();
+            request.set_kind(static_cast<std::uint32_t>(feed->objectKind()));
+            request.set_after(*after);
+        }
     }
     return digest;
 }
@@ -136,8 +143,12 @@
         spdlog::debug("message of {} bytes from {} ignored", bytes.size(), address);
         return;
     }
-    if (message.has_digest() && message.digest().host() == sender->name)
+    if (message.has_digest() && message.digest().host() == sender->name) {
+        this->answerRequests(*sender, message.digest());
         this->takeDigest(std::move(*message.mutable_digest()));
+    }
+    if (message.has_news())
+        this->takeNews(message.news(), this->parts.fleet.earliestSending(message.digest()));
     if (message.has_summary() && message.summary().host() == sender->name)
         this->takeSummary(message.summary());
 }
@@ -145,24 +156,50 @@
 void FleetExchange::takeDigest(wire::Digest digest)
 {
     const auto unknown = this->parts.holders.take(digest.uses());
-    if (this->wasDelegate && !digest.is_delegate()) {
+    if (this->isDelegate && !digest.is_delegate()) {
         for (const auto& use : unknown)
             this->usesForOthers.push(use);
     }
     const auto sentAt = this->parts.fleet.earliestSending(digest);
     if (digest.reaches_store()) {
-        for (const auto& news : digest.news()) {
-            for (auto* feed : this->parts.feeds) {
-                if (static_cast<std::uint32_t>(feed->objectKind()) == news.kind())
-                    feed->takeNews(news, sentAt);
-            }
-        }
+        for (const auto& news : digest.news())
+            this->takeNews(news, sentAt);
     }
     const auto isNew = this->parts.fleet.take(std::move(digest));
     if (isNew && *isNew)
         this->parts.holders.announceAll();
 }
 
+StoreFeed* FleetExchange::feedOf(std::uint32_t kind) const
+{
+    const auto found = std::find_if(this->parts.feeds.begin(), this->parts.feeds.end(),
+        [kind](const StoreFeed* feed) { return static_cast<std::uint32_t>(feed->objectKind()) == kind; });
+    return found == this->parts.feeds.end() ? nullptr : *found;
+}
+
+void FleetExchange::takeNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
+{
+    if (auto* feed = this->feedOf(news.kind()))
+        feed->takeNews(news, sentAt);
+}
+
+void FleetExchange::answerRequests(const HostEntry& sender, const wire::Digest& digest)
+{
+    if (!this->isWatcher)
+        return;
+    for (const auto& request : digest.requests()) {
+        auto* feed = this->feedOf(request.kind());
+        const auto news = feed == nullptr ? std::nullopt : feed->newsAfter(request.after());
+        if (!news)
+            continue;
+        wire::FleetMessage answer;
+        *answer.mutable_news() = *news;
+        const auto bytes = answer.SerializeAsString();
+        this->parts.send(sender.address, bytes);
+        this->parts.metrics.addControlBytes(bytes.size() + kDatagramOverhead);
+    }
+}
+
 void FleetExchange::takeSummary(const wire::GroupSummary& summary)
 {
     this->summarySenders.insert_or_assign(summary.host(), this->parts.clock.now());
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -10,6 +10,7 @@
 #include "berylwing/telemetry/decision_log.hpp"
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +28,7 @@
     FleetView& fleet;
     HostRoster& roster;
     PromptHolders& holders;
-    /** Feeds whose news delegates pass on. */
+    /** Feeds whose news are passed on. */
     std::vector<StoreFeed*> feeds;
     /** Sends a message to another host, or drops it. */
     std::function<void(const SocketAddress&, const std::string& bytes)> send;
@@ -38,8 +39,8 @@
 /**
  * @brief Exchange of digests inside a group of hosts, and of summaries between the delegates of groups.
  *
- * Hosts of a group tell each other their loads. Its delegates add what they see in the platform's store and what the
- * delegates of other groups tell of those groups.
+ * Hosts of a group tell each other their loads. The one that watches the platform's store adds what it sees there,
+ * and delegates add what those of other groups tell of their groups.
  */
 class FleetExchange {
     [[nodiscard]] wire::Digest makeDigest();
@@ -48,7 +49,10 @@
     [[nodiscard]] std::vector<HostEntry> delegatesOf(const std::string& domain) const;
     void takeDigest(wire::Digest digest);
     void takeSummary(const wire::GroupSummary& summary);
-    void noteDelegation(bool isDelegate);
+    void takeNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt);
+    void answerRequests(const HostEntry& sender, const wire::Digest& digest);
+    [[nodiscard]] StoreFeed* feedOf(std::uint32_t kind) const;
+    void noteRoles(const wire::Digest& digest);
 
 public:
     /** @brief Creates an exchange that has not begun. @param exchangeParts Parts of the host. */
@@ -69,7 +73,9 @@
     /** Hosts that have sent a summary lately, by name. */
     std::map<std::string, TimePoint, std::less<>> summarySenders;
     TimePoint summariesSentAt {};
-    bool wasDelegate = false;
+    /** Roles of this host, as it last told them. */
+    bool isDelegate = false;
+    bool isWatcher = false;
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -1,7 +1,6 @@
 #include "berylwing/gateway/fleet_view.hpp"
 
 #include "berylwing/core/hash.hpp"
-#include "berylwing/gateway/host_roster.hpp"
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -12,7 +11,8 @@
 
 /** Time for which a digest holds; some of its successors may be lost, and streams last a second or two. */
 constexpr Duration kDigestLife { 3000 };
-/** Silence after which another host stands in for a delegate; endpoints that leave may be used for two seconds. */
+/** Silence after which another host stands in for a watcher or delegate; endpoints that leave may be used for two
+ * seconds. */
 constexpr Duration kDelegateSilence { 1200 };
 
 } // namespace
@@ -64,6 +64,7 @@
         loads.add_in_flight(endpoint->inFlight);
         loads.add_unread_tokens(endpoint->unreadTokens);
     }
+    digest.set_is_watcher(this->isWatcher());
     if (!this->isDelegate())
         return digest;
     digest.set_is_delegate(true);
@@ -115,9 +116,9 @@
 
 bool FleetView::isHeard(const Peer& peer) const { return this->clock.now() < peer.receivedAt + kDelegateSilence; }
 
-bool FleetView::isDelegate() const
+std::size_t FleetView::betterPeers() const
 {
-    const auto better = std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+    const auto count = std::count_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
         const auto& peer = entry.second;
         if (!this->isHeard(peer))
             return false;
@@ -125,15 +126,16 @@
             return peer.digest.reaches_store();
         return hashText(entry.first) < this->rank;
     });
-    return static_cast<std::size_t>(better) < kDelegates;
+    return static_cast<std::size_t>(count);
 }
 
-bool FleetView::hasDelegate() const
+std::string FleetView::watcher() const
 {
-    return std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+    const auto found = std::find_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
         const auto& digest = entry.second.digest;
-        return digest.is_delegate() && digest.reaches_store() && this->isHeard(entry.second);
+        return digest.is_watcher() && digest.reaches_store() && this->isHeard(entry.second);
     });
+    return found == this->peers.end() ? std::string {} : found->first;
 }
 
 void FleetView::dropSilent()
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/endpoint_directory.hpp"
+#include "berylwing/gateway/host_roster.hpp"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,7 +16,8 @@
  * @brief What the other hosts have told about their requests.
  *
  * A digest is a whole picture, so that lost, doubled and overtaken ones do no harm. The first hosts of a group that
- * are heard are its delegates; each host decides so by itself, and a host too many only costs some calls.
+ * are heard are its delegates, and the very first watches the store for it; each host decides so by itself, and a host
+ * too many only costs some calls.
  */
 class FleetView {
     struct Peer {
@@ -39,6 +41,7 @@
     static void add(Loads& totals, const wire::EndpointLoads& loads);
     [[nodiscard]] Loads loadsElsewhere() const;
     [[nodiscard]] bool isHeard(const Peer& peer) const;
+    [[nodiscard]] std::size_t betterPeers() const;
     [[nodiscard]] bool hasOwnSummaries() const { return !this->summaries.empty(); }
     void recount();
 
@@ -84,12 +87,19 @@
     /** @brief Sets whether this host's calls to the store are answered. @param isReached Whether they are. */
     void setReachesStore(bool isReached) noexcept { this->reachesStore = isReached; }
 
-    /** @brief Tells whether this host watches the store for its group. @return True for the first hosts that are heard.
+    /** @brief Tells whether this host speaks for its group. @return True for the first hosts that are heard. */
+    [[nodiscard]] bool isDelegate() const { return this->betterPeers() < kDelegates; }
+
+    /** @brief Tells whether this host watches the store for its group. @return True for the first host that is heard.
      */
-    [[nodiscard]] bool isDelegate() const;
+    [[nodiscard]] bool isWatcher() const { return this->betterPeers() == 0; }
+
+    /** @brief Finds the host that watches the store for this one. @return Its name; empty if none was heard lately. */
+    [[nodiscard]] std::string watcher() const;
 
-    /** @brief Tells whether another host watches the store for this one. @return True if it was heard lately. */
-    [[nodiscard]] bool hasDelegate() const;
+    /** @brief Tells whether another host finds out for this one when the store is back. @return True if one is heard.
+     */
+    [[nodiscard]] bool isProbedElsewhere() const { return !this->isWatcher(); }
 
     /** @brief Forgets hosts and groups that have been silent for too long. */
     void dropSilent();
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -25,8 +25,10 @@
 constexpr Duration kHostWait { 10'000 };
 /** Hosts that start together register within a second. */
 constexpr Duration kHostPause { 1000 };
-/** Pause in which versions of the plan that come in quick succession gather; a version has two seconds to apply. */
-constexpr Duration kPlanFetchPause { 300 };
+/** Time for the watcher of the group to hand over a new plan; a version has two seconds to apply. */
+constexpr Duration kPlanFetchPause { 500 };
+/** Time between two calls of a host that does not reach the store while the watcher of its group tries. */
+constexpr Duration kRetryWhileProbed { 3000 };
 constexpr Duration kRegisterPause { 500 };
 constexpr Duration kMaintenanceInterval { 100 };
 /** Time after which the balancer has surely seen two unready answers, one a second, and sends no new connection. */
@@ -186,6 +188,9 @@
         [] {},
         [](TimePoint) {},
         [this] { return this->isWatchedElsewhere(); },
+        [this](TimePoint triedAt) {
+            return this->fleet.isProbedElsewhere() && this->clock.now() < triedAt + kRetryWhileProbed;
+        },
     };
 }
 
@@ -205,6 +210,7 @@
         [this] { this->directory.loseStore(); },
         [this](TimePoint endedAt) { this->directory.noteOutage(endedAt); },
         [this] { return this->isWatchedElsewhere(); },
+        [this](TimePoint) { return !this->planFeed.reachesStore(); },
     };
 }
 
@@ -222,6 +228,7 @@
         [] {},
         [](TimePoint) {},
         [this] { return this->isWatchedElsewhere(); },
+        [this](TimePoint) { return !this->planFeed.reachesStore(); },
     };
 }
 
@@ -245,10 +252,11 @@
         [] {},
         [](TimePoint) {},
         [this] { return this->isWatchedElsewhere(); },
+        [this](TimePoint) { return !this->planFeed.reachesStore(); },
     };
 }
 
-bool Gateway::isWatchedElsewhere() const { return !this->fleet.isDelegate() && this->fleet.hasDelegate(); }
+bool Gateway::isWatchedElsewhere() const { return !this->fleet.isWatcher() && !this->fleet.watcher().empty(); }
 
 void Gateway::takePlan(const VersionedObject& object)
 {
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -19,16 +19,26 @@
 /** Largest document that is passed on in messages between hosts; larger ones are fetched from the store. */
 constexpr std::size_t kMostNewsBytes = 1000;
 /** Changes in one message, which has to fit into a datagram. */
-constexpr std::size_t kMostNewsChanges = 40;
+constexpr int kMostNewsChanges = 40;
+/** Time for which changes can be asked for; a host that has missed more fetches them from the store. */
+constexpr Duration kChangesKept { 10'000 };
+/** Changes that are kept at the most. */
+constexpr std::size_t kMostChangesKept = 100;
+/** Bytes of documents in the answer to a request for news; with its frame it has to fit into a datagram. */
+constexpr std::size_t kMostAnswerBytes = 56 * 1024;
 /** Time after which news have to be confirmed by others; a few messages may be lost in it. */
 constexpr Duration kNewsLife { 1200 };
 /** Time between two looks at whether the news are still fresh. */
 constexpr Duration kRestCheck { 250 };
-/** Time between two calls of a host that does not reach the store while another one does. */
-constexpr Duration kRetryWhileWatched { 3000 };
 /** Time for which other hosts are told of an outage, longer than entries that lapsed in it are waited for. */
 constexpr Duration kOutageTold { 4000 };
 
+/** Document of an object in JSON; empty if the object was removed. */
+std::string documentOf(const VersionedObject& object)
+{
+    return object.value.is_null() ? std::string {} : object.value.dump();
+}
+
 } // namespace
 
 StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind,
@@ -52,9 +62,9 @@
 
 void StoreFeed::dropOldChanges()
 {
-    const auto oldest = this->clock.now() - kNewsRepeat;
+    const auto oldest = this->clock.now() - kChangesKept;
     while (!this->recentChanges.empty()
-        && (this->recentChanges.front().at < oldest || this->recentChanges.size() > kMostNewsChanges)) {
+        && (this->recentChanges.front().at < oldest || this->recentChanges.size() > kMostChangesKept)) {
         this->recentAfter = std::max(this->recentAfter, this->recentChanges.front().through);
         this->recentChanges.pop_front();
     }
@@ -96,30 +106,69 @@
         co_await this->clock.sleepFor(this->pace.pauseAfterChange);
 }
 
-wire::StoreNews StoreFeed::describeNews()
+wire::StoreNews StoreFeed::makeNews() const
 {
-    this->dropOldChanges();
     const auto now = this->clock.now();
     wire::StoreNews news;
     news.set_kind(static_cast<std::uint32_t>(this->kind));
     news.set_after(this->recentAfter);
     news.set_through(this->revision);
+    news.set_confirmed_age_ms(static_cast<std::uint64_t>((now - this->confirmedAt).count()));
+    if (this->outageEndedAt && now < *this->outageEndedAt + kOutageTold)
+        news.set_outage_ended_age_ms(static_cast<std::uint64_t>((now - *this->outageEndedAt).count()));
+    return news;
+}
+
+void StoreFeed::addChange(wire::StoreNews& news, const RecentChange& recent, std::string value)
+{
+    auto& change = *news.add_changes();
+    change.set_name(recent.object.name);
+    change.set_revision(recent.through);
+    change.set_value(std::move(value));
+}
+
+wire::StoreNews StoreFeed::describeNews()
+{
+    this->dropOldChanges();
+    auto news = this->makeNews();
+    const auto oldest = this->clock.now() - kNewsRepeat;
     for (const auto& recent : this->recentChanges) {
-        auto value = recent.object.value.is_null() ? std::string {} : recent.object.value.dump();
-        if (value.size() > kMostNewsBytes) {
-            // Whoever is behind has to fetch the document, and with it all that came before.
+        auto value = documentOf(recent.object);
+        if (recent.at < oldest || value.size() > kMostNewsBytes || news.changes_size() == kMostNewsChanges) {
+            // Whoever is behind has to ask for the document, and with it for all that came before.
             news.clear_changes();
             news.set_after(recent.through);
             continue;
         }
-        auto& change = *news.add_changes();
-        change.set_name(recent.object.name);
-        change.set_revision(recent.through);
-        change.set_value(std::move(value));
+        addChange(news, recent, std::move(value));
+    }
+    return news;
+}
+
+std::optional<std::uint64_t> StoreFeed::missesAfter() const
+{
+    if (!this->missesSince || this->mustList)
+        return std::nullopt;
+    return this->revision;
+}
+
+std::optional<wire::StoreNews> StoreFeed::newsAfter(std::uint64_t after)
+{
+    this->dropOldChanges();
+    if (after < this->recentAfter)
+        return std::nullopt;
+    auto news = this->makeNews();
+    news.set_after(after);
+    std::size_t bytes = 0;
+    for (const auto& recent : this->recentChanges) {
+        if (recent.through <= after)
+            continue;
+        auto value = documentOf(recent.object);
+        bytes += value.size();
+        if (bytes > kMostAnswerBytes)
+            return std::nullopt;
+        addChange(news, recent, std::move(value));
     }
-    news.set_confirmed_age_ms(static_cast<std::uint64_t>((now - this->confirmedAt).count()));
-    if (this->outageEndedAt && now < *this->outageEndedAt + kOutageTold)
-        news.set_outage_ended_age_ms(static_cast<std::uint64_t>((now - *this->outageEndedAt).count()));
     return news;
 }
 
@@ -154,6 +203,7 @@
         return;
     }
     this->revision = std::max(this->revision, news.through());
+    this->missesSince.reset();
     if (!sentAt)
         return;
     const auto when = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
@@ -163,14 +213,15 @@
 
 bool StoreFeed::mayRest() const
 {
-    if (this->mustList || !this->hooks.isWatchedElsewhere())
+    if (!this->hasList)
         return false;
     const auto now = this->clock.now();
-    if (this->missesSince)
+    const bool isWatched = this->hooks.isWatchedElsewhere();
+    if (isWatched && this->missesSince && !this->mustList)
         return now < *this->missesSince + this->pace.pauseBeforeFetch;
-    if (this->failures > 0 && now >= this->triedAt + kRetryWhileWatched)
-        return false;
-    return now < this->newsAt + kNewsLife;
+    if (this->failures > 0)
+        return this->hooks.isProbedElsewhere(this->triedAt);
+    return isWatched && !this->mustList && now < this->newsAt + kNewsLife;
 }
 
 Duration StoreFeed::nextPause()
@@ -219,6 +270,7 @@
             this->noteSuccess();
         } catch (const PlatformError& error) {
             if (error.fault() == PlatformFault::HistoryGone) {
+                this->noteSuccess();
                 LogLine line { LogEvent::HistoryLost };
                 line.add("kind", kObjectKindNames[this->kind]);
                 this->log.write(line.add("revision", static_cast<std::int64_t>(this->revision)));
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -28,6 +28,8 @@
     std::function<void(TimePoint)> noteOutage;
     /** Tells whether another host watches the store for this one. */
     std::function<bool()> isWatchedElsewhere;
+    /** Tells, by the time of the last call, whether someone else finds out when a store that was lost is back. */
+    std::function<bool(TimePoint)> isProbedElsewhere;
 };
 
 /** @brief How a feed asks the store. */
@@ -63,6 +65,8 @@
     void apply(const VersionedObject& change, std::uint64_t through);
     [[nodiscard]] bool applyNews(const wire::StoreNews& news);
     void dropOldChanges();
+    [[nodiscard]] wire::StoreNews makeNews() const;
+    static void addChange(wire::StoreNews& news, const RecentChange& recent, std::string value);
     void noteSuccess();
     void noteFailure(const PlatformError& error);
 
@@ -94,6 +98,16 @@
     /** @brief Describes what this host has seen lately, for hosts that do not ask the store. @return News. */
     [[nodiscard]] wire::StoreNews describeNews();
 
+    /** @brief Tells after which revision this host misses changes. @return Revision; nothing if it misses none. */
+    [[nodiscard]] std::optional<std::uint64_t> missesAfter() const;
+
+    /**
+     * @brief Describes all changes after a revision, whatever the size of their documents.
+     * @param after Revision.
+     * @return News; nothing if this host does not know all of these changes any more, or if they are too many.
+     */
+    [[nodiscard]] std::optional<wire::StoreNews> newsAfter(std::uint64_t after);
+
     /**
      * @brief Takes what another host has seen.
      * @param news News of the feed's kind.
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -3,10 +3,10 @@
 #include "berylwing/gateway/gateway.hpp"
 #include "support/fake_platform.hpp"
 #include "support/runtime_context.hpp"
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylwing::test {
@@ -52,6 +52,8 @@
     [[nodiscard]] int calls() const;
 
     FakePlatform platform;
+    /** Bytes by which the documents of plans are longer than they have to be. */
+    std::size_t planBytes = 0;
     TimePoint time { Duration { 1'000'000 } };
     /** Hosts by address. */
     std::map<std::string, std::unique_ptr<Host>> hosts;
