Let a host that stops wait until answers are written, not only until they have come

A request counted as in progress until its last event had been passed on; the end of the body is written after that, and the check every 50 ms fell between the two, so that the process ended with the answer incomplete.

Ruled out: the grace time (3.5 s were left), the engine (its run ended well). Change: the connection counts a request from its reading until the last byte is written.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -39,23 +39,6 @@
     return "\"host\":\"" + settings.host + "\",\"domain\":\"" + settings.domain + "\",";
 }
 
-/** Counts a request while it is in progress. */
-class Progress {
-public:
-    explicit Progress(std::size_t& requestCount)
-        : count { requestCount }
-    {
-        ++this->count;
-    }
-
-    ~Progress() { --this->count; }
-    Progress(const Progress&) = delete;
-    Progress& operator=(const Progress&) = delete;
-
-private:
-    std::size_t& count;
-};
-
 } // namespace
 
 Gateway::Gateway(Clock& hostClock, const GatewaySettings& gatewaySettings, const GatewayProtocol& platformProtocol,
@@ -144,7 +127,6 @@
 
 Task<Outcome> Gateway::handle(GatewayRequest& request, const AnswerSink& sink)
 {
-    const Progress progress { this->requests };
     this->hostMetrics.addRequest();
     Outcome outcome;
     if (this->refusesNew())
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -54,6 +54,24 @@
     [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
 
 public:
+    /** @brief Counts a request among those in progress, from its reading until its answer is written whole. */
+    class RequestInProgress {
+    public:
+        /** @brief Begins a request. @param servingGateway Gateway that serves it. */
+        explicit RequestInProgress(Gateway& servingGateway)
+            : gateway { servingGateway }
+        {
+            ++this->gateway.requests;
+        }
+
+        ~RequestInProgress() { --this->gateway.requests; }
+        RequestInProgress(const RequestInProgress&) = delete;
+        RequestInProgress& operator=(const RequestInProgress&) = delete;
+
+    private:
+        Gateway& gateway;
+    };
+
     /**
      * @brief Creates a gateway that knows nothing yet.
      * @param hostClock Clock of the host.
@@ -106,7 +124,7 @@
     /** @brief Reads the protocol. @return Names and formats of the platform. */
     [[nodiscard]] const GatewayProtocol& platformProtocol() const noexcept { return this->protocol; }
 
-    /** @brief Counts the requests in progress. @return Requests. */
+    /** @brief Tells how many requests are in progress. @return Requests whose answer is not written whole. */
     [[nodiscard]] std::size_t inProgress() const noexcept { return this->requests; }
 
 private:
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -145,6 +145,8 @@
 
 Task<void> GatewayConnection::answer(Parser& parser)
 {
+    // A host that stops waits until the last byte of the answer is written, not only until it has come.
+    const Gateway::RequestInProgress progress { this->gateway };
     auto message = parser.release();
     GatewayRequest request;
     request.arrivedAt = this->clock.now();
--- a/test/support/gateway_bench.cpp
+++ b/test/support/gateway_bench.cpp
@@ -56,6 +56,14 @@
     : clock { this->context.get_executor(), [this] { return this->time; } }
     , settings { settingsOf(std::move(host)) }
 {
+    this->protocol.readRequest = [](const HeaderFields& fields) {
+        RequestFacts facts;
+        facts.attemptId = std::string { fields["attempt"] };
+        facts.key = std::string { fields["key"] };
+        return facts;
+    };
+    this->protocol.markRefusal
+        = [](HeaderFields& fields, const std::string& attemptId) { fields.set("attempt", attemptId); };
     this->protocol.prepareForEndpoint = [](HeaderFields& fields, const EndpointRequestFacts& facts) {
         fields.set("resume-after", facts.resumeAfter);
     };
@@ -134,6 +142,12 @@
     static_cast<void>(this->platform.store.apply(call));
 }
 
+bool GatewayBench::step()
+{
+    this->context.restart();
+    return this->context.poll_one() > 0;
+}
+
 void GatewayBench::settle()
 {
     this->context.restart();
--- a/test/support/gateway_bench.hpp
+++ b/test/support/gateway_bench.hpp
@@ -85,6 +85,12 @@
     /** @brief Lets the caller of the request that was started last close its connection. */
     void leave();
 
+    /** @brief Runs the next step that is ready. @return False if none is. */
+    bool step();
+
+    /** @brief Reads the clock of the gateway. */
+    [[nodiscard]] Clock& runtimeClock() { return this->clock; }
+
     /** @brief Counts the requests that ran at endpoints for an attempt. */
     [[nodiscard]] std::size_t runsOf(const std::string& attemptId) const;
 
