Quarantine requests that crash endpoints at all hosts together

A request that crashes each engine that begins it was bounded by its own attempts only; sent again through other hosts it took down one engine more each time.

Change: hosts note at which endpoints a request (workspace, path, body) broke off, tell each other in digests and summaries, and refuse it as not run after three endpoints until a minute has passed without a further crash. An answer clears it.

Ruled out: the register of the fleet's own interface (it counts crashes of one endpoint, too, and lives on links). Tests: [crash], the gateway's seen failing without the register.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -28,6 +28,8 @@
     : parts { std::move(exchangeParts) }
     , usesForOthers { this->parts.clock }
     , usesForGroup { this->parts.clock }
+    , crashesForOthers { this->parts.clock }
+    , crashesForGroup { this->parts.clock }
 {
 }
 
@@ -65,8 +67,11 @@
 {
     auto digest = this->parts.fleet.describe();
     this->parts.holders.describe(*digest.mutable_uses());
-    if (digest.is_delegate())
+    this->parts.crashes.describe(*digest.mutable_crashes());
+    if (digest.is_delegate()) {
         this->usesForGroup.describe(*digest.mutable_uses());
+        this->crashesForGroup.describe(*digest.mutable_crashes());
+    }
     for (auto* feed : this->parts.feeds) {
         if (digest.is_watcher() && feed->isListed())
             *digest.add_news() = feed->describeNews();
@@ -124,6 +129,8 @@
     *summary.mutable_loads() = this->parts.fleet.describeGroup();
     this->usesForOthers.describe(*summary.mutable_uses());
     this->parts.holders.describe(*summary.mutable_uses());
+    this->crashesForOthers.describe(*summary.mutable_crashes());
+    this->parts.crashes.describe(*summary.mutable_crashes());
     const auto bytes = message.SerializeAsString();
     std::size_t sent = 0;
     for (const auto& domain : groups) {
@@ -155,10 +162,13 @@
 
 void FleetExchange::takeDigest(wire::Digest digest)
 {
-    const auto unknown = this->parts.holders.take(digest.uses());
+    const auto uses = this->parts.holders.take(digest.uses());
+    const auto crashes = this->parts.crashes.take(digest.crashes());
     if (this->isDelegate && !digest.is_delegate()) {
-        for (const auto& use : unknown)
+        for (const auto& use : uses)
             this->usesForOthers.push(use);
+        for (const auto& crash : crashes)
+            this->crashesForOthers.push(crash);
     }
     const auto sentAt = this->parts.fleet.earliestSending(digest);
     if (digest.reaches_store()) {
@@ -205,6 +215,8 @@
     this->summarySenders.insert_or_assign(summary.host(), this->parts.clock.now());
     for (const auto& use : this->parts.holders.take(summary.uses()))
         this->usesForGroup.push(use);
+    for (const auto& crash : this->parts.crashes.take(summary.crashes()))
+        this->crashesForGroup.push(crash);
     this->parts.fleet.take(summary);
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/crash_notes.hpp"
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/host_roster.hpp"
@@ -28,6 +29,7 @@
     FleetView& fleet;
     HostRoster& roster;
     PromptHolders& holders;
+    CrashNotes& crashes;
     /** Feeds whose news are passed on. */
     std::vector<StoreFeed*> feeds;
     /** Sends a message to another host, or drops it. */
@@ -70,6 +72,9 @@
     UseQueue usesForOthers;
     /** Uses of other groups for the hosts of this host's group. */
     UseQueue usesForGroup;
+    /** The same for requests that broke off. */
+    UseQueue crashesForOthers;
+    UseQueue crashesForGroup;
     /** Hosts that have sent a summary lately, by name. */
     std::map<std::string, TimePoint, std::less<>> summarySenders;
     TimePoint summariesSentAt {};
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -113,6 +113,8 @@
     /** Endpoints that may have run the request. */
     unsigned runs = 0;
     bool isHeadWritten = false;
+    /** Whether this host itself has ended the call at the endpoint, which says nothing about the request. */
+    bool isMovedAway = false;
     EventSplitter events {};
     Refusal lastFailure = Refusal::NoEndpoint;
 };
@@ -163,6 +165,12 @@
     return std::nullopt;
 }
 
+std::uint64_t Forwarder::fingerprintOf(const Journey& journey)
+{
+    const auto workspace = journey.holder == nullptr ? std::string_view {} : journey.holder->workspace;
+    return CrashNotes::fingerprintOf(workspace, journey.request.target, journey.request.body);
+}
+
 Outcome Forwarder::giveUp(const Journey& journey, Refusal reason) const
 {
     if (journey.runs > 0)
@@ -178,6 +186,9 @@
         return this->giveUp(journey, Refusal::DeadlinePassed);
     if (!this->isTrusted(journey))
         return this->giveUp(journey, Refusal::ConfigurationStale);
+    // Without a note there is no need to hash bodies.
+    if (!this->parts.crashes.isEmpty() && this->parts.crashes.isQuarantined(fingerprintOf(journey)))
+        return this->giveUp(journey, Refusal::Quarantined);
     const bool isSticky = journey.shared != nullptr;
     const auto key = isSticky ? journey.promptKey : journey.requestHash;
     const PlacementRequest wanted { journey.service, key, journey.sharedTokens, isSticky, journey.tried };
@@ -298,9 +309,12 @@
         if (this->parts.clock.now() >= journey.deadline)
             co_return AttemptEnd::TimedOut;
         this->recordFault(*endpoint, error, EndpointVerdict::Failed);
+        if (error.fault() == EndpointFault::Broken && !std::exchange(journey.isMovedAway, false))
+            this->parts.crashes.record(fingerprintOf(journey), endpoint->hash);
         journey.lastFailure = journey.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
         LogLine line { LogEvent::RequestBroken };
         line.add("endpoint", endpoint->record.id).add("error", error.what());
+        line.add("target", journey.request.target).add("runs", std::int64_t { journey.runs });
         this->parts.log.write(journey.request.facts.attemptId, std::move(line));
         co_return AttemptEnd::MayHaveRun;
     }
@@ -326,7 +340,10 @@
     PromptReading reading { &endpoint, unread };
     RepeatableCall call;
     call.lastSignAt = this->parts.clock.now();
-    call.abort = session.abort;
+    call.abort = [&journey, &session] {
+        journey.isMovedAway = true;
+        session.abort();
+    };
     if (journey.route->mayRunAgain())
         endpoint.repeatableCalls.push_back(call);
     co_await session.send(outgoing);
@@ -348,6 +365,8 @@
     if (end != AttemptEnd::Whole) {
         ++journey.runs;
         journey.lastFailure = Refusal::EndpointBroken;
+    } else if (!this->parts.crashes.isEmpty()) {
+        this->parts.crashes.clear(fingerprintOf(journey));
     }
     this->record(endpoint, head.status >= kFirstServerError ? EndpointVerdict::Failed : EndpointVerdict::Sound);
     co_return end;
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/outcome.hpp"
+#include "berylwing/gateway/crash_notes.hpp"
 #include "berylwing/gateway/endpoint_session.hpp"
 #include "berylwing/gateway/placement.hpp"
 #include "berylwing/gateway/plan_lease.hpp"
@@ -35,6 +36,7 @@
     const EndpointDirectory& directory;
     const Placement& placement;
     PromptHolders& holders;
+    CrashNotes& crashes;
     RetryAllowance& retries;
     OpenSession open;
     /** Takes note of an endpoint that gave no sign of life. */
@@ -65,6 +67,7 @@
         Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call);
     [[nodiscard]] EndpointRequest toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const;
     [[nodiscard]] bool isTrusted(const Journey& journey) const;
+    [[nodiscard]] static std::uint64_t fingerprintOf(const Journey& journey);
     [[nodiscard]] Task<void> writeHead(Journey& journey, const AnswerHead& head);
     void record(GatewayEndpoint& endpoint, EndpointVerdict verdict);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointVerdict verdict);
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -3,6 +3,7 @@
 namespace berylwing {
 
 class ColdLimit;
+class CrashNotes;
 class EndpointDirectory;
 class EventSplitter;
 class FleetExchange;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -54,6 +54,7 @@
     , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , holders { hostClock }
+    , crashes { hostClock }
     , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
@@ -73,15 +74,15 @@
 ForwarderParts Gateway::forwarderParts(OpenSession open)
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        this->holders, this->retries, std::move(open),
+        this->holders, this->crashes, this->retries, std::move(open),
         [this](GatewayEndpoint& endpoint) { this->prober.noteSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
 FleetExchangeParts Gateway::exchangeParts(std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->fleet, this->roster, this->holders,
-        { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
-        this->hostMetrics, this->log };
+        this->crashes, { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed },
+        std::move(sendToHost), this->hostMetrics, this->log };
 }
 
 void Gateway::start()
@@ -346,6 +347,7 @@
         this->prober.probeDue();
         this->fleet.dropSilent();
         this->holders.dropOld();
+        this->crashes.dropOld();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
     }
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/cold_limit.hpp"
+#include "berylwing/gateway/crash_notes.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/fleet_exchange.hpp"
 #include "berylwing/gateway/fleet_view.hpp"
@@ -142,6 +143,7 @@
     FleetView fleet;
     ColdLimit coldLimit;
     PromptHolders holders;
+    CrashNotes crashes;
     Placement placement;
     RetryAllowance retries;
     ReachProber prober;
--- a/src/berylwing/http/gateway_answer.cpp
+++ b/src/berylwing/http/gateway_answer.cpp
@@ -19,10 +19,14 @@
 constexpr unsigned kGatewayTimeout = 504;
 constexpr double kMsPerSecond = 1000;
 
-/** A gateway promises that a request has not run with 503, also when its deadline has passed. */
+/**
+ * A gateway promises that a request has not run with 503, also when its deadline has passed or it is quarantined, which
+ * is for a time only and no fault of the request's form.
+ */
 unsigned gatewayStatusOf(const Outcome& outcome)
 {
-    if (outcome.reason != Refusal::DeadlinePassed)
+    const bool isForNow = outcome.reason == Refusal::DeadlinePassed || outcome.reason == Refusal::Quarantined;
+    if (!isForNow || (outcome.reason == Refusal::Quarantined && outcome.execution != Execution::NotRun))
         return statusOf(outcome);
     return outcome.execution == Execution::NotRun ? kServiceUnavailable : kGatewayTimeout;
 }
--- /dev/null
+++ b/test/berylwing/gateway/crash_notes_test.cpp
@@ -0,0 +1,145 @@
+#include "berylwing/gateway/crash_notes.hpp"
+
+#include "support/gateway_bench.hpp"
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+/** Registers of two hosts that tell each other what broke off. */
+class NotesFixture {
+public:
+    wire::PromptUses crashesOf(CrashNotes& notes)
+    {
+        wire::PromptUses crashes;
+        notes.describe(crashes);
+        return crashes;
+    }
+
+    boost::asio::io_context context { 1 };
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    CrashNotes here { this->clock };
+    CrashNotes there { this->clock };
+};
+
+constexpr std::uint64_t kRequest = 7;
+
+/** Gateway with two endpoints in each of three domains that break each request, or only those of one path. */
+class CrashBench : public GatewayBench {
+public:
+    CrashBench()
+    {
+        this->putPlan(planOf(1));
+        for (const auto* id : { "a", "b", "c", "d", "e", "f" }) {
+            this->putEndpoint(id, "knox-a");
+            this->manners[id] = EndpointManner::Break;
+        }
+        this->advance(Duration { 300 });
+    }
+
+    /** Replaces each endpoint that got a request by another start of it, as after a crash. */
+    void restartUsed()
+    {
+        for (; this->restarted < this->received.size(); ++this->restarted) {
+            const auto id = this->received[this->restarted].endpoint;
+            this->remove(ObjectKind::Endpoint, id);
+            this->manners[id + "+"] = EndpointManner::Break;
+            this->putEndpoint(id + "+", "knox-a");
+        }
+        this->advance(Duration { 600 });
+    }
+
+    /** Requests whose endpoints have been started again. */
+    std::size_t restarted = 0;
+
+    /** Sends the same request as several attempts of its caller; tells how many reached an endpoint. */
+    std::size_t runsOfAttempts(int attempts, const std::string& path)
+    {
+        const auto before = this->received.size();
+        for (int attempt = 0; attempt < attempts; ++attempt) {
+            static_cast<void>(this->ask(path + std::to_string(this->received.size() * 100 + attempt), path));
+            this->advance(Duration { 2500 });
+            this->restartUsed();
+        }
+        return this->received.size() - before;
+    }
+};
+
+} // namespace
+
+TEST_CASE("CrashNotes keeps a request from running that broke at three endpoints", "[gateway][crash]")
+{
+    NotesFixture fixture;
+    CHECK(fixture.here.isEmpty());
+    fixture.here.record(kRequest, 1);
+    fixture.here.record(kRequest, 2);
+    fixture.here.record(kRequest, 2);
+    CHECK_FALSE(fixture.here.isQuarantined(kRequest));
+    fixture.here.record(kRequest, 3);
+    CHECK(fixture.here.isQuarantined(kRequest));
+    CHECK_FALSE(fixture.here.isQuarantined(kRequest + 1));
+    fixture.time += Duration { 61'000 };
+    CHECK_FALSE(fixture.here.isQuarantined(kRequest));
+    fixture.here.dropOld();
+    CHECK(fixture.here.isEmpty());
+}
+
+TEST_CASE("CrashNotes clears a request that was answered", "[gateway][crash]")
+{
+    NotesFixture fixture;
+    for (std::uint32_t endpoint = 1; endpoint <= 2; ++endpoint)
+        fixture.here.record(kRequest, endpoint);
+    fixture.here.clear(kRequest);
+    fixture.here.record(kRequest, 3);
+    CHECK_FALSE(fixture.here.isQuarantined(kRequest));
+}
+
+TEST_CASE("CrashNotes adds up what several hosts have seen and passes it on once", "[gateway][crash]")
+{
+    NotesFixture fixture;
+    fixture.here.record(kRequest, 1);
+    fixture.here.record(kRequest, 2);
+    fixture.there.record(kRequest, 3);
+    CHECK(fixture.there.take(fixture.crashesOf(fixture.here)).size() == 2);
+    CHECK(fixture.there.take(fixture.crashesOf(fixture.here)).empty());
+    CHECK(fixture.there.isQuarantined(kRequest));
+    CHECK_FALSE(fixture.here.isQuarantined(kRequest));
+}
+
+TEST_CASE("Gateway stops sending a request that crashes endpoints, however often it comes", "[gateway][crash]")
+{
+    for (const std::string path : { "/order/7", "/status/7" }) {
+        CrashBench bench;
+        // An attempt in progress may use its second send.
+        CHECK(bench.runsOfAttempts(8, path) <= 4);
+        const auto refused = bench.ask("last", path);
+        REQUIRE(refused->outcome);
+        CHECK(refused->outcome->reason == Refusal::Quarantined);
+        CHECK(refused->outcome->execution == Execution::NotRun);
+        // Other requests go on.
+        for (auto& [id, manner] : bench.manners)
+            manner = EndpointManner::Answer;
+        bench.advance(Duration { 7000 });
+        const auto other = bench.ask("other", "/order/8");
+        REQUIRE(other->outcome);
+        CHECK(other->outcome->isWhole());
+    }
+}
+
+TEST_CASE("Gateway goes on with a request that broke now and then and was answered in between", "[gateway][crash]")
+{
+    CrashBench bench;
+    for (int round = 0; round < 6; ++round) {
+        for (auto& [id, manner] : bench.manners)
+            manner = round % 2 == 0 ? EndpointManner::Break : EndpointManner::Answer;
+        static_cast<void>(bench.ask("order" + std::to_string(round), "/order/7"));
+        bench.advance(Duration { 8000 });
+    }
+    const auto answer = bench.ask("last", "/order/7");
+    REQUIRE(answer->outcome);
+    CHECK(answer->outcome->reason != Refusal::Quarantined);
+}
