Trust a watcher only while the store confirms it, and hand over only the last version of a plan

Now hosts turn away from a watcher that has not been confirmed for 1.5 s, and plans are watched for 1 s at a time. Now the last change of each object is handed over.

Tests: [exchange] silent way to the store, [feed] storm; both seen failing.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -12,7 +12,10 @@
 
 /** Age of the plan at the beginning of an outage at the worst; the rest of its lease is for serving on without the
  * store. */
-constexpr Duration kPlanWait { 1500 };
+constexpr Duration kPlanWait { 1000 };
+/** Age of a watcher's last confirmation beyond which its way to the store may have fallen silent. The longest watch, a
+ * digest and the host's own call fit into the two seconds after which changes have to be in force. */
+constexpr Duration kWatcherTrust { 1500 };
 /** A silent connection to the store must be noticed before endpoints that leave have to be out of use. */
 constexpr Duration kEndpointWait { 2500 };
 /** The same for domains that are withdrawn, which may be in use for five seconds. */
@@ -239,7 +242,13 @@
     };
 }
 
-bool Gateway::isWatchedElsewhere() const { return !this->fleet.isWatcher() && !this->fleet.watcher().empty(); }
+bool Gateway::isWatchedElsewhere() const
+{
+    if (this->fleet.isWatcher() || this->fleet.watcher().empty())
+        return false;
+    // The plan is confirmed most often, so it shows soonest that a watcher hears nothing any more.
+    return this->clock.now() < this->planFeed.watcherConfirmed() + kWatcherTrust;
+}
 
 void Gateway::takePlan(const VersionedObject& object)
 {
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -2,6 +2,8 @@
 
 #include "berylwing/core/hash.hpp"
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace berylwing {
@@ -29,7 +31,7 @@
 /** Time after which news have to be confirmed by others; a few messages may be lost in it. */
 constexpr Duration kNewsLife { 1200 };
 /** Time between two looks at whether the news are still fresh. */
-constexpr Duration kRestCheck { 250 };
+constexpr Duration kRestCheck { 100 };
 /** Time for which other hosts are told of an outage, longer than entries that lapsed in it are waited for. */
 constexpr Duration kOutageTold { 4000 };
 
@@ -160,8 +162,11 @@
     auto news = this->makeNews();
     news.set_after(after);
     std::size_t bytes = 0;
-    for (const auto& recent : this->recentChanges) {
-        if (recent.through <= after)
+    std::set<std::string_view> newer;
+    // From the newest one back: of objects that changed several times only the last change matters.
+    for (auto place = this->recentChanges.rbegin(); place != this->recentChanges.rend(); ++place) {
+        const auto& recent = *place;
+        if (recent.through <= after || !newer.insert(recent.object.name).second)
             continue;
         auto value = documentOf(recent.object);
         bytes += value.size();
@@ -196,6 +201,11 @@
     this->newsAt = now;
     if (news.has_outage_ended_age_ms())
         this->hooks.noteOutage(now - Duration { static_cast<Duration::rep>(news.outage_ended_age_ms()) });
+    std::optional<TimePoint> confirmed;
+    if (sentAt) {
+        confirmed = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
+        this->watcherConfirmedAt = std::max(this->watcherConfirmedAt, *confirmed);
+    }
     if (this->revision < news.after() || !this->applyNews(news)) {
         if (!this->missesSince)
             this->missesSince = now;
@@ -204,11 +214,10 @@
     }
     this->revision = std::max(this->revision, news.through());
     this->missesSince.reset();
-    if (!sentAt)
+    if (!confirmed)
         return;
-    const auto when = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
-    this->confirmedAt = std::max(this->confirmedAt, when);
-    this->hooks.confirm(when);
+    this->confirmedAt = std::max(this->confirmedAt, *confirmed);
+    this->hooks.confirm(*confirmed);
 }
 
 bool StoreFeed::mayRest() const
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -95,6 +95,9 @@
     /** @brief Tells whether the last call to the store was answered. @return False during an outage. */
     [[nodiscard]] bool reachesStore() const noexcept { return this->failures == 0; }
 
+    /** @brief Tells when the host that watches for this one was surely up to date. @return Moment. */
+    [[nodiscard]] TimePoint watcherConfirmed() const noexcept { return this->watcherConfirmedAt; }
+
     /** @brief Describes what this host has seen lately, for hosts that do not ask the store. @return News. */
     [[nodiscard]] wire::StoreNews describeNews();
 
@@ -102,7 +105,7 @@
     [[nodiscard]] std::optional<std::uint64_t> missesAfter() const;
 
     /**
-     * @brief Describes all changes after a revision, whatever the size of their documents.
+     * @brief Describes the last change of each object after a revision, whatever the size of its document.
      * @param after Revision.
      * @return News; nothing if this host does not know all of these changes any more, or if they are too many.
      */
@@ -132,6 +135,7 @@
     TimePoint confirmedAt {};
     TimePoint triedAt {};
     TimePoint newsAt {};
+    TimePoint watcherConfirmedAt {};
     std::optional<TimePoint> outageEndedAt;
     /** Time since which a change is known to exist that was told of without its document. */
     std::optional<TimePoint> missesSince;
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -88,6 +88,22 @@
     CHECK(fleet.hostsWithLog("\"plan\":7") == fleet.hosts.size());
 }
 
+TEST_CASE(
+    "All hosts learn in time of changes although the watcher's way to the store falls silent", "[gateway][exchange]")
+{
+    // At any moment of the watches; the other hosts reach the store all the while.
+    const auto moment = GENERATE(range(0, 1600, 200));
+    SettledFleet fleet { 3 };
+    fleet.advance(Duration { moment });
+    fleet.platform.silenced.insert(fleet.watchers()[0]->settings.host);
+    fleet.putEndpoint("engine-1", true);
+    fleet.putPlan(7);
+    fleet.advance(std::min(kDrainBound, kPlanBound));
+    CHECK(fleet.hostsWithLog("\"endpoint\":\"engine-1\",\"service\":\"engines\",\"state\":\"leaving\"")
+        >= fleet.hosts.size() - 1);
+    CHECK(fleet.hostsWithLog("\"plan\":7") >= fleet.hosts.size() - 1);
+}
+
 TEST_CASE("A host that was suspended does not trust old news of its delegates", "[gateway][exchange]")
 {
     SettledFleet fleet { 9 };
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -245,6 +245,22 @@
     CHECK_FALSE(fixture.here.feed.newsAfter(news->after()));
 }
 
+TEST_CASE("StoreFeed hands over the last of many versions that together are too large", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-0", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    const auto before = fixture.here.feed.describeNews().through();
+    for (int version = 1; version <= 12; ++version) {
+        fixture.write("engine-1", { { "text", std::string(20'000, 'x') }, { "version", version } });
+        fixture.advance(Duration { 250 });
+    }
+    const auto news = fixture.here.feed.newsAfter(before);
+    REQUIRE(news);
+    REQUIRE(news->changes_size() == 1);
+    CHECK(news->changes(0).value().find("\"version\":12") != std::string::npos);
+}
+
 TEST_CASE("StoreFeed lists at once when the store answers that history is gone", "[gateway][feed]")
 {
     FeedFixture fixture;
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -42,6 +42,7 @@
 
 Task<PlatformReply> FakePlatform::carry(std::string host, Clock& clock, PlatformCall call)
 {
+    const auto begun = clock.now();
     co_await clock.sleepFor(this->trouble == PlatformTrouble::Slow ? kSlowLatency : kLatency);
     if (this->isUnreachable(host))
         refuse();
@@ -55,13 +56,17 @@
     }
     if (call.operation == PlatformOperation::WatchKind) {
         const auto until = clock.now() + call.wait;
-        while (call.after >= this->store.historyFrom && !this->store.hasChangesAfter(call.kind, call.after)
-            && clock.now() < until) {
+        while (!this->silenced.contains(host) && call.after >= this->store.historyFrom
+            && !this->store.hasChangesAfter(call.kind, call.after) && clock.now() < until) {
             co_await clock.sleepFor(kWatchPoll);
             if (this->isUnreachable(host))
                 refuse();
         }
     }
+    if (this->silenced.contains(host)) {
+        co_await clock.sleepFor(begun + call.timeout - clock.now());
+        throw PlatformError { PlatformFault::OutcomeUnknown, "timed out" };
+    }
     if (isWrite(call) && this->trouble == PlatformTrouble::WritesDelayed) {
         this->delayed.push_back({ clock.now() + kWriteDelay, call });
         co_await clock.sleepFor(kLostAnswerTime);
