Name what hosts tell each other about endpoints, give feed hooks defaults, log the watcher that a host relies on

Read as a newcomer: a prompt's use also carried requests that broke off, and each feed repeated empty functions. The change of the watcher is a belief that decides refusals, so it has a log line now.

--- a/src/berylwing/gateway/crash_notes.cpp
+++ b/src/berylwing/gateway/crash_notes.cpp
@@ -46,12 +46,12 @@
         && this->clock.now() < found->second.lastAt + kQuarantineTime;
 }
 
-std::vector<PromptUse> CrashNotes::take(const wire::PromptUses& crashes)
+std::vector<EndpointNote> CrashNotes::take(const wire::EndpointNotes& crashes)
 {
-    std::vector<PromptUse> unknown;
-    for (int place = 0; place < std::min(crashes.prompts_size(), crashes.endpoints_size()); ++place) {
-        const PromptUse crash { crashes.prompts(place), crashes.endpoints(place) };
-        if (this->add(crash.prompt, crash.endpoint))
+    std::vector<EndpointNote> unknown;
+    for (int place = 0; place < std::min(crashes.subjects_size(), crashes.endpoints_size()); ++place) {
+        const EndpointNote crash { crashes.subjects(place), crashes.endpoints(place) };
+        if (this->add(crash.subject, crash.endpoint))
             unknown.push_back(crash);
     }
     return unknown;
--- a/src/berylwing/gateway/crash_notes.hpp
+++ b/src/berylwing/gateway/crash_notes.hpp
@@ -2,7 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/digest.pb.h"
-#include "berylwing/gateway/use_queue.hpp"
+#include "berylwing/gateway/note_queue.hpp"
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -61,10 +61,10 @@
      * @param crashes Requests and endpoints.
      * @return Those that were not known before.
      */
-    std::vector<PromptUse> take(const wire::PromptUses& crashes);
+    std::vector<EndpointNote> take(const wire::EndpointNotes& crashes);
 
     /** @brief Adds what this host has noted lately. @param crashes Part of the message to be sent. */
-    void describe(wire::PromptUses& crashes) { this->announcements.describe(crashes); }
+    void describe(wire::EndpointNotes& crashes) { this->announcements.describe(crashes); }
 
     /** @brief Forgets requests that did not break lately. */
     void dropOld();
@@ -72,7 +72,7 @@
 private:
     const Clock& clock;
     std::unordered_map<std::uint64_t, Note> notes;
-    UseQueue announcements;
+    NoteQueue announcements;
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -5,9 +5,9 @@
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/host_roster.hpp"
+#include "berylwing/gateway/note_queue.hpp"
 #include "berylwing/gateway/prompt_holders.hpp"
 #include "berylwing/gateway/store_feed.hpp"
-#include "berylwing/gateway/use_queue.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include <functional>
 #include <map>
@@ -69,12 +69,12 @@
 private:
     FleetExchangeParts parts;
     /** Uses of this host's group for delegates of other groups. */
-    UseQueue usesForOthers;
+    NoteQueue usesForOthers;
     /** Uses of other groups for the hosts of this host's group. */
-    UseQueue usesForGroup;
+    NoteQueue usesForGroup;
     /** The same for requests that broke off. */
-    UseQueue crashesForOthers;
-    UseQueue crashesForGroup;
+    NoteQueue crashesForOthers;
+    NoteQueue crashesForGroup;
     /** Hosts that have sent a summary lately, by name. */
     std::map<std::string, TimePoint, std::less<>> summarySenders;
     TimePoint summariesSentAt {};
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -97,10 +97,6 @@
     /** @brief Finds the host that watches the store for this one. @return Its name; empty if none was heard lately. */
     [[nodiscard]] std::string watcher() const;
 
-    /** @brief Tells whether another host finds out for this one when the store is back. @return True if one is heard.
-     */
-    [[nodiscard]] bool isProbedElsewhere() const { return !this->isWatcher(); }
-
     /** @brief Forgets hosts and groups that have been silent for too long. */
     void dropSilent();
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -162,84 +162,78 @@
     this->log.write(line.add("reason", kRefusalNames[reason]).add("error", error));
 }
 
+StoreFeedHooks Gateway::watchHooks()
+{
+    StoreFeedHooks hooks;
+    hooks.isWatchedElsewhere = [this] { return this->isWatchedElsewhere(); };
+    // The plan's feed looks for a store that was lost, and the others wait for it.
+    hooks.isProbedElsewhere = [this](TimePoint) { return !this->planFeed.reachesStore(); };
+    return hooks;
+}
+
 StoreFeedHooks Gateway::planHooks()
 {
-    return {
-        [this](const std::vector<VersionedObject>& objects) {
-            for (const auto& object : objects)
-                this->takePlan(object);
-        },
-        [this](const VersionedObject& object) { this->takePlan(object); },
-        [this](TimePoint when) { this->lease.confirm(when); },
-        [] {},
-        [](TimePoint) {},
-        [this] { return this->isWatchedElsewhere(); },
-        [this](TimePoint triedAt) {
-            return this->fleet.isProbedElsewhere() && this->clock.now() < triedAt + kRetryWhileProbed;
-        },
+    auto hooks = this->watchHooks();
+    hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
+        for (const auto& object : objects)
+            this->takePlan(object);
     };
+    hooks.change = [this](const VersionedObject& object) { this->takePlan(object); };
+    hooks.confirm = [this](TimePoint when) { this->lease.confirm(when); };
+    hooks.isProbedElsewhere = [this](TimePoint triedAt) {
+        return !this->fleet.isWatcher() && this->clock.now() < triedAt + kRetryWhileProbed;
+    };
+    return hooks;
 }
 
 StoreFeedHooks Gateway::endpointHooks()
 {
-    return {
-        [this](const std::vector<VersionedObject>& objects) {
-            std::set<std::string, std::less<>> ids;
-            for (const auto& object : objects) {
-                ids.insert(object.name);
-                this->takeEndpoint(object);
-            }
-            this->directory.retain(ids);
-        },
-        [this](const VersionedObject& object) { this->takeEndpoint(object); },
-        [this](TimePoint) { this->directory.regainStore(); },
-        [this] { this->directory.loseStore(); },
-        [this](TimePoint endedAt) { this->directory.noteOutage(endedAt); },
-        [this] { return this->isWatchedElsewhere(); },
-        [this](TimePoint) { return !this->planFeed.reachesStore(); },
+    auto hooks = this->watchHooks();
+    hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
+        std::set<std::string, std::less<>> ids;
+        for (const auto& object : objects) {
+            ids.insert(object.name);
+            this->takeEndpoint(object);
+        }
+        this->directory.retain(ids);
     };
+    hooks.change = [this](const VersionedObject& object) { this->takeEndpoint(object); };
+    hooks.confirm = [this](TimePoint) { this->directory.regainStore(); };
+    hooks.lose = [this] { this->directory.loseStore(); };
+    hooks.noteOutage = [this](TimePoint endedAt) { this->directory.noteOutage(endedAt); };
+    return hooks;
 }
 
 StoreFeedHooks Gateway::domainHooks()
 {
-    return {
-        [this](const std::vector<VersionedObject>& objects) {
-            std::set<std::string, std::less<>> domains;
-            for (const auto& object : objects)
-                domains.insert(object.name);
-            this->directory.setDomainsOut(std::move(domains));
-        },
-        [this](const VersionedObject& object) { this->takeDomain(object); },
-        [](TimePoint) {},
-        [] {},
-        [](TimePoint) {},
-        [this] { return this->isWatchedElsewhere(); },
-        [this](TimePoint) { return !this->planFeed.reachesStore(); },
+    auto hooks = this->watchHooks();
+    hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
+        std::set<std::string, std::less<>> domains;
+        for (const auto& object : objects)
+            domains.insert(object.name);
+        this->directory.setDomainsOut(std::move(domains));
     };
+    hooks.change = [this](const VersionedObject& object) { this->takeDomain(object); };
+    return hooks;
 }
 
 StoreFeedHooks Gateway::hostHooks()
 {
-    return {
-        [this](const std::vector<VersionedObject>& objects) {
-            std::set<std::string, std::less<>> names;
-            for (const auto& object : objects) {
-                names.insert(object.name);
-                this->takeHost(object);
-            }
-            this->roster.retain(names);
-            this->logHostCount();
-        },
-        [this](const VersionedObject& object) {
+    auto hooks = this->watchHooks();
+    hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
+        std::set<std::string, std::less<>> names;
+        for (const auto& object : objects) {
+            names.insert(object.name);
             this->takeHost(object);
-            this->logHostCount();
-        },
-        [](TimePoint) {},
-        [] {},
-        [](TimePoint) {},
-        [this] { return this->isWatchedElsewhere(); },
-        [this](TimePoint) { return !this->planFeed.reachesStore(); },
+        }
+        this->roster.retain(names);
+        this->logHostCount();
     };
+    hooks.change = [this](const VersionedObject& object) {
+        this->takeHost(object);
+        this->logHostCount();
+    };
+    return hooks;
 }
 
 bool Gateway::isWatchedElsewhere() const
@@ -349,9 +343,21 @@
     this->log.write(line.add("hosts", static_cast<std::int64_t>(count)));
 }
 
+void Gateway::logWatcher()
+{
+    auto name = this->isWatchedElsewhere() ? this->fleet.watcher() : std::string {};
+    if (name == this->loggedWatcher)
+        return;
+    LogLine line { LogEvent::WatcherChanged };
+    line.add("watcher", name).add("confirmed_age_ms", this->clock.now() - this->planFeed.watcherConfirmed());
+    this->log.write(line);
+    this->loggedWatcher = std::move(name);
+}
+
 Task<void> Gateway::maintain()
 {
     while (true) {
+        this->logWatcher();
         this->directory.dropLapsed();
         this->prober.probeDue();
         this->fleet.dropSilent();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -38,6 +38,7 @@
 
 /** @brief Host that forwards callers' requests straight to the endpoints. */
 class Gateway {
+    [[nodiscard]] StoreFeedHooks watchHooks();
     [[nodiscard]] StoreFeedHooks planHooks();
     [[nodiscard]] StoreFeedHooks endpointHooks();
     [[nodiscard]] StoreFeedHooks domainHooks();
@@ -50,6 +51,7 @@
     [[nodiscard]] Task<void> maintain();
     void takeHost(const VersionedObject& object);
     void logHostCount();
+    void logWatcher();
     [[nodiscard]] FleetExchangeParts exchangeParts(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
@@ -140,6 +142,8 @@
     EndpointDirectory directory;
     HostRoster roster;
     std::size_t loggedHosts = 1;
+    /** Watcher on which this host relies, as it was last logged; empty if it asks the store itself. */
+    std::string loggedWatcher;
     FleetView fleet;
     ColdLimit coldLimit;
     PromptHolders holders;
--- a/src/berylwing/gateway/use_queue.cpp
+++ b/src/berylwing/gateway/note_queue.cpp
@@ -1,4 +1,4 @@
-#include "berylwing/gateway/use_queue.hpp"
+#include "berylwing/gateway/note_queue.hpp"
 
 namespace berylwing {
 
@@ -11,20 +11,20 @@
 
 } // namespace
 
-void UseQueue::push(const PromptUse& use)
+void NoteQueue::push(const EndpointNote& note)
 {
     if (this->announcements.size() < kMostAnnounced)
-        this->announcements.push_back({ use, this->clock.now() });
+        this->announcements.push_back({ note, this->clock.now() });
 }
 
-void UseQueue::describe(wire::PromptUses& uses)
+void NoteQueue::describe(wire::EndpointNotes& notes)
 {
     const auto oldest = this->clock.now() - kAnnouncedFor;
     while (!this->announcements.empty() && this->announcements.front().since < oldest)
         this->announcements.pop_front();
     for (const auto& announcement : this->announcements) {
-        uses.add_prompts(announcement.use.prompt);
-        uses.add_endpoints(announcement.use.endpoint);
+        notes.add_subjects(announcement.note.subject);
+        notes.add_endpoints(announcement.note.endpoint);
     }
 }
 
--- a/src/berylwing/gateway/prompt_holders.cpp
+++ b/src/berylwing/gateway/prompt_holders.cpp
@@ -18,17 +18,17 @@
 
 } // namespace
 
-PromptHolders::Holder* PromptHolders::find(const PromptUse& use)
+PromptHolders::Holder* PromptHolders::find(const EndpointNote& use)
 {
-    if (this->holders.size() >= kMostPrompts && !this->holders.contains(use.prompt))
+    if (this->holders.size() >= kMostPrompts && !this->holders.contains(use.subject))
         return nullptr;
-    auto& list = this->holders[use.prompt];
+    auto& list = this->holders[use.subject];
     const auto found = std::find_if(
         list.begin(), list.end(), [&use](const Holder& holder) { return holder.endpoint == use.endpoint; });
     return found == list.end() ? &list.emplace_back(Holder { use.endpoint }) : &*found;
 }
 
-void PromptHolders::recordUse(const PromptUse& use)
+void PromptHolders::recordUse(const EndpointNote& use)
 {
     auto* holder = this->find(use);
     if (holder == nullptr)
@@ -54,12 +54,12 @@
     }
 }
 
-std::vector<PromptUse> PromptHolders::take(const wire::PromptUses& uses)
+std::vector<EndpointNote> PromptHolders::take(const wire::EndpointNotes& uses)
 {
-    std::vector<PromptUse> unknown;
+    std::vector<EndpointNote> unknown;
     const auto now = this->clock.now();
-    for (int place = 0; place < std::min(uses.prompts_size(), uses.endpoints_size()); ++place) {
-        const PromptUse use { uses.prompts(place), uses.endpoints(place) };
+    for (int place = 0; place < std::min(uses.subjects_size(), uses.endpoints_size()); ++place) {
+        const EndpointNote use { uses.subjects(place), uses.endpoints(place) };
         auto* holder = this->find(use);
         if (holder == nullptr)
             continue;
--- a/src/berylwing/gateway/prompt_holders.hpp
+++ b/src/berylwing/gateway/prompt_holders.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
-#include "berylwing/gateway/use_queue.hpp"
+#include "berylwing/gateway/note_queue.hpp"
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -23,7 +23,7 @@
         TimePoint usedHereAt {};
     };
 
-    Holder* find(const PromptUse& use);
+    Holder* find(const EndpointNote& use);
 
 public:
     /** @brief Creates an empty register. @param hostClock Clock of the host. */
@@ -34,7 +34,7 @@
     }
 
     /** @brief Takes note that this host sends a prompt to an endpoint. @param use Prompt and endpoint. */
-    void recordUse(const PromptUse& use);
+    void recordUse(const EndpointNote& use);
 
     /** @brief Announces again what this host has used lately, for a host that has just started. */
     void announceAll();
@@ -44,10 +44,10 @@
      * @param uses Uses.
      * @return Uses that were not known to be announced before.
      */
-    std::vector<PromptUse> take(const wire::PromptUses& uses);
+    std::vector<EndpointNote> take(const wire::EndpointNotes& uses);
 
     /** @brief Adds this host's announcements. @param uses Part of the message to be sent. */
-    void describe(wire::PromptUses& uses) { this->announcements.describe(uses); }
+    void describe(wire::EndpointNotes& uses) { this->announcements.describe(uses); }
 
     /** @brief Forgets prompts that were not asked for lately. */
     void dropOld();
@@ -63,7 +63,7 @@
 private:
     const Clock& clock;
     std::unordered_map<std::uint64_t, std::vector<Holder>> holders;
-    UseQueue announcements;
+    NoteQueue announcements;
     TimePoint lastDropAt {};
 };
 
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -21,11 +21,11 @@
     /** Takes one change; the value of a removed object is null. */
     std::function<void(const VersionedObject&)> change;
     /** Takes note that all changes up to a moment are known. */
-    std::function<void(TimePoint)> confirm;
+    std::function<void(TimePoint)> confirm = [](TimePoint) {};
     /** Takes note that a call to the store has failed. */
-    std::function<void()> lose;
+    std::function<void()> lose = [] {};
     /** Takes note of the end of an outage that another host saw. */
-    std::function<void(TimePoint)> noteOutage;
+    std::function<void(TimePoint)> noteOutage = [](TimePoint) {};
     /** Tells whether another host watches the store for this one. */
     std::function<bool()> isWatchedElsewhere;
     /** Tells, by the time of the last call, whether someone else finds out when a store that was lost is back. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -19,6 +19,7 @@
     DependencyRegained,
     HistoryLost,
     RolesChanged,
+    WatcherChanged,
     PlanTaken,
     PlanRejected,
     EndpointSeen,
@@ -41,7 +42,7 @@
 };
 
 /** @brief Names of the log events. */
-inline constexpr EnumNames<LogEvent, 27> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 28> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -50,6 +51,7 @@
     "dependency_regained",
     "history_lost",
     "roles_changed",
+    "watcher_changed",
     "plan_taken",
     "plan_rejected",
     "endpoint_seen",
--- a/test/berylwing/gateway/crash_notes_test.cpp
+++ b/test/berylwing/gateway/crash_notes_test.cpp
@@ -12,9 +12,9 @@
 /** Registers of two hosts that tell each other what broke off. */
 class NotesFixture {
 public:
-    wire::PromptUses crashesOf(CrashNotes& notes)
+    wire::EndpointNotes crashesOf(CrashNotes& notes)
     {
-        wire::PromptUses crashes;
+        wire::EndpointNotes crashes;
         notes.describe(crashes);
         return crashes;
     }
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -152,10 +152,8 @@
         exchange(hosts.size());
         CHECK(delegates(hosts.size()).size() == 2);
         CHECK(watchers() == 1);
-        for (const auto& host : hosts) {
+        for (const auto& host : hosts)
             CHECK(host->view.watcher().empty());
-            CHECK(host->view.isProbedElsewhere() != host->view.isWatcher());
-        }
     }
 }
 
--- a/test/berylwing/gateway/prompt_holders_test.cpp
+++ b/test/berylwing/gateway/prompt_holders_test.cpp
@@ -10,9 +10,9 @@
 /** Registers of two hosts that tell each other their uses. */
 class HoldersFixture {
 public:
-    wire::PromptUses usesOf(PromptHolders& holders)
+    wire::EndpointNotes usesOf(PromptHolders& holders)
     {
-        wire::PromptUses uses;
+        wire::EndpointNotes uses;
         holders.describe(uses);
         return uses;
     }
@@ -44,7 +44,7 @@
     std::size_t announced = 0;
     for (int round = 0; round < 40; ++round) {
         fixture.here.recordUse({ 1, 10 });
-        announced += static_cast<std::size_t>(fixture.usesOf(fixture.here).prompts_size());
+        announced += static_cast<std::size_t>(fixture.usesOf(fixture.here).subjects_size());
         fixture.time += Duration { 200 };
     }
     CHECK(announced <= 5);
@@ -56,7 +56,7 @@
     fixture.here.recordUse({ 1, 10 });
     fixture.there.take(fixture.usesOf(fixture.here));
     fixture.there.recordUse({ 1, 10 });
-    CHECK(fixture.usesOf(fixture.there).prompts_size() == 0);
+    CHECK(fixture.usesOf(fixture.there).subjects_size() == 0);
 }
 
 TEST_CASE("PromptHolders tells a host that has started all that is in use", "[gateway][holders]")
@@ -65,7 +65,7 @@
     for (std::uint32_t prompt = 1; prompt <= 50; ++prompt)
         fixture.here.recordUse({ prompt, prompt % 7 });
     fixture.time += Duration { 5000 };
-    CHECK(fixture.usesOf(fixture.here).prompts_size() == 0);
+    CHECK(fixture.usesOf(fixture.here).subjects_size() == 0);
     fixture.here.announceAll();
     fixture.there.take(fixture.usesOf(fixture.here));
     for (std::uint32_t prompt = 1; prompt <= 50; ++prompt)
@@ -88,7 +88,7 @@
     const auto uses = fixture.usesOf(fixture.here);
     const auto first = fixture.there.take(uses);
     REQUIRE(first.size() == 1);
-    CHECK(first[0].prompt == 1);
+    CHECK(first[0].subject == 1);
     CHECK(first[0].endpoint == 10);
     CHECK(fixture.there.take(uses).empty());
     fixture.time += Duration { 11'000 };
@@ -98,9 +98,9 @@
 TEST_CASE("PromptHolders ignores uses whose lists do not match", "[gateway][holders]")
 {
     HoldersFixture fixture;
-    wire::PromptUses uses;
-    uses.add_prompts(1);
-    uses.add_prompts(2);
+    wire::EndpointNotes uses;
+    uses.add_subjects(1);
+    uses.add_subjects(2);
     uses.add_endpoints(10);
     CHECK(fixture.there.take(uses).size() == 1);
     CHECK_FALSE(fixture.there.holds(2, 10));
