--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -17,7 +17,7 @@
     };
     constexpr Scenario kScenarios[] { { "control", measureControl }, { "configuration", measureConfiguration },
         { "ledger", measureLedger }, { "relay", measureRelay }, { "placement", measurePlacement },
-        { "recovery", measureRecovery } };
+        { "recovery", measureRecovery }, { "exchange", measureExchange } };
     for (const auto& scenario : kScenarios) {
         if (FLAGS_only.empty() || FLAGS_only == scenario.name)
             scenario.run(report);
--- a/measure/scenarios.hpp
+++ b/measure/scenarios.hpp
@@ -7,6 +7,9 @@
 /** @brief Control traffic, processor time and memory for each host, at several sizes of a failure domain. */
 void measureControl(Report& report);
 
+/** @brief Traffic between gateways and their calls to the store, at several sizes of a failure domain. */
+void measureExchange(Report& report);
+
 /** @brief Memory and time of the configuration at several numbers of workspaces. */
 void measureConfiguration(Report& report);
 
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -40,21 +40,6 @@
         }
         return this->calls() - before;
     }
-
-    [[nodiscard]] std::vector<Host*> delegates() const { return this->hostsInRole("\"delegate\":"); }
-    [[nodiscard]] std::vector<Host*> watchers() const { return this->hostsInRole("\"watcher\":"); }
-
-    /** Hosts whose last log line about a role says that they have it. */
-    [[nodiscard]] std::vector<Host*> hostsInRole(const std::string& role) const
-    {
-        std::vector<Host*> found;
-        for (const auto& [address, host] : this->hosts) {
-            const auto last = host->logText.rfind(role);
-            if (last != std::string::npos && host->logText.at(last + role.size()) == '1')
-                found.push_back(host.get());
-        }
-        return found;
-    }
 };
 
 } // namespace
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -115,6 +115,20 @@
         [&text](const auto& host) { return host.second->logText.find(text) != std::string::npos; }));
 }
 
+std::vector<GatewayFleet::Host*> GatewayFleet::hostsInRole(const std::string& role) const
+{
+    std::vector<Host*> found;
+    for (const auto& [address, host] : this->hosts) {
+        const auto line = host->logText.rfind("\"roles_changed\"");
+        if (line == std::string::npos)
+            continue;
+        const auto place = host->logText.find(role, line);
+        if (place != std::string::npos && host->logText.at(place + role.size()) == '1')
+            found.push_back(host.get());
+    }
+    return found;
+}
+
 int GatewayFleet::calls() const
 {
     int total = 0;
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -48,6 +48,12 @@
     /** @brief Counts the hosts whose log holds a text. */
     [[nodiscard]] std::size_t hostsWithLog(const std::string& text) const;
 
+    /** @brief Lists the hosts that speak for their group to others. */
+    [[nodiscard]] std::vector<Host*> delegates() const { return this->hostsInRole("\"delegate\":"); }
+
+    /** @brief Lists the hosts that watch the store for their group. */
+    [[nodiscard]] std::vector<Host*> watchers() const { return this->hostsInRole("\"watcher\":"); }
+
     /** @brief Adds up the calls of all hosts to the store. */
     [[nodiscard]] int calls() const;
 
@@ -62,6 +68,8 @@
     void addHost(const std::string& domain, const std::string& name, const std::string& address);
     void deliver(Host& from, const SocketAddress& to, const std::string& bytes);
     void settle();
+    /** Hosts whose last log line about roles says that they have one. */
+    [[nodiscard]] std::vector<Host*> hostsInRole(const std::string& role) const;
 
     RuntimeContext context;
     Clock clock;
