Keep of each object the last change, as a document, for hosts that ask

Found on reading the change again: a watcher kept every version of a plan as a tree of JSON and formatted each of them anew for every digest, five times a second, also those too old or too large to be sent. A change is formatted once now, and a later one of the same object takes its place, which hosts that missed both are helped by just as well; the search for the last version when a host asks is gone.

--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -2,8 +2,6 @@
 
 #include "berylwing/core/hash.hpp"
 #include <algorithm>
-#include <set>
-#include <string_view>
 #include <utility>
 
 namespace berylwing {
@@ -35,12 +33,6 @@
 /** Time for which other hosts are told of an outage, longer than entries that lapsed in it are waited for. */
 constexpr Duration kOutageTold { 4000 };
 
-/** Document of an object in JSON; empty if the object was removed. */
-std::string documentOf(const VersionedObject& object)
-{
-    return object.value.is_null() ? std::string {} : object.value.dump();
-}
-
 } // namespace
 
 StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind,
@@ -59,7 +51,10 @@
 void StoreFeed::apply(const VersionedObject& change, std::uint64_t through)
 {
     this->hooks.change(change);
-    this->recentChanges.push_back({ change, through, this->clock.now() });
+    // Whoever has missed an earlier change of the object is helped by the last one alone.
+    std::erase_if(this->recentChanges, [&change](const RecentChange& recent) { return recent.name == change.name; });
+    auto document = change.value.is_null() ? std::string {} : change.value.dump();
+    this->recentChanges.push_back({ change.name, std::move(document), through, this->clock.now() });
 }
 
 void StoreFeed::dropOldChanges()
@@ -121,12 +116,12 @@
     return news;
 }
 
-void StoreFeed::addChange(wire::StoreNews& news, const RecentChange& recent, std::string value)
+void StoreFeed::addChange(wire::StoreNews& news, const RecentChange& recent)
 {
     auto& change = *news.add_changes();
-    change.set_name(recent.object.name);
+    change.set_name(recent.name);
     change.set_revision(recent.through);
-    change.set_value(std::move(value));
+    change.set_value(recent.document);
 }
 
 wire::StoreNews StoreFeed::describeNews()
@@ -135,14 +130,14 @@
     auto news = this->makeNews();
     const auto oldest = this->clock.now() - kNewsRepeat;
     for (const auto& recent : this->recentChanges) {
-        auto value = documentOf(recent.object);
-        if (recent.at < oldest || value.size() > kMostNewsBytes || news.changes_size() == kMostNewsChanges) {
+        const bool isTooLarge = recent.document.size() > kMostNewsBytes || news.changes_size() == kMostNewsChanges;
+        if (recent.at < oldest || isTooLarge) {
             // Whoever is behind has to ask for the document, and with it for all that came before.
             news.clear_changes();
             news.set_after(recent.through);
             continue;
         }
-        addChange(news, recent, std::move(value));
+        addChange(news, recent);
     }
     return news;
 }
@@ -162,17 +157,13 @@
     auto news = this->makeNews();
     news.set_after(after);
     std::size_t bytes = 0;
-    std::set<std::string_view> newer;
-    // From the newest one back: of objects that changed several times only the last change matters.
-    for (auto place = this->recentChanges.rbegin(); place != this->recentChanges.rend(); ++place) {
-        const auto& recent = *place;
-        if (recent.through <= after || !newer.insert(recent.object.name).second)
+    for (const auto& recent : this->recentChanges) {
+        if (recent.through <= after)
             continue;
-        auto value = documentOf(recent.object);
-        bytes += value.size();
+        bytes += recent.document.size();
         if (bytes > kMostAnswerBytes)
             return std::nullopt;
-        addChange(news, recent, std::move(value));
+        addChange(news, recent);
     }
     return news;
 }
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace berylwing {
@@ -52,7 +53,9 @@
  */
 class StoreFeed {
     struct RecentChange {
-        VersionedObject object;
+        std::string name;
+        /** Document in JSON; empty if the object was removed. */
+        std::string document;
         /** Revision of the answer that brought the change, which is not lower than that of the change itself. */
         std::uint64_t through = 0;
         TimePoint at {};
@@ -66,7 +69,7 @@
     [[nodiscard]] bool applyNews(const wire::StoreNews& news);
     void dropOldChanges();
     [[nodiscard]] wire::StoreNews makeNews() const;
-    static void addChange(wire::StoreNews& news, const RecentChange& recent, std::string value);
+    static void addChange(wire::StoreNews& news, const RecentChange& recent);
     void noteSuccess();
     void noteFailure(const PlatformError& error);
 
@@ -128,7 +131,7 @@
     std::minstd_rand random;
     Event newsArrived;
     std::uint64_t revision = 0;
-    /** Changes that other hosts are told of. */
+    /** Changes that other hosts are told of, of each object the last one. */
     std::deque<RecentChange> recentChanges;
     /** Revision after which recentChanges has all changes. */
     std::uint64_t recentAfter = 0;
