Let hosts whose own call failed ask again unless a watcher looks for the store

Ruled out: the hand-over of large plans (the host had missed the change, not its document).

A first soak of real processes comes with it, not yet part of scripts/test.

--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -129,15 +129,24 @@
     return static_cast<std::size_t>(count);
 }
 
+bool FleetView::isHeardWatcher(const Peer& peer, bool reachesIt) const
+{
+    return peer.digest.is_watcher() && peer.digest.reaches_store() == reachesIt && this->isHeard(peer);
+}
+
 std::string FleetView::watcher() const
 {
-    const auto found = std::find_if(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
-        const auto& digest = entry.second.digest;
-        return digest.is_watcher() && digest.reaches_store() && this->isHeard(entry.second);
-    });
+    const auto found = std::find_if(this->peers.begin(), this->peers.end(),
+        [this](const auto& entry) { return this->isHeardWatcher(entry.second, true); });
     return found == this->peers.end() ? std::string {} : found->first;
 }
 
+bool FleetView::isStoreSought() const
+{
+    return std::any_of(this->peers.begin(), this->peers.end(),
+        [this](const auto& entry) { return this->isHeardWatcher(entry.second, false); });
+}
+
 void FleetView::dropSilent()
 {
     const auto oldest = this->clock.now() - kDigestLife;
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -41,6 +41,7 @@
     static void add(Loads& totals, const wire::EndpointLoads& loads);
     [[nodiscard]] Loads loadsElsewhere() const;
     [[nodiscard]] bool isHeard(const Peer& peer) const;
+    [[nodiscard]] bool isHeardWatcher(const Peer& peer, bool reachesIt) const;
     [[nodiscard]] std::size_t betterPeers() const;
     [[nodiscard]] bool hasOwnSummaries() const { return !this->summaries.empty(); }
     void recount();
@@ -97,6 +98,9 @@
     /** @brief Finds the host that watches the store for this one. @return Its name; empty if none was heard lately. */
     [[nodiscard]] std::string watcher() const;
 
+    /** @brief Tells whether another host looks for a store that it has lost. @return True if a watcher says so. */
+    [[nodiscard]] bool isStoreSought() const;
+
     /** @brief Forgets hosts and groups that have been silent for too long. */
     void dropSilent();
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -181,7 +181,8 @@
     hooks.change = [this](const VersionedObject& object) { this->takePlan(object); };
     hooks.confirm = [this](TimePoint when) { this->lease.confirm(when); };
     hooks.isProbedElsewhere = [this](TimePoint triedAt) {
-        return !this->fleet.isWatcher() && this->clock.now() < triedAt + kRetryWhileProbed;
+        // A watcher that still reaches the store, but is not trusted, looks for nothing on behalf of others.
+        return this->fleet.isStoreSought() && this->clock.now() < triedAt + kRetryWhileProbed;
     };
     return hooks;
 }
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -89,6 +89,27 @@
     CHECK(fleet.hostsWithLog("\"plan\":7") >= fleet.hosts.size() - 1);
 }
 
+TEST_CASE("A host whose own call has failed asks again as soon as no watcher is trusted", "[gateway][exchange]")
+{
+    // The watcher's calls are so slow that it is trusted by turns only, and a member's own call fails meanwhile.
+    const auto moment = GENERATE(range(0, 1800, 100));
+    SettledFleet fleet { 3 };
+    fleet.planBytes = 5000;
+    const auto watcher = fleet.watchers()[0]->settings.host;
+    auto& member = *fleet.hosts.at(watcher == "knox-a-1" ? "10.0.0.2" : "10.0.0.1");
+    fleet.platform.slowed.insert(watcher);
+    fleet.platform.cutOff.insert(member.settings.host);
+    for (int tick = 0; tick < 300 && member.logText.find("\"dependency_lost\"") == std::string::npos; ++tick)
+        fleet.advance(Duration { 10 });
+    REQUIRE(member.logText.find("\"dependency_lost\"") != std::string::npos);
+    fleet.platform.cutOff.clear();
+    fleet.advance(Duration { moment });
+    fleet.platform.silenced.insert(watcher);
+    fleet.putPlan(7);
+    fleet.advance(kPlanBound);
+    CHECK(member.logText.find("\"plan\":7") != std::string::npos);
+}
+
 TEST_CASE("A host that was suspended does not trust old news of its delegates", "[gateway][exchange]")
 {
     SettledFleet fleet { 9 };
--- /dev/null
+++ b/test/platform/engine_stand_in.cpp
@@ -0,0 +1,264 @@
+#include "platform/engine_stand_in.hpp"
+
+#include "platform/names.hpp"
+#include "soak/soak_answer.hpp"
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <sstream>
+
+namespace berylwing::test {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace names = platform::names;
+
+constexpr unsigned kHttpVersion = 11;
+constexpr Duration kShortWork { 30 };
+constexpr Duration kFirstEvent { 40 };
+constexpr Duration kBetweenEvents { 25 };
+/** Times as long as usual that a slow engine works. */
+constexpr int kSlowness = 8;
+/** Time between two looks at whether the caller of a run has gone. */
+constexpr Duration kLook { 10 };
+constexpr Duration kLongestHang { 20'000 };
+
+std::string headerOf(const StandInRequest& request, std::string_view name)
+{
+    return header(request, std::string { name }.c_str());
+}
+
+template <typename Message> void sign(Message& message, const std::string& attemptId, const std::string& engine)
+{
+    message.set(std::string { names::kAttemptId }, attemptId);
+    message.set(std::string { names::kSignature }, engine + "." + attemptId);
+}
+
+/** Tells whether the other end of a connection has closed it. */
+bool isClosed(boost::beast::tcp_stream& stream)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    auto& socket = stream.socket();
+    socket.non_blocking(true, error);
+    const auto size = socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block && size == 0;
+}
+
+void resetConnection(boost::beast::tcp_stream& stream)
+{
+    boost::system::error_code ignored;
+    stream.socket().set_option(asio::socket_base::linger { true, 0 }, ignored);
+    stream.socket().close(ignored);
+}
+
+/** Finds what a host must not send to an engine, or must not leave out. */
+std::string faultOf(const StandInRequest& request)
+{
+    const auto attemptId = headerOf(request, names::kAttemptId);
+    if (!headerOf(request, names::kAuthorization).empty())
+        return "it has the caller's key";
+    if (headerOf(request, names::kExpectInstance).empty())
+        return "it names no instance";
+    if (headerOf(request, names::kDeadline).empty())
+        return "it has no deadline";
+    if (!request.body().starts_with(attemptId + " "))
+        return "it has another body";
+    return {};
+}
+
+/** Number of events that a request asks for. */
+std::size_t eventsOf(const StandInRequest& request)
+{
+    std::istringstream body { request.body() };
+    std::string attemptId;
+    std::size_t events = 0;
+    body >> attemptId >> events;
+    return events;
+}
+
+} // namespace
+
+/** Counts a run among those at work. */
+class EngineStandIn::RunInProgress {
+public:
+    RunInProgress(EngineStandIn& runningEngine, SoakRun& runEntry)
+        : engine { runningEngine }
+        , entry { runEntry }
+    {
+        ++this->engine.active;
+        this->entry.hasRun = true;
+        this->entry.isDisturbed = this->engine.disturbances > 0;
+    }
+
+    ~RunInProgress()
+    {
+        --this->engine.active;
+        this->entry.endedAt = this->engine.clock.now();
+        this->entry.isDisturbed = this->entry.isDisturbed || this->engine.disturbances > 0;
+    }
+
+    RunInProgress(const RunInProgress&) = delete;
+    RunInProgress& operator=(const RunInProgress&) = delete;
+
+private:
+    EngineStandIn& engine;
+    SoakRun& entry;
+};
+
+EngineStandIn::EngineStandIn(Clock& runtimeClock, SoakRecord& soakRecord, unsigned seed)
+    : clock { runtimeClock }
+    , record { soakRecord }
+    , random { seed }
+{
+}
+
+Task<void> EngineStandIn::listen(std::string address, std::uint16_t port)
+{
+    return listenHttp(this->clock.executor(), std::move(address), port,
+        [this](boost::beast::tcp_stream& stream, const StandInRequest& request) {
+            return this->handle(stream, request);
+        });
+}
+
+void EngineStandIn::restart(const std::string& instance)
+{
+    this->disturbRuns();
+    ++this->incarnation;
+    this->id = instance;
+}
+
+void EngineStandIn::disturbRuns()
+{
+    for (auto& run : this->record.runs) {
+        if (run.endpoint == this->id && run.hasRun && !run.endedAt)
+            run.isDisturbed = true;
+    }
+}
+
+bool EngineStandIn::takesTrouble(EngineTrouble kind)
+{
+    return this->trouble == kind && std::bernoulli_distribution { this->troubleShare }(this->random);
+}
+
+Task<bool> EngineStandIn::handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
+{
+    const auto attemptId = headerOf(request, names::kAttemptId);
+    SoakRun arrival;
+    arrival.attemptId = attemptId;
+    arrival.endpoint = this->id;
+    arrival.arrivedAt = this->clock.now();
+    arrival.workspace = headerOf(request, names::kTenant);
+    arrival.fault = faultOf(request);
+    auto& entry = this->record.runs.emplace_back(std::move(arrival));
+    const bool isOther = headerOf(request, names::kExpectInstance) != this->id;
+    if (isOther || this->active >= this->slots || this->takesTrouble(EngineTrouble::Shed)) {
+        const auto status = isOther ? http::status::misdirected_request : http::status::service_unavailable;
+        StandInResponse response { status, kHttpVersion };
+        response.set(std::string { names::kAttemptId }, attemptId);
+        response.set(std::string { names::kNotExecuted }, "1");
+        co_await respond(stream, std::move(response));
+        co_return true;
+    }
+    co_return co_await this->run(stream, request, entry);
+}
+
+Task<bool> EngineStandIn::run(boost::beast::tcp_stream& stream, const StandInRequest& request, SoakRun& entry)
+{
+    const RunInProgress progress { *this, entry };
+    if (this->takesTrouble(EngineTrouble::Hang))
+        co_return co_await this->hang(stream);
+    if (this->takesTrouble(EngineTrouble::Reset)) {
+        resetConnection(stream);
+        co_return false;
+    }
+    if (this->takesTrouble(EngineTrouble::Errors)) {
+        StandInResponse response { http::status::internal_server_error, kHttpVersion };
+        sign(response, entry.attemptId, this->id);
+        response.body() = "failed";
+        co_await respond(stream, std::move(response));
+        co_return true;
+    }
+    if (eventsOf(request) > 0)
+        co_return co_await this->answerStream(stream, request);
+    co_return co_await this->answerShort(stream, request);
+}
+
+Task<bool> EngineStandIn::hang(boost::beast::tcp_stream& stream)
+{
+    co_await this->work(stream, kLongestHang);
+    resetConnection(stream);
+    co_return false;
+}
+
+Task<bool> EngineStandIn::work(boost::beast::tcp_stream& stream, Duration length)
+{
+    const auto begun = this->incarnation;
+    const auto until = this->clock.now() + length;
+    while (this->clock.now() < until) {
+        if (isClosed(stream) || begun != this->incarnation)
+            co_return false;
+        co_await this->clock.sleepFor(std::min(kLook, until - this->clock.now()));
+    }
+    co_return !isClosed(stream) && begun == this->incarnation;
+}
+
+Task<bool> EngineStandIn::answerShort(boost::beast::tcp_stream& stream, const StandInRequest& request)
+{
+    if (!co_await this->work(stream, this->takesTrouble(EngineTrouble::Slow) ? kShortWork * kSlowness : kShortWork))
+        co_return false;
+    const auto attemptId = headerOf(request, names::kAttemptId);
+    StandInResponse response { http::status::ok, kHttpVersion };
+    sign(response, attemptId, this->id);
+    response.body() = soakRecordText(attemptId);
+    if (this->takesTrouble(EngineTrouble::Unframed)) {
+        std::ostringstream text;
+        text << response.base() << response.body();
+        const auto bytes = text.str();
+        boost::system::error_code ignored;
+        co_await asio::async_write(
+            stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
+        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        co_return false;
+    }
+    const bool hasExtra = this->takesTrouble(EngineTrouble::Extra);
+    auto extra = response;
+    co_await respond(stream, std::move(response));
+    if (hasExtra) {
+        extra.body() = "an answer that nobody asked for";
+        co_await respond(stream, std::move(extra));
+    }
+    co_return true;
+}
+
+Task<bool> EngineStandIn::answerStream(boost::beast::tcp_stream& stream, const StandInRequest& request)
+{
+    const auto attemptId = headerOf(request, names::kAttemptId);
+    const auto events = eventsOf(request);
+    std::size_t number = 0;
+    std::istringstream { headerOf(request, names::kLastEventId) } >> number;
+    const int factor = this->takesTrouble(EngineTrouble::Slow) ? kSlowness : 1;
+    if (!co_await this->work(stream, kFirstEvent * factor))
+        co_return false;
+    http::response<http::empty_body> head { http::status::ok, kHttpVersion };
+    sign(head, attemptId, this->id);
+    head.set(http::field::content_type, "text/event-stream");
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer { head };
+    boost::system::error_code error;
+    co_await http::async_write_header(stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    while (!error && number < events) {
+        const auto event = soakEvent(attemptId, ++number);
+        co_await asio::async_write(
+            stream, http::make_chunk(asio::buffer(event)), asio::redirect_error(asio::use_awaitable, error));
+        if (!co_await this->work(stream, kBetweenEvents * factor))
+            co_return false;
+    }
+    co_await asio::async_write(stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/platform/store_stand_in.cpp
@@ -0,0 +1,234 @@
+#include "platform/store_stand_in.hpp"
+
+#include "platform/names.hpp"
+#include <algorithm>
+#include <charconv>
+#include <optional>
+
+namespace berylwing::test {
+
+namespace {
+
+namespace http = boost::beast::http;
+namespace names = platform::names;
+using nlohmann::json;
+
+constexpr unsigned kHttpVersion = 11;
+/** Changes that a watch may still ask for, as many as the platform keeps at the least. */
+constexpr std::size_t kMostHistory = 2000;
+/** Time after which a call that gets no answer is dropped; its caller has given up long before. */
+constexpr Duration kSilence { 20'000 };
+
+/** Target of a call, divided into its parts. */
+struct Target {
+    explicit Target(std::string_view text)
+    {
+        const auto question = text.find('?');
+        auto path = text.substr(0, question);
+        if (question != std::string_view::npos)
+            this->query = "&" + std::string { text.substr(question + 1) };
+        if (!path.starts_with(names::kObjects))
+            return;
+        path.remove_prefix(names::kObjects.size());
+        const auto slash = path.find('/');
+        this->kind = path.substr(0, slash);
+        if (slash != std::string_view::npos)
+            this->name = path.substr(slash + 1);
+    }
+
+    [[nodiscard]] std::string parameter(const std::string& parameterName) const
+    {
+        const auto key = "&" + parameterName + "=";
+        const auto at = this->query.find(key);
+        if (at == std::string::npos)
+            return {};
+        const auto begin = at + key.size();
+        return this->query.substr(begin, this->query.find('&', begin) - begin);
+    }
+
+    std::string kind;
+    std::string name;
+    std::string query;
+};
+
+std::uint64_t numberOf(const std::string& text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+StandInResponse responseOf(http::status status, const json& body = json::object())
+{
+    StandInResponse response { status, kHttpVersion };
+    response.set(http::field::content_type, "application/json");
+    response.body() = body.dump();
+    return response;
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(Clock& runtimeClock)
+    : clock { runtimeClock }
+    , changed { runtimeClock }
+{
+}
+
+Task<void> StoreStandIn::listen(std::string address, std::uint16_t port, std::string host)
+{
+    return listenHttp(this->clock.executor(), std::move(address), port,
+        [this, host = std::move(host)](boost::beast::tcp_stream& stream, const StandInRequest& request) {
+            return this->handle(stream, request, host);
+        });
+}
+
+bool StoreStandIn::isTurnedAway(const std::string& host) const
+{
+    return this->trouble.isDown || this->turnedAway.contains(host);
+}
+
+Task<bool> StoreStandIn::handle(boost::beast::tcp_stream& stream, const StandInRequest& request, std::string host)
+{
+    const Target target { { request.target().data(), request.target().size() } };
+    co_await this->clock.sleepFor(this->trouble.answerTime);
+    if (this->trouble.isSilent) {
+        co_await this->clock.sleepFor(kSilence);
+        co_return false;
+    }
+    if (this->isTurnedAway(host)) {
+        co_await respond(stream, responseOf(http::status::service_unavailable));
+        co_return true;
+    }
+    if (request.method() != http::verb::get) {
+        auto answer = this->change(request, target.kind, target.name, target.parameter("revision"));
+        if (this->trouble.losesAnswers)
+            co_return false;
+        co_await respond(stream, std::move(answer));
+        co_return true;
+    }
+    if (const auto after = target.parameter("watch"); !after.empty()) {
+        const Duration wait { numberOf(target.parameter("wait_ms")) };
+        auto answer = co_await this->watch(target.kind, numberOf(after), wait, host);
+        co_await respond(stream, std::move(answer));
+        co_return true;
+    }
+    if (target.name.empty()) {
+        co_await respond(stream, this->list(target.kind, target.parameter("after")));
+        co_return true;
+    }
+    const auto found = this->objects.find({ target.kind, target.name });
+    const bool isFound = found != this->objects.end();
+    auto answer = isFound ? responseOf(http::status::ok, found->second) : responseOf(http::status::not_found);
+    co_await respond(stream, std::move(answer));
+    co_return true;
+}
+
+Task<StandInResponse> StoreStandIn::watch(std::string kind, std::uint64_t after, Duration wait, std::string host)
+{
+    const auto until = this->clock.now() + wait;
+    while (true) {
+        if (this->isTurnedAway(host))
+            co_return responseOf(http::status::service_unavailable);
+        if (after < this->forgotten)
+            co_return responseOf(http::status::gone);
+        json events = json::array();
+        for (const auto& each : this->history) {
+            if (each.kind == kind && each.revision > after)
+                events.push_back(each.event);
+        }
+        if (!events.empty() || this->clock.now() >= until)
+            co_return responseOf(http::status::ok, { { "events", events }, { "at", this->revision } });
+        co_await this->changed.waitUntil(until);
+    }
+}
+
+StandInResponse StoreStandIn::list(const std::string& kind, const std::string& afterName) const
+{
+    json items = json::array();
+    for (const auto& [key, object] : this->objects) {
+        if (key.first == kind && key.second > afterName)
+            items.push_back(object);
+    }
+    return responseOf(http::status::ok, { { "items", items }, { "has_more", false }, { "at", this->revision } });
+}
+
+StandInResponse StoreStandIn::change(
+    const StandInRequest& request, const std::string& kind, const std::string& name, const std::string& revision)
+{
+    const auto document = json::parse(request.body(), nullptr, false);
+    const auto metadata = document.is_object() ? document.value("metadata", json::object()) : json::object();
+    const Key key { kind, name.empty() ? metadata.value("name", "") : name };
+    const auto found = this->objects.find(key);
+    const bool isThere = found != this->objects.end();
+    if (request.method() == http::verb::post && isThere)
+        return responseOf(http::status::conflict, found->second);
+    if (request.method() != http::verb::post) {
+        if (!isThere)
+            return responseOf(http::status::not_found);
+        const auto expected = revision.empty() ? metadata.value("revision", 0ULL) : numberOf(revision);
+        if (expected != 0 && expected != found->second.at("metadata").at("revision").get<std::uint64_t>())
+            return responseOf(http::status::conflict, found->second);
+    }
+    if (request.method() == http::verb::delete_) {
+        this->erase(key);
+        return responseOf(http::status::ok);
+    }
+    auto spec = document.value("spec", json::object());
+    if (this->amend)
+        this->amend(kind, spec);
+    this->put(key, spec);
+    return responseOf(http::status::ok, this->objects.at(key));
+}
+
+void StoreStandIn::put(const Key& key, const json& spec)
+{
+    auto& object = this->objects[key];
+    if (object.is_object() && object.at("spec") == spec)
+        return;
+    ++this->revision;
+    const auto created = object.is_object() ? object.at("metadata").at("created_revision") : json(this->revision);
+    object = { { "metadata",
+                   { { "name", key.second }, { "revision", this->revision }, { "created_revision", created },
+                       { "finalizers", json::array() }, { "deletion_pending", false } } },
+        { "spec", spec }, { "status", json::object() } };
+    this->record(key, object, false);
+}
+
+void StoreStandIn::erase(const Key& key)
+{
+    auto object = std::move(this->objects.at(key));
+    this->objects.erase(key);
+    ++this->revision;
+    object["metadata"]["revision"] = this->revision;
+    this->record(key, object, true);
+}
+
+void StoreStandIn::record(const Key& key, const json& object, bool isDeleted)
+{
+    this->history.push_back({ this->revision, key.first, { { "object", object }, { "deleted", isDeleted } } });
+    if (this->history.size() > kMostHistory) {
+        this->forgotten = this->history.front().revision;
+        this->history.pop_front();
+    }
+    this->changed.notifyAll();
+}
+
+void StoreStandIn::write(const std::string& kind, const std::string& name, const json& spec)
+{
+    this->put({ kind, name }, spec);
+}
+
+void StoreStandIn::remove(const std::string& kind, const std::string& name)
+{
+    if (this->objects.contains({ kind, name }))
+        this->erase({ kind, name });
+}
+
+void StoreStandIn::dropHistory()
+{
+    this->forgotten = this->revision;
+    this->history.clear();
+    this->changed.notifyAll();
+}
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/soak/fault_plan.cpp
@@ -0,0 +1,47 @@
+#include "soak/fault_plan.hpp"
+
+#include <algorithm>
+#include <random>
+
+namespace berylwing::test {
+
+namespace {
+
+/** Shortest and longest fault, shorter and longer than every time-out of a host but its lease and its grace time. */
+constexpr Duration kShortest { 100 };
+constexpr Duration kLongest { 6000 };
+/** Share of the faults that strike the same target again and again. */
+constexpr double kSeriesShare = 0.25;
+constexpr int kLongestSeries = 4;
+constexpr Duration kLongestSeriesGap { 1500 };
+
+} // namespace
+
+std::vector<PlannedFault> planFaults(std::uint32_t seed, Duration span, Duration meanGap)
+{
+    std::mt19937 random { seed };
+    std::exponential_distribution<double> gaps { 1.0 / static_cast<double>(meanGap.count()) };
+    std::uniform_int_distribution<std::size_t> kinds { 0, kSoakFaults - 1 };
+    std::uniform_int_distribution<Duration::rep> lengths { kShortest.count(), kLongest.count() };
+    std::uniform_int_distribution<Duration::rep> seriesGaps { 0, kLongestSeriesGap.count() };
+    std::uniform_int_distribution<int> repeats { 2, kLongestSeries };
+    std::bernoulli_distribution isSeries { kSeriesShare };
+    std::vector<PlannedFault> plan;
+    for (Duration at {}; at < span;) {
+        PlannedFault fault { static_cast<SoakFault>(kinds(random)), at, Duration { lengths(random) },
+            static_cast<std::uint32_t>(random()), static_cast<std::uint32_t>(random()) };
+        plan.push_back(fault);
+        const int times = isSeries(random) ? repeats(random) : 1;
+        for (int repeat = 1; repeat < times; ++repeat) {
+            fault.at += fault.length / 2 + Duration { seriesGaps(random) };
+            if (fault.at < span)
+                plan.push_back(fault);
+        }
+        at += Duration { static_cast<Duration::rep>(gaps(random)) + 1 };
+    }
+    std::stable_sort(plan.begin(), plan.end(),
+        [](const PlannedFault& left, const PlannedFault& right) { return left.at < right.at; });
+    return plan;
+}
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/soak/gateway_process.cpp
@@ -0,0 +1,93 @@
+#include "soak/gateway_process.hpp"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace berylwing::test {
+
+namespace {
+
+std::string textOf(const SocketAddress& address) { return address.address + ":" + std::to_string(address.port); }
+
+/** Replaces the forked process by the program; only calls that are safe after a fork are made. */
+[[noreturn]] void execute(const char* program, const char* gatewayFlag, const char* settingsFlag, const char* logPath)
+{
+    constexpr mode_t kLogMode = 0644;
+    constexpr int kNotStarted = 127;
+    // A soak that is killed leaves no process behind.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = open(logPath, O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    // A socket of the soak that stayed open here would outlive its end there.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    execl(program, program, gatewayFlag, settingsFlag, nullptr);
+    _exit(kNotStarted);
+}
+
+} // namespace
+
+GatewayProcess::GatewayProcess(std::string daemonProgram, GatewayAddresses addressesOfHost, std::string workFolder)
+    : program { std::move(daemonProgram) }
+    , hostAddresses { std::move(addressesOfHost) }
+    , folder { std::move(workFolder) }
+{
+    this->writeSettings();
+}
+
+GatewayProcess::~GatewayProcess()
+{
+    if (this->pid <= 0)
+        return;
+    kill(this->pid, SIGKILL);
+    waitpid(this->pid, nullptr, 0);
+}
+
+std::string GatewayProcess::settingsPath() const { return this->folder + "/" + this->hostAddresses.host + ".json"; }
+
+void GatewayProcess::writeSettings() const
+{
+    const auto& host = this->hostAddresses;
+    const nlohmann::json settings { { "host", host.host }, { "domain", host.domain },
+        { "callers", textOf(host.callers) }, { "readiness", textOf(host.readiness) },
+        { "metrics", textOf(host.metrics) }, { "platform", textOf(host.store) }, { "digests", textOf(host.digests) },
+        { "plan_lease_ms", 5000 }, { "stop_grace_ms", 8000 }, { "retry_ratio", 0.2 }, { "retry_minimum", 54 },
+        { "retry_window_ms", 10'000 } };
+    std::ofstream { this->settingsPath() } << settings.dump(4) << '\n';
+}
+
+void GatewayProcess::start()
+{
+    const auto settingsFlag = "--settings=" + this->settingsPath();
+    const auto logPath = this->folder + "/" + this->hostAddresses.host + ".log";
+    const auto child = fork();
+    if (child < 0)
+        throw std::system_error { errno, std::generic_category(), "cannot start " + this->program };
+    if (child == 0)
+        execute(this->program.c_str(), "--gateway", settingsFlag.c_str(), logPath.c_str());
+    this->pid = child;
+}
+
+void GatewayProcess::signal(int number) const
+{
+    if (this->pid > 0)
+        kill(this->pid, number);
+}
+
+std::optional<int> GatewayProcess::takeEnd()
+{
+    int status = 0;
+    if (this->pid <= 0 || waitpid(this->pid, &status, WNOHANG) != this->pid)
+        return std::nullopt;
+    this->pid = 0;
+    return status;
+}
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/soak/soak.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "platform/engine_stand_in.hpp"
+#include "platform/store_stand_in.hpp"
+#include "soak/datagram_proxy.hpp"
+#include "soak/fault_plan.hpp"
+#include "soak/gateway_process.hpp"
+#include "soak/soak_caller.hpp"
+#include "soak/soak_record.hpp"
+#include "soak/tcp_proxy.hpp"
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylwing::test {
+
+/** @brief How a soak runs. */
+struct SoakOptions {
+    unsigned seed = 1;
+    /** Second byte of all loopback addresses, so that several soaks run beside each other. */
+    unsigned addressBlock = 10;
+    /** Program of a host. */
+    std::string program;
+    /** Folder for settings and logs. */
+    std::string folder;
+    unsigned hosts = 7;
+    unsigned engines = 6;
+    unsigned services = 3;
+    unsigned callers = 24;
+    /** Time in which faults begin. */
+    Duration faults { 15'000 };
+    Duration meanGap { 500 };
+    /** Time without faults at the end in which all requests have to be served. */
+    Duration calm { 4000 };
+    /** Kinds of faults; all if empty. */
+    std::set<SoakFault> only;
+};
+
+/**
+ * @brief A fleet of real host processes with stand-ins of its surroundings, callers, and faults from outside.
+ *
+ * The stand-ins, callers and proxies run in this process; each host is a process of its own.
+ */
+class Soak {
+    struct Host;
+    struct Endpoint;
+
+    void buildHosts();
+    void buildEndpoints();
+    [[nodiscard]] std::string blockAddress(unsigned group, unsigned number) const;
+    [[nodiscard]] std::string newInstance();
+    void publish(Endpoint& endpoint, bool isDraining, Duration coldFor);
+    void publishPlan();
+    [[nodiscard]] nlohmann::json routeOf(const std::string& name, SoakRequestKind kind) const;
+
+    // What goes on all the while.
+    [[nodiscard]] Task<void> watchProcesses();
+    [[nodiscard]] Task<void> watchReadiness(Host& host);
+    [[nodiscard]] Task<void> watchOwnDelays();
+    void takeEnd(Host& host, int status);
+
+    // Callers' choices.
+    [[nodiscard]] SoakEntry chooseHost();
+    [[nodiscard]] SoakErrand chooseErrand();
+    void startCallers();
+
+    // Faults.
+    [[nodiscard]] Task<void> strikeAll();
+    void reportUnended();
+    [[nodiscard]] Task<void> strike(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeHost(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeStoreLink(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeEndpointLink(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeDigests(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeStore(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeEndpoint(PlannedFault fault);
+    [[nodiscard]] Task<void> operate(PlannedFault fault);
+    [[nodiscard]] Task<void> crash(Endpoint& endpoint, Duration length);
+    [[nodiscard]] Task<void> retire(Endpoint& endpoint);
+    [[nodiscard]] Task<void> revokeKey(Duration length);
+    [[nodiscard]] Task<void> withdrawDomain(std::string domain, Duration length);
+    [[nodiscard]] Task<void> waitForStore();
+    void kill(Host& host);
+    void stop(Host& host);
+    [[nodiscard]] std::size_t beginDisturbance(const std::string& host);
+    void endDisturbance(std::size_t place);
+    [[nodiscard]] Host& hostAt(std::uint32_t number);
+    [[nodiscard]] Endpoint& endpointAt(std::uint32_t number);
+
+public:
+    /** @brief Builds the fleet without starting it. @param runtimeClock Clock. @param soakOptions Options. */
+    Soak(Clock& runtimeClock, SoakOptions soakOptions);
+
+    ~Soak();
+    Soak(const Soak&) = delete;
+    Soak& operator=(const Soak&) = delete;
+
+    /** @brief Runs the whole soak. @return Awaitable. */
+    [[nodiscard]] Task<void> run();
+
+    /** @brief Reads what was seen. @return Record. */
+    [[nodiscard]] const SoakRecord& seen() const noexcept { return this->record; }
+
+    /** @brief Reads the faults that were brought about. @return Count of each kind by its name. */
+    [[nodiscard]] const std::map<std::string, int>& faultCounts() const noexcept { return this->struck; }
+
+    /** @brief Tells how often this process itself was held up. @return Number of delays. */
+    [[nodiscard]] int ownDelays() const noexcept { return this->delays; }
+
+private:
+    Clock& clock;
+    SoakOptions options;
+    std::mt19937 random;
+    SoakRecord record;
+    StoreStandIn store;
+    DatagramProxy digests;
+    std::vector<std::unique_ptr<Host>> hosts;
+    std::vector<std::unique_ptr<Endpoint>> endpoints;
+    std::vector<std::unique_ptr<SoakCaller>> callers;
+    std::map<std::string, int> struck;
+    unsigned instances = 0;
+    std::uint64_t planVersion = 1;
+    /** Versions that added a route which is still there. */
+    std::set<std::uint64_t> extraRoutes;
+    /** Keys that are taken away in the course of the soak, and those of them that hold now. */
+    std::set<std::string> passingKeys;
+    std::set<std::string> heldKeys;
+    std::set<std::string> withdrawn;
+    /** Names of the faults that are under way. */
+    std::multiset<std::string> activeFaults;
+    int storeFaults = 0;
+    int delays = 0;
+    bool areCallersWanted = true;
+    bool isOver = false;
+};
+
+} // namespace berylwing::test
--- /dev/null
+++ b/test/soak/soak_main.cpp
@@ -0,0 +1,112 @@
+#include "soak/promises.hpp"
+#include "soak/soak.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <exception>
+#include <filesystem>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+DEFINE_uint32(seed, 1, "Seed of the faults and of the callers' choices.");
+DEFINE_uint32(block, 10, "Second byte of the loopback addresses; soaks at the same time need different ones.");
+DEFINE_string(program, "build/release/src/berylwing/berylwingd", "Program of a host.");
+DEFINE_string(folder, "", "Folder for settings, logs and findings.");
+DEFINE_uint32(hosts, 7, "Number of hosts.");
+DEFINE_uint32(engines, 6, "Number of model engines.");
+DEFINE_uint32(services, 3, "Number of application servers.");
+DEFINE_uint32(callers, 24, "Number of callers.");
+DEFINE_uint32(faults_ms, 15'000, "Time in which faults begin, in milliseconds.");
+DEFINE_uint32(gap_ms, 500, "Mean time between the beginnings of two faults, in milliseconds.");
+DEFINE_string(only, "", "Kinds of faults, separated by commas; all of them if empty.");
+DEFINE_bool(timing, true, "Check the promises that have a bound in time, too.");
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+std::set<SoakFault> parseKinds(const std::string& text)
+{
+    std::set<SoakFault> kinds;
+    std::istringstream list { text };
+    std::string name;
+    while (std::getline(list, name, ',')) {
+        const auto kind = kSoakFaultNames.find(name);
+        if (!kind)
+            throw std::invalid_argument { "no fault is called " + name };
+        kinds.insert(*kind);
+    }
+    return kinds;
+}
+
+SoakOptions readOptions()
+{
+    SoakOptions options;
+    options.seed = FLAGS_seed;
+    options.addressBlock = FLAGS_block;
+    options.program = FLAGS_program;
+    options.folder = FLAGS_folder;
+    options.hosts = FLAGS_hosts;
+    options.engines = FLAGS_engines;
+    options.services = FLAGS_services;
+    options.callers = FLAGS_callers;
+    options.faults = Duration { FLAGS_faults_ms };
+    options.meanGap = Duration { FLAGS_gap_ms };
+    options.only = parseKinds(FLAGS_only);
+    return options;
+}
+
+void printSummary(const Soak& soak, const std::vector<BrokenPromise>& broken)
+{
+    const auto& seen = soak.seen();
+    std::size_t served = 0;
+    for (const auto& attempt : seen.attempts)
+        served += attempt.isWhole && attempt.status == 200 ? 1 : 0;
+    const nlohmann::json summary { { "seed", FLAGS_seed }, { "requests", seen.attempts.size() }, { "served", served },
+        { "arrivals", seen.runs.size() }, { "planned_stops", seen.stops.size() }, { "own_delays", soak.ownDelays() },
+        { "faults", soak.faultCounts() }, { "broken_promises", broken.size() } };
+    std::cout << summary.dump() << '\n';
+    for (const auto& each : broken) {
+        const nlohmann::json line { { "seed", FLAGS_seed }, { "promise", each.promise }, { "what", each.what } };
+        std::cout << line.dump() << '\n';
+    }
+}
+
+int runSoak()
+{
+    const auto options = readOptions();
+    if (options.folder.empty())
+        throw std::invalid_argument { "--folder is missing" };
+    std::filesystem::create_directories(options.folder);
+    boost::asio::io_context context { 1 };
+    Clock clock { context.get_executor() };
+    Soak soak { clock, options };
+    spawn(context.get_executor(), "soak", [](Soak& running, boost::asio::io_context& runningContext) -> Task<void> {
+        co_await running.run();
+        runningContext.stop();
+    }(soak, context));
+    context.run();
+    auto broken = checkSafety(soak.seen(), {});
+    if (FLAGS_timing) {
+        const auto late = checkTiming(soak.seen(), {});
+        broken.insert(broken.end(), late.begin(), late.end());
+    }
+    printSummary(soak, broken);
+    return broken.empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("runs hosts as real processes, disturbs them from outside and checks what they promise");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        return runSoak();
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << '\n';
+        return EXIT_FAILURE;
+    }
+}
--- /dev/null
+++ b/test/soak/soak_record.hpp
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "berylwing/core/clock.hpp"
+#include "berylwing/core/enum_names.hpp"
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylwing::test {
+
+/** @brief Kinds of requests that the soak sends. */
+enum class SoakRequestKind {
+    /** Streamed answer that may be resumed. */
+    ResumableStream,
+    /** Streamed answer that may not be repeated. */
+    Stream,
+    /** Short call that may be repeated. */
+    Lookup,
+    /** Short call that may run once at most. */
+    Order,
+};
+
+/** @brief Names of the kinds, which are the path prefixes of their routes, too. */
+inline constexpr EnumNames<SoakRequestKind, 4> kSoakRequestKindNames { { "chat", "draft", "lookup", "order" } };
+
+/** @brief Figures that the pages promise, as the platform hands them to each host. */
+struct SoakBounds {
+    Duration contact { 3000 };
+    Duration planInForce { 2000 };
+    Duration keyRevoked { 5000 };
+    Duration endpointLeft { 2000 };
+    Duration domainLeft { 5000 };
+    Duration stopGrace { 8000 };
+    Duration recovery { 12'000 };
+    /** Time after a request's longest wait, or after its caller has left, in which its work has to end. */
+    Duration overtime { 500 };
+    /** Requests a second that a cold endpoint bears, and what is tolerated beyond. */
+    double coldPerSecond = 6;
+    double coldOverage = 1.5;
+    double coldTolerance = 5;
+    unsigned mostAttempts = 2;
+};
+
+/** @brief Span of time. */
+struct Span {
+    TimePoint from {};
+    TimePoint to = TimePoint::max();
+
+    /** @brief Tells whether two spans share a moment. */
+    [[nodiscard]] bool overlaps(const Span& other) const { return this->from <= other.to && other.from <= this->to; }
+};
+
+/** @brief One request of a caller and what came back. */
+struct SoakAttempt {
+    std::string id;
+    SoakRequestKind kind {};
+    std::string host;
+    std::string key;
+    /** Version of the plan that brought the route; 0 for routes that are always there. */
+    std::uint64_t routeSince = 0;
+    TimePoint sentAt {};
+    /** Time for which the caller waits. */
+    Duration patience {};
+    std::optional<TimePoint> endedAt;
+    /** Moment at which the caller closed its connection without waiting for the answer. */
+    std::optional<TimePoint> leftAt;
+    unsigned status = 0;
+    /** Whether the answer came to its end. */
+    bool isWhole = false;
+    bool isSigned = false;
+    /** Whether the bytes that came are those that the endpoint made, from the first one on. */
+    bool isIntact = true;
+    /** Whether the answer bears the id of the request. */
+    bool hasOwnId = true;
+};
+
+/** @brief Arrival of a request at an endpoint. */
+struct SoakRun {
+    std::string attemptId;
+    std::string endpoint;
+    TimePoint arrivedAt {};
+    /** Whether the endpoint began to work on it. */
+    bool hasRun = false;
+    std::optional<TimePoint> endedAt;
+    /** Whether the endpoint itself crashed or was out of reach meanwhile. */
+    bool isDisturbed = false;
+    /** Workspace that the host named. */
+    std::string workspace;
+    /** What the request had that it must not have, or lacked; empty if it was sound. */
+    std::string fault;
+};
+
+/** @brief Fault or planned work at one host, or at the store and thus at all of them. */
+struct SoakDisturbance {
+    /** Host; empty for the store. */
+    std::string host;
+    Span span;
+};
+
+/** @brief Change that the store acknowledged: a plan, a key, an endpoint or a domain that leaves. */
+struct SoakChange {
+    std::string name;
+    TimePoint acknowledgedAt {};
+    /** Moment at which the change was taken back. */
+    TimePoint undoneAt = TimePoint::max();
+};
+
+/** @brief A planned stop of a host. */
+struct SoakStop {
+    std::string host;
+    TimePoint signalledAt {};
+    std::optional<TimePoint> exitedAt;
+    int exitCode = 0;
+    /** Whether the process was killed before it could end. */
+    bool isOverruled = false;
+};
+
+/** @brief All that a soak saw from outside of the hosts. */
+struct SoakRecord {
+    std::deque<SoakAttempt> attempts;
+    std::deque<SoakRun> runs;
+    std::vector<SoakDisturbance> disturbances;
+    std::vector<SoakChange> revokedKeys;
+    /** New versions of the plan by the route that each one added. */
+    std::map<std::uint64_t, SoakChange> plans;
+    std::vector<SoakChange> leavingEndpoints;
+    /** Endpoints with the failure domain in which they are. */
+    std::map<std::string, std::string> domainOfEndpoint;
+    std::vector<SoakChange> withdrawnDomains;
+    /** Spans in which endpoints are cold. */
+    std::map<std::string, Span> coldEndpoints;
+    std::vector<SoakStop> stops;
+    /** Ends of processes that nobody asked for. */
+    std::vector<std::string> unexpectedEnds;
+    /** Time after which no fault is active any more and all have had time to recover. */
+    TimePoint calmFrom = TimePoint::max();
+    /** Workspaces by key. */
+    std::map<std::string, std::string> workspaceOfKey;
+};
+
+} // namespace berylwing::test
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -43,7 +43,8 @@
 Task<PlatformReply> FakePlatform::carry(std::string host, Clock& clock, PlatformCall call)
 {
     const auto begun = clock.now();
-    co_await clock.sleepFor(this->trouble == PlatformTrouble::Slow ? kSlowLatency : kLatency);
+    const bool isSlow = this->trouble == PlatformTrouble::Slow || this->slowed.contains(host);
+    co_await clock.sleepFor(isSlow ? kSlowLatency : kLatency);
     if (this->isUnreachable(host))
         refuse();
     if (call.operation == PlatformOperation::Watch) {
--- a/test/support/fake_platform.hpp
+++ b/test/support/fake_platform.hpp
@@ -36,6 +36,8 @@
     PlatformTrouble trouble = PlatformTrouble::None;
     /** Hosts that cannot reach the platform. */
     std::set<std::string> cutOff;
+    /** Hosts whose calls take as long as those of a slow platform. */
+    std::set<std::string> slowed;
     /** Hosts whose calls are not answered at all, until they give up. */
     std::set<std::string> silenced;
     /** Hosts whose reads come from a copy that lags behind, made by freezeReads(). */
