Have prompts copied from endpoints that hold them in place of reading them again

An endpoint can copy them from another one, leaving ones included, in less time and without delaying its other requests.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -171,6 +171,13 @@
     return CrashNotes::fingerprintOf(workspace, journey.request.target, journey.request.body);
 }
 
+PlacementRequest Forwarder::placementOf(const Journey& journey)
+{
+    const bool isSticky = journey.shared != nullptr;
+    const auto key = isSticky ? journey.promptKey : journey.requestHash;
+    return { journey.service, key, journey.sharedTokens, isSticky, journey.tried };
+}
+
 Outcome Forwarder::giveUp(const Journey& journey, Refusal reason) const
 {
     if (journey.runs > 0)
@@ -189,10 +196,7 @@
     // Without a note there is no need to hash bodies.
     if (!this->parts.crashes.isEmpty() && this->parts.crashes.isQuarantined(fingerprintOf(journey)))
         return this->giveUp(journey, Refusal::Quarantined);
-    const bool isSticky = journey.shared != nullptr;
-    const auto key = isSticky ? journey.promptKey : journey.requestHash;
-    const PlacementRequest wanted { journey.service, key, journey.sharedTokens, isSticky, journey.tried };
-    endpoint = this->parts.placement.choose(wanted, journey.traits);
+    endpoint = this->parts.placement.choose(placementOf(journey), journey.traits);
     if (!endpoint)
         return this->giveUp(journey, journey.lastFailure);
     if (journey.sends > 0 && !this->parts.retries.take(journey.service))
@@ -239,7 +243,8 @@
     }
 }
 
-EndpointRequest Forwarder::toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const
+EndpointRequest Forwarder::toEndpointRequest(
+    const Journey& journey, const GatewayEndpoint& endpoint, const GatewayEndpointPtr& source) const
 {
     EndpointRequestFacts facts;
     facts.endpointId = endpoint.record.id;
@@ -250,6 +255,8 @@
     facts.priority = ownPriority.value_or(journey.route->priority);
     if (journey.isHeadWritten)
         facts.resumeAfter = journey.events.lastEventId();
+    if (source)
+        facts.copyFrom = source->record.address;
     auto fields = journey.request.fields;
     this->parts.protocol.prepareForEndpoint(fields, facts);
     return { journey.request.method, journey.request.target, std::move(fields), journey.request.body,
@@ -320,22 +327,31 @@
     }
 }
 
+std::uint32_t Forwarder::recordPrompt(
+    const Journey& journey, const GatewayEndpoint& endpoint, const GatewayEndpointPtr& source, LogLine& line)
+{
+    const auto& parts = journey.request.facts.promptParts;
+    const auto ownTokens = parts.empty() ? 0 : parts.back().tokens;
+    if (journey.shared == nullptr)
+        return ownTokens;
+    line.add("prompt", journey.shared->id).add("prompt_tokens", std::int64_t { journey.shared->tokens });
+    if (source)
+        line.add("copied_from", source->record.id);
+    const bool isCached = source || this->parts.holders.holds(journey.promptKey, endpoint.hash);
+    this->parts.holders.recordUse({ journey.promptKey, endpoint.hash });
+    return isCached ? ownTokens : ownTokens + journey.sharedTokens;
+}
+
 Task<Forwarder::AttemptEnd> Forwarder::exchange(Journey& journey, GatewayEndpoint& endpoint, EndpointSession& session)
 {
-    const auto outgoing = this->toEndpointRequest(journey, endpoint);
+    const auto source = this->parts.placement.sourceFor(placementOf(journey), endpoint);
+    const auto outgoing = this->toEndpointRequest(journey, endpoint, source);
     LogLine line { LogEvent::RequestSent };
     line.add("route", journey.route->name).add("plan", static_cast<std::int64_t>(journey.plan->version()));
     line.add("plan_age_ms", this->parts.lease.age()).add("endpoint", endpoint.record.id);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { journey.sends });
     line.add("waited_ms", this->parts.clock.now() - journey.request.arrivedAt);
-    const auto& parts = journey.request.facts.promptParts;
-    auto unread = parts.empty() ? 0 : parts.back().tokens;
-    if (journey.shared != nullptr) {
-        if (!this->parts.holders.holds(journey.promptKey, endpoint.hash))
-            unread += journey.sharedTokens;
-        this->parts.holders.recordUse({ journey.promptKey, endpoint.hash });
-        line.add("prompt", journey.shared->id).add("prompt_tokens", std::int64_t { journey.shared->tokens });
-    }
+    const auto unread = this->recordPrompt(journey, endpoint, source, line);
     this->parts.log.write(journey.request.facts.attemptId, std::move(line));
     PromptReading reading { &endpoint, unread };
     RepeatableCall call;
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -65,7 +65,12 @@
     [[nodiscard]] Task<AttemptEnd> exchange(Journey& journey, GatewayEndpoint& endpoint, EndpointSession& session);
     [[nodiscard]] Task<AttemptEnd> deliver(
         Journey& journey, const AnswerHead& head, EndpointSession& session, RepeatableCall& call);
-    [[nodiscard]] EndpointRequest toEndpointRequest(const Journey& journey, const GatewayEndpoint& endpoint) const;
+    [[nodiscard]] static PlacementRequest placementOf(const Journey& journey);
+    /** Takes note of the prompt's way to an endpoint. @return Tokens that the endpoint has to read. */
+    [[nodiscard]] std::uint32_t recordPrompt(
+        const Journey& journey, const GatewayEndpoint& endpoint, const GatewayEndpointPtr& source, LogLine& line);
+    [[nodiscard]] EndpointRequest toEndpointRequest(
+        const Journey& journey, const GatewayEndpoint& endpoint, const GatewayEndpointPtr& source) const;
     [[nodiscard]] bool isTrusted(const Journey& journey) const;
     [[nodiscard]] static std::uint64_t fingerprintOf(const Journey& journey);
     [[nodiscard]] Task<void> writeHead(Journey& journey, const AnswerHead& head);
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -19,6 +19,9 @@
 /** Tokens that reading a prompt anew counts beyond its own, since it also delays all others at the endpoint. */
 constexpr std::uint64_t kReadingPenalty = 40'000;
 
+/** Shared tokens from which on a prompt is copied; setting up a transfer takes as long as reading some hundred. */
+constexpr std::uint32_t kFewestCopiedTokens = 500;
+
 struct Candidate {
     GatewayEndpointPtr endpoint;
     double score = 0;
@@ -105,6 +108,25 @@
     return found->endpoint;
 }
 
+GatewayEndpointPtr Placement::sourceFor(const PlacementRequest& request, const GatewayEndpoint& reader) const
+{
+    if (!request.isSticky || request.sharedTokens < kFewestCopiedTokens
+        || this->holders.holds(request.key, reader.hash))
+        return nullptr;
+    const auto now = this->clock.now();
+    GatewayEndpointPtr best;
+    for (const auto& [id, endpoint] : this->directory.all()) {
+        if (endpoint->record.service != request.service || endpoint->isMissing || endpoint->health.isEjected(now)
+            || !this->holders.holds(request.key, endpoint->hash))
+            continue;
+        // A copy inside a failure domain takes half the time of one between two.
+        const bool isNear = endpoint->record.domain == reader.record.domain;
+        if (!best || (isNear && best->record.domain != reader.record.domain))
+            best = endpoint;
+    }
+    return best;
+}
+
 GatewayEndpointPtr Placement::chooseIdlest(const std::vector<GatewayEndpointPtr>& candidates) const
 {
     return *std::min_element(
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -57,6 +57,18 @@
      */
     [[nodiscard]] GatewayEndpointPtr choose(const PlacementRequest& request, const ServiceTraits& service) const;
 
+    /**
+     * @brief Finds an endpoint from which another one may copy the shared parts of a prompt.
+     *
+     * Copying takes less time than reading them anew and does not delay the other requests of the reader. Endpoints
+     * that are to get no new requests still serve as a source.
+     * @param request What the choice of the reader depended on.
+     * @param reader Endpoint that was chosen.
+     * @return Source; a null pointer if the reader holds the prompt, nobody else does or copying is not worth its
+     * while.
+     */
+    [[nodiscard]] GatewayEndpointPtr sourceFor(const PlacementRequest& request, const GatewayEndpoint& reader) const;
+
 private:
     const Clock& clock;
     const EndpointDirectory& directory;
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "berylwing/config/settings.hpp"
 #include "berylwing/core/clock.hpp"
 #include <boost/beast/http/fields.hpp>
 #include <cstdint>
@@ -60,6 +61,8 @@
     unsigned priority = 0;
     /** Event after which a stream goes on; empty to leave the caller's own header. */
     std::string resumeAfter;
+    /** Endpoint from which the prompt's shared parts are copied; nothing to let them be read anew. */
+    std::optional<SocketAddress> copyFrom;
 };
 
 /** @brief What the head of an endpoint's answer says. */
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -278,6 +278,31 @@
         [](const ReceivedRequest& request) { return request.endpoint.starts_with("knox-b"); }));
 }
 
+TEST_CASE("Gateway has a prompt copied from the endpoint that leaves with it", "[gateway][drain]")
+{
+    constexpr std::uint32_t kSharedTokens = 6000;
+    const std::vector<PromptPart> parts { { "cafe", kSharedTokens }, { "1", 110 } };
+    ServingBench bench;
+    bench.start("a1", "/chat/1", "shop-key", parts);
+    bench.advance(Duration { 200 });
+    const auto holder = bench.received.back().endpoint;
+    CHECK(bench.received.back().copyFrom.empty());
+    bench.start("a2", "/chat/1", "shop-key", parts);
+    bench.advance(Duration { 200 });
+    CHECK(bench.received.back().endpoint == holder);
+    CHECK(bench.received.back().copyFrom.empty());
+    bench.putEndpoint(holder, holder.substr(0, holder.size() - 2), true);
+    bench.advance(Duration { 2000 });
+    bench.start("a3", "/chat/1", "shop-key", parts);
+    bench.advance(Duration { 200 });
+    CHECK(bench.received.back().endpoint != holder);
+    CHECK(bench.received.back().copyFrom == holder);
+    // The new endpoint holds the prompt from now on.
+    bench.start("a4", "/chat/1", "shop-key", parts);
+    bench.advance(Duration { 200 });
+    CHECK(bench.received.back().copyFrom.empty());
+}
+
 TEST_CASE("Gateway leaves out an endpoint whose entry cannot be read and keeps the others", "[gateway][store]")
 {
     ServingBench bench;
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -210,3 +210,65 @@
     holder->unreadTokens = 20 * kTokens;
     CHECK(load.placement.choose(request, load.service) != holder);
 }
+
+TEST_CASE("Placement lets prompts be copied while a third of the endpoints is replaced", "[gateway][placement]")
+{
+    // A release: endpoints leave one after the other, each a second after its successor has come, and go on for a
+    // while.
+    constexpr std::uint32_t kTokens = 6100;
+    constexpr int kPrompts = 200;
+    constexpr int kReplaced = 6;
+    PromptLoad load;
+    std::uint64_t moved = 0;
+    std::uint64_t readAgain = 0;
+    const auto askAll = [&](bool isFirst) {
+        for (int prompt = 0; prompt < kPrompts; ++prompt) {
+            const auto key = hashText(std::to_string(prompt));
+            const PlacementRequest request { "engines", key, kTokens, true, load.none };
+            const auto endpoint = load.placement.choose(request, load.service);
+            REQUIRE(endpoint);
+            const bool isHolder = load.holders.holds(key, endpoint->hash);
+            const auto source = load.placement.sourceFor(request, *endpoint);
+            CHECK((!isHolder || !source));
+            if (!isFirst && !isHolder) {
+                moved += kTokens;
+                readAgain += source ? 0 : kTokens;
+            }
+            load.holders.recordUse({ key, endpoint->hash });
+        }
+    };
+    askAll(true);
+    for (int number = 0; number < kReplaced; ++number) {
+        auto leaving = load.directory.all().at("engine-" + std::to_string(number))->record;
+        auto successor = leaving;
+        successor.id = "successor-" + std::to_string(number);
+        load.directory.put(successor);
+        leaving.isDraining = true;
+        load.directory.put(leaving);
+        load.time += Duration { 1000 };
+        askAll(false);
+        load.directory.remove(leaving.id);
+    }
+    CHECK(moved > kTokens * kPrompts / 6);
+    // Without copies all of it would be read again, in front of the callers that wait behind it.
+    CHECK(readAgain == 0);
+}
+
+TEST_CASE("Placement names no source that cannot be reached or is not worth its while", "[gateway][placement]")
+{
+    PromptLoad load;
+    const auto key = hashText("prompt");
+    const PlacementRequest request { "engines", key, 6100, true, load.none };
+    const auto& reader = *load.directory.all().at("engine-0");
+    const auto& near = *load.directory.all().at("engine-4");
+    CHECK_FALSE(load.placement.sourceFor(request, reader));
+    for (const auto* id : { "engine-1", "engine-4", "engine-17" })
+        load.holders.recordUse({ key, load.directory.all().at(id)->hash });
+    CHECK(load.placement.sourceFor(request, reader)->record.id == near.record.id);
+    load.directory.all().at("engine-4")->health.record(EndpointVerdict::Unreachable, load.time);
+    CHECK(load.placement.sourceFor(request, reader)->record.id != near.record.id);
+    const PlacementRequest brief { "engines", key, 100, true, load.none };
+    CHECK_FALSE(load.placement.sourceFor(brief, reader));
+    load.holders.recordUse({ key, reader.hash });
+    CHECK_FALSE(load.placement.sourceFor(request, reader));
+}
--- a/test/platform/engine_stand_in.cpp
+++ b/test/platform/engine_stand_in.cpp
@@ -119,9 +119,8 @@
 Task<void> EngineStandIn::listen(std::string address, std::uint16_t port)
 {
     return listenHttp(this->clock.executor(), std::move(address), port,
-        [this](boost::beast::tcp_stream& stream, const StandInRequest& request) {
-            return this->handle(stream, request);
-        });
+        [this](
+            boost::beast::tcp_stream& stream, const StandInRequest& request) { return this->handle(stream, request); });
 }
 
 void EngineStandIn::restart(const std::string& instance)
@@ -219,8 +218,7 @@
         text << response.base() << response.body();
         const auto bytes = text.str();
         boost::system::error_code ignored;
-        co_await asio::async_write(
-            stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
+        co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
         stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
         co_return false;
     }
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -51,7 +51,7 @@
         fields.set(name, "forged");
     fields.set("Model", "m");
     fields.set("Attempt-Id", "a1");
-    platform::prepareForEndpoint(fields, { "i-1", "hule930", Duration { 1500 }, 12, "" });
+    platform::prepareForEndpoint(fields, { "i-1", "hule930", Duration { 1500 }, 12, "", std::nullopt });
     CHECK(textOf(fields, "Expect-Instance") == "i-1");
     CHECK(textOf(fields, "Tenant") == "hule930");
     CHECK(textOf(fields, "Deadline-Ms") == "1500");
@@ -66,9 +66,11 @@
 {
     HeaderFields fields;
     fields.set("Tenant", "forged");
-    platform::prepareForEndpoint(fields, { "i-1", "", Duration { 1500 }, 0, "17" });
+    const SocketAddress source { "10.4.64.18", 8140 };
+    platform::prepareForEndpoint(fields, { "i-1", "", Duration { 1500 }, 0, "17", source });
     CHECK(fields.count("Tenant") == 0);
     CHECK(textOf(fields, "Last-Event-Id") == "17");
+    CHECK(textOf(fields, "Kv-Fetch") == "10.4.64.18:8140");
 }
 
 TEST_CASE("readAnswer tells what an endpoint says of itself", "[platform]")
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -38,8 +38,8 @@
     [[nodiscard]] Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request, std::string host);
     [[nodiscard]] Task<StandInResponse> watch(std::string kind, std::uint64_t after, Duration wait, std::string host);
     [[nodiscard]] StandInResponse list(const std::string& kind, const std::string& afterName) const;
-    [[nodiscard]] StandInResponse change(const StandInRequest& request, const std::string& kind,
-        const std::string& name, const std::string& revision);
+    [[nodiscard]] StandInResponse change(
+        const StandInRequest& request, const std::string& kind, const std::string& name, const std::string& revision);
     void put(const Key& key, const nlohmann::json& spec);
     void erase(const Key& key);
     void record(const Key& key, const nlohmann::json& object, bool isDeleted);
--- a/test/soak/datagram_proxy.hpp
+++ b/test/soak/datagram_proxy.hpp
@@ -14,8 +14,8 @@
 /**
  * @brief Stands between the hosts' datagrams.
  *
- * Each host is known to the others by an address of the proxy. What arrives there is sent on from the proxy's address of
- * the sender, so that hosts take it for the sender's own.
+ * Each host is known to the others by an address of the proxy. What arrives there is sent on from the proxy's address
+ * of the sender, so that hosts take it for the sender's own.
  */
 class DatagramProxy {
     struct Port;
--- /dev/null
+++ b/test/soak/fault_plan_test.cpp
@@ -0,0 +1,44 @@
+#include "soak/fault_plan.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+TEST_CASE("A fault plan follows from its seed alone and stays within its span", "[soak]")
+{
+    constexpr Duration kSpan { 15'000 };
+    const auto first = planFaults(7, kSpan, Duration { 500 });
+    const auto second = planFaults(7, kSpan, Duration { 500 });
+    REQUIRE(first.size() == second.size());
+    CHECK(first.size() > 15);
+    for (std::size_t place = 0; place < first.size(); ++place) {
+        CHECK(first[place].kind == second[place].kind);
+        CHECK(first[place].at == second[place].at);
+        CHECK(first[place].at < kSpan);
+    }
+    CHECK(std::is_sorted(first.begin(), first.end(),
+        [](const PlannedFault& left, const PlannedFault& right) { return left.at < right.at; }));
+}
+
+TEST_CASE("Fault plans bring about every kind, overlapping and in series", "[soak]")
+{
+    std::set<SoakFault> kinds;
+    bool overlaps = false;
+    bool repeats = false;
+    for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+        const auto plan = planFaults(seed, Duration { 15'000 }, Duration { 500 });
+        for (std::size_t place = 0; place < plan.size(); ++place) {
+            kinds.insert(plan[place].kind);
+            for (std::size_t next = place + 1; next < plan.size(); ++next) {
+                overlaps = overlaps || plan[next].at < plan[place].at + plan[place].length;
+                repeats = repeats || (plan[next].kind == plan[place].kind && plan[next].target == plan[place].target);
+            }
+        }
+    }
+    CHECK(kinds.size() == kSoakFaults);
+    CHECK(overlaps);
+    CHECK(repeats);
+}
--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -25,11 +25,6 @@
     return status == kRequestTimeout || status == kMisdirected || status == kTooMany || status == kUnavailable;
 }
 
-bool saysUnknown(unsigned status)
-{
-    return status == kUnauthorized || status == kForbidden || status == kNotFound;
-}
-
 bool mayRunAgain(SoakRequestKind kind)
 {
     return kind == SoakRequestKind::ResumableStream || kind == SoakRequestKind::Lookup;
@@ -149,27 +144,35 @@
 void checkKeys(Evidence& evidence)
 {
     for (const auto& attempt : evidence.record.attempts) {
-        for (const auto& key : evidence.record.revokedKeys) {
-            const auto bound = key.acknowledgedAt + evidence.bounds.keyRevoked;
-            if (key.name == attempt.key && attempt.sentAt > bound && attempt.sentAt < key.undoneAt
-                && evidence.countRuns(attempt) > 0)
-                evidence.report("revoked keys", attempt.id + " ran at " + attempt.host + " with key " + key.name);
-        }
+        const auto key = evidence.record.keys.find(attempt.key);
+        if (key == evidence.record.keys.end() || key->second.undoneAt == TimePoint::max())
+            continue;
+        if (attempt.sentAt > key->second.undoneAt + evidence.bounds.keyRevoked && evidence.countRuns(attempt) > 0)
+            evidence.report("revoked keys", attempt.id + " ran at " + attempt.host + " with key " + attempt.key);
     }
 }
 
+/** Tells whether a change was surely in force at a host for the whole time of a request. */
+bool isInForce(const Evidence& evidence, const SoakAttempt& attempt, const SoakChange& change)
+{
+    const auto endedAt = attempt.endedAt.value_or(TimePoint::max());
+    return attempt.sentAt > change.acknowledgedAt + evidence.bounds.planInForce && endedAt < change.undoneAt
+        && evidence.isInTouch(attempt.host, change.acknowledgedAt, endedAt);
+}
+
 void checkPlans(Evidence& evidence)
 {
-    for (const auto& attempt : evidence.record.attempts) {
-        const auto plan = evidence.record.plans.find(attempt.routeSince);
-        if (plan == evidence.record.plans.end() || !saysUnknown(attempt.status) || !attempt.endedAt)
-            continue;
-        const auto acknowledged = plan->second.acknowledgedAt;
-        if (attempt.sentAt > acknowledged + evidence.bounds.planInForce
-            && evidence.isInTouch(attempt.host, acknowledged, *attempt.endedAt))
+    const auto& record = evidence.record;
+    for (const auto& attempt : record.attempts) {
+        const auto key = record.keys.find(attempt.key);
+        const bool isKeyDenied = attempt.status == kUnauthorized || attempt.status == kForbidden;
+        if (isKeyDenied && key != record.keys.end() && isInForce(evidence, attempt, key->second))
+            evidence.report(
+                "plan in force", attempt.id + " at " + attempt.host + " was denied with key " + attempt.key);
+        const auto route = record.routes.find(attempt.routeSince);
+        if (attempt.status == kNotFound && route != record.routes.end() && isInForce(evidence, attempt, route->second))
             evidence.report("plan in force",
-                attempt.id + " at " + attempt.host + " was answered " + std::to_string(attempt.status) + " on a route of "
-                    + "plan " + std::to_string(attempt.routeSince));
+                attempt.id + " at " + attempt.host + " found no route of plan " + std::to_string(attempt.routeSince));
     }
 }
 
@@ -320,9 +323,11 @@
     Evidence evidence { record, bounds };
     checkKeys(evidence);
     checkPlans(evidence);
-    checkLeaving(evidence, record.leavingEndpoints, bounds.endpointLeft,
-        [](const SoakRun& run) { return run.endpoint; }, "endpoints that leave");
-    checkLeaving(evidence, record.withdrawnDomains, bounds.domainLeft,
+    checkLeaving(
+        evidence, record.leavingEndpoints, bounds.endpointLeft, [](const SoakRun& run) { return run.endpoint; },
+        "endpoints that leave");
+    checkLeaving(
+        evidence, record.withdrawnDomains, bounds.domainLeft,
         [&record](const SoakRun& run) {
             const auto found = record.domainOfEndpoint.find(run.endpoint);
             return found == record.domainOfEndpoint.end() ? std::string {} : found->second;
--- /dev/null
+++ b/test/soak/promises_test.cpp
@@ -0,0 +1,230 @@
+#include "soak/promises.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+const TimePoint kStart { Duration { 100'000 } };
+constexpr Duration kSecond { 1000 };
+
+/** A request that was answered as it should be, which each test spoils in one way. */
+class SoundRecord : public SoakRecord {
+public:
+    SoundRecord()
+    {
+        this->workspaceOfKey = { { "shop-key", "shop" } };
+        auto& request = this->attempts.emplace_back();
+        request.id = "c1-1";
+        request.kind = SoakRequestKind::Order;
+        request.host = "knox-a-1";
+        request.key = "shop-key";
+        request.sentAt = kStart;
+        request.patience = 4 * kSecond;
+        request.endedAt = kStart + Duration { 40 };
+        request.status = 200;
+        request.isWhole = true;
+        request.isSigned = true;
+        this->addRun(Duration { 5 });
+    }
+
+    SoakRun& addRun(Duration after)
+    {
+        auto& run = this->runs.emplace_back();
+        run.attemptId = "c1-1";
+        run.endpoint = "i-1";
+        run.arrivedAt = kStart + after;
+        run.hasRun = true;
+        run.workspace = "shop";
+        return run;
+    }
+
+    SoakAttempt& request() { return this->attempts.front(); }
+};
+
+bool breaks(const std::vector<BrokenPromise>& broken, const std::string& promise)
+{
+    return std::any_of(
+        broken.begin(), broken.end(), [&promise](const BrokenPromise& each) { return each.promise == promise; });
+}
+
+bool breaksSafety(const SoakRecord& record, const std::string& promise)
+{
+    return breaks(checkSafety(record, {}), promise);
+}
+
+bool breaksTiming(const SoakRecord& record, const std::string& promise)
+{
+    return breaks(checkTiming(record, {}), promise);
+}
+
+} // namespace
+
+TEST_CASE("A sound record breaks no promise", "[soak]")
+{
+    const SoundRecord record;
+    CHECK(checkSafety(record, {}).empty());
+    CHECK(checkTiming(record, {}).empty());
+}
+
+TEST_CASE("The soak's checks notice answers that are not the endpoint's", "[soak]")
+{
+    SoundRecord changed;
+    changed.request().isIntact = false;
+    CHECK(breaksSafety(changed, "whole answer"));
+    SoundRecord unsignedAnswer;
+    unsignedAnswer.request().isSigned = false;
+    CHECK(breaksSafety(unsignedAnswer, "whole answer"));
+    SoundRecord crossed;
+    crossed.request().hasOwnId = false;
+    CHECK(breaksSafety(crossed, "own answer"));
+    // A stream that visibly broke off is no success, but what came of it has to be the endpoint's.
+    SoundRecord broken;
+    broken.request().isWhole = false;
+    CHECK_FALSE(breaksSafety(broken, "whole answer"));
+}
+
+TEST_CASE("The soak's checks notice requests that ran too often", "[soak]")
+{
+    SoundRecord order;
+    order.addRun(Duration { 20 });
+    CHECK(breaksSafety(order, "at most once"));
+    SoundRecord lookup;
+    lookup.request().kind = SoakRequestKind::Lookup;
+    lookup.addRun(Duration { 20 });
+    CHECK(checkSafety(lookup, {}).empty());
+    lookup.addRun(Duration { 30 });
+    CHECK(breaksSafety(lookup, "attempts"));
+    // A run that a crash took away does not count against the attempts.
+    lookup.runs.back().isDisturbed = true;
+    CHECK_FALSE(breaksSafety(lookup, "attempts"));
+}
+
+TEST_CASE("The soak's checks notice refusals that are not true", "[soak]")
+{
+    const auto status = GENERATE(408U, 421U, 429U, 503U);
+    SoundRecord record;
+    record.request().status = status;
+    CHECK(breaksSafety(record, "a refusal is true"));
+    record.runs.front().hasRun = false;
+    CHECK_FALSE(breaksSafety(record, "a refusal is true"));
+}
+
+TEST_CASE("The soak's checks notice requests that were changed or run for others", "[soak]")
+{
+    SoundRecord changed;
+    changed.runs.front().fault = "it has another body";
+    CHECK(breaksSafety(changed, "unchanged request"));
+    SoundRecord unknown;
+    unknown.runs.front().attemptId = "c9-9";
+    CHECK(breaksSafety(unknown, "unchanged request"));
+    SoundRecord other;
+    other.runs.front().workspace = "yard";
+    CHECK(breaksSafety(other, "own workspace"));
+}
+
+TEST_CASE("The soak's checks notice processes that end by themselves or fail to stop", "[soak]")
+{
+    SoundRecord crashed;
+    crashed.unexpectedEnds.emplace_back("knox-a-1");
+    CHECK(breaksSafety(crashed, "processes go on"));
+    SoundRecord failed;
+    failed.stops.push_back({ "knox-a-1", kStart, kStart + kSecond, 1 });
+    CHECK(breaksSafety(failed, "graceful stop"));
+    SoundRecord late;
+    late.stops.push_back({ "knox-a-2", kStart, kStart + 9 * kSecond });
+    CHECK(breaksTiming(late, "graceful stop"));
+}
+
+TEST_CASE("The soak's checks notice requests that a planned stop broke off", "[soak]")
+{
+    SoundRecord record;
+    record.request().isWhole = false;
+    record.request().endedAt = kStart + 2 * kSecond;
+    const auto signalled = kStart + kSecond;
+    record.stops.push_back({ "knox-a-1", signalled, signalled + 3 * kSecond });
+    record.disturbances.push_back({ "knox-a-1", { signalled, signalled + 4 * kSecond } });
+    CHECK(breaksTiming(record, "graceful stop"));
+    // A kill meanwhile excuses the host.
+    record.disturbances.push_back({ "knox-a-1", { signalled + kSecond, signalled + 4 * kSecond } });
+    CHECK_FALSE(breaksTiming(record, "graceful stop"));
+}
+
+TEST_CASE("The soak's checks notice keys that hold too long, at any host", "[soak]")
+{
+    SoundRecord record;
+    record.disturbances.push_back({ "", {} });
+    record.keys["shop-key"] = { "shop-key", kStart - 60 * kSecond, kStart - 6 * kSecond };
+    CHECK(breaksTiming(record, "revoked keys"));
+    record.keys["shop-key"].undoneAt = kStart - 4 * kSecond;
+    CHECK_FALSE(breaksTiming(record, "revoked keys"));
+}
+
+TEST_CASE("The soak's checks notice plans that are not in force at hosts in touch", "[soak]")
+{
+    SoundRecord record;
+    const auto status = GENERATE(401U, 404U);
+    record.request().status = status;
+    record.request().routeSince = 7;
+    record.routes[7] = { "7", kStart - 3 * kSecond };
+    record.keys["shop-key"] = { "shop-key", kStart - 3 * kSecond };
+    CHECK(breaksTiming(record, "plan in force"));
+    // A host that lost the store meanwhile may know less, and so may one that has had too little time.
+    record.disturbances.push_back({ "", { kStart - 4 * kSecond, kStart - 2 * kSecond } });
+    CHECK_FALSE(breaksTiming(record, "plan in force"));
+    record.disturbances.clear();
+    record.routes[7].acknowledgedAt = kStart - kSecond;
+    record.keys["shop-key"].acknowledgedAt = kStart - kSecond;
+    CHECK_FALSE(breaksTiming(record, "plan in force"));
+}
+
+TEST_CASE("The soak's checks notice work for endpoints and domains that are to get nothing more", "[soak]")
+{
+    SoundRecord leaving;
+    leaving.leavingEndpoints.push_back({ "i-1", kStart - 3 * kSecond });
+    CHECK(breaksTiming(leaving, "endpoints that leave"));
+    leaving.leavingEndpoints.front().acknowledgedAt = kStart - kSecond;
+    CHECK_FALSE(breaksTiming(leaving, "endpoints that leave"));
+    SoundRecord withdrawn;
+    withdrawn.domainOfEndpoint["i-1"] = "knox-b";
+    withdrawn.withdrawnDomains.push_back({ "knox-b", kStart - 6 * kSecond });
+    CHECK(breaksTiming(withdrawn, "withdrawn domains"));
+    withdrawn.withdrawnDomains.front().undoneAt = kStart - kSecond;
+    CHECK_FALSE(breaksTiming(withdrawn, "withdrawn domains"));
+}
+
+TEST_CASE("The soak's checks notice too many requests at a cold endpoint", "[soak]")
+{
+    SoundRecord record;
+    record.coldEndpoints["i-1"] = { kStart, kStart + 3 * kSecond };
+    for (int run = 0; run < 14; ++run)
+        record.addRun(Duration { 50 * run });
+    // Six a second, half as much again and five are allowed: fourteen in all.
+    CHECK(breaksTiming(record, "cold endpoints"));
+    record.runs.pop_back();
+    CHECK_FALSE(breaksTiming(record, "cold endpoints"));
+}
+
+TEST_CASE("The soak's checks notice requests without an end and work for callers that left", "[soak]")
+{
+    SoundRecord endless;
+    endless.request().endedAt = kStart + 5 * kSecond;
+    CHECK(breaksTiming(endless, "an end in time"));
+    SoundRecord gone;
+    gone.request().leftAt = kStart;
+    for (int run = 0; run < 4; ++run)
+        gone.addRun(kSecond);
+    CHECK(breaksTiming(gone, "no work for callers that left"));
+}
+
+TEST_CASE("The soak's checks notice requests that fail after all faults", "[soak]")
+{
+    SoundRecord record;
+    record.calmFrom = kStart;
+    CHECK(checkTiming(record, {}).empty());
+    record.request().status = 503;
+    CHECK(breaksTiming(record, "service after faults"));
+}
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -66,8 +66,12 @@
                 spec["address"] = host->shownDigests.address;
         }
     };
-    for (const auto& [key, workspace] : kLastingKeys)
+    for (const auto& [key, workspace] : kLastingKeys) {
         this->record.workspaceOfKey.emplace(key, workspace);
+        this->record.keys[key] = { key, this->clock.now() };
+    }
+    // The first routes are part of the plan with which the hosts start.
+    this->record.routes[0] = { "0", this->clock.now() };
     this->buildHosts();
     this->buildEndpoints();
 }
@@ -111,8 +115,8 @@
     for (unsigned number = 1; number <= count; ++number) {
         const SocketAddress own { this->blockAddress(kEndpointGroup, number), kEndpointPort };
         const SocketAddress shown { this->blockAddress(kEndpointLinkGroup, number), kEndpointPort };
-        auto endpoint = std::make_unique<Endpoint>(
-            this->clock, this->record, static_cast<unsigned>(this->random()), own, shown);
+        auto endpoint
+            = std::make_unique<Endpoint>(this->clock, this->record, static_cast<unsigned>(this->random()), own, shown);
         endpoint->service = number <= this->options.engines ? "engines" : "desk";
         endpoint->domain = kDomains[number % kDomains.size()];
         endpoint->engine.restart(this->newInstance());
@@ -155,8 +159,8 @@
 void Soak::publishPlan()
 {
     json routes = json::array();
-    for (const auto kind : { SoakRequestKind::ResumableStream, SoakRequestKind::Stream, SoakRequestKind::Lookup,
-             SoakRequestKind::Order })
+    for (const auto kind :
+        { SoakRequestKind::ResumableStream, SoakRequestKind::Stream, SoakRequestKind::Lookup, SoakRequestKind::Order })
         routes.push_back(this->routeOf(std::string { kSoakRequestKindNames[kind] }, kind));
     for (const auto version : this->extraRoutes)
         routes.push_back(this->routeOf("extra-" + std::to_string(version), SoakRequestKind::Lookup));
@@ -260,8 +264,8 @@
         if (host->isReady)
             ready.push_back(host.get());
     }
-    const auto& host = ready.empty() ? *this->hosts[this->random() % this->hosts.size()]
-                                     : *ready[this->random() % ready.size()];
+    const auto& host
+        = ready.empty() ? *this->hosts[this->random() % this->hosts.size()] : *ready[this->random() % ready.size()];
     return { host.process.addresses().host, host.entry };
 }
 
--- a/test/soak/soak_caller.cpp
+++ b/test/soak/soak_caller.cpp
@@ -82,8 +82,8 @@
     request.set(std::string { names::kAuthorization }, std::string { names::kBearer } + errand.key);
     // Chats begin with one of a few prompts and end with a part of their own.
     constexpr unsigned kPrompts = 12;
-    request.set(std::string { names::kPromptParts },
-        "a" + std::to_string(this->random() % kPrompts) + ":600,b" + id + ":110");
+    request.set(
+        std::string { names::kPromptParts }, "a" + std::to_string(this->random() % kPrompts) + ":600,b" + id + ":110");
     request.body() = id + " " + std::to_string(errand.events);
     request.prepare_payload();
     attempt.sentAt = this->parts.clock.now();
@@ -119,8 +119,7 @@
     attempt.isSigned = answer.count(std::string { names::kSignature }) > 0;
     attempt.hasOwnId = textOf(answer[std::string { names::kAttemptId }]) == attempt.id;
     if (answer.result() == http::status::ok) {
-        const auto expected
-            = errand.events > 0 ? soakStream(attempt.id, errand.events) : soakRecordText(attempt.id);
+        const auto expected = errand.events > 0 ? soakStream(attempt.id, errand.events) : soakRecordText(attempt.id);
         const auto& body = answer.body();
         attempt.isIntact = attempt.isWhole ? body == expected : expected.starts_with(body);
     }
--- a/test/soak/soak_caller.hpp
+++ b/test/soak/soak_caller.hpp
@@ -44,8 +44,7 @@
 class SoakCaller {
     [[nodiscard]] Task<void> useConnection();
     [[nodiscard]] Task<bool> ask(boost::beast::tcp_stream& stream, const std::string& host);
-    [[nodiscard]] Task<bool> read(
-        boost::beast::tcp_stream& stream, SoakAttempt& attempt, const SoakErrand& errand);
+    [[nodiscard]] Task<bool> read(boost::beast::tcp_stream& stream, SoakAttempt& attempt, const SoakErrand& errand);
 
 public:
     /** @brief Creates a caller. @param callerParts Surroundings. @param callerNumber Number. @param seed Seed. */
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -361,7 +361,7 @@
     co_await this->waitForStore();
     this->extraRoutes.insert(++this->planVersion);
     this->publishPlan();
-    this->record.plans[this->planVersion] = { std::to_string(this->planVersion), this->clock.now() };
+    this->record.routes[this->planVersion] = { std::to_string(this->planVersion), this->clock.now() };
 }
 
 Task<void> Soak::revokeKey(Duration length)
@@ -372,12 +372,13 @@
     this->heldKeys.insert(key);
     this->passingKeys.insert(key);
     this->publishPlan();
+    this->record.keys[key] = { key, this->clock.now() };
     co_await this->clock.sleepFor(length);
     co_await this->waitForStore();
     ++this->planVersion;
     this->heldKeys.erase(key);
     this->publishPlan();
-    this->record.revokedKeys.push_back({ key, this->clock.now() });
+    this->record.keys[key].undoneAt = this->clock.now();
 }
 
 Task<void> Soak::withdrawDomain(std::string domain, Duration length)
--- a/test/soak/soak_record.hpp
+++ b/test/soak/soak_record.hpp
@@ -101,11 +101,11 @@
     Span span;
 };
 
-/** @brief Change that the store acknowledged: a plan, a key, an endpoint or a domain that leaves. */
+/** @brief Change that the store acknowledged: a route, a key, an endpoint or a domain that leaves. */
 struct SoakChange {
     std::string name;
     TimePoint acknowledgedAt {};
-    /** Moment at which the change was taken back. */
+    /** Moment at which the store acknowledged that it was taken back. */
     TimePoint undoneAt = TimePoint::max();
 };
 
@@ -124,9 +124,10 @@
     std::deque<SoakAttempt> attempts;
     std::deque<SoakRun> runs;
     std::vector<SoakDisturbance> disturbances;
-    std::vector<SoakChange> revokedKeys;
-    /** New versions of the plan by the route that each one added. */
-    std::map<std::uint64_t, SoakChange> plans;
+    /** Keys from their addition to their removal. */
+    std::map<std::string, SoakChange> keys;
+    /** Routes that were added, by the version of the plan that did it. */
+    std::map<std::uint64_t, SoakChange> routes;
     std::vector<SoakChange> leavingEndpoints;
     /** Endpoints with the failure domain in which they are. */
     std::map<std::string, std::string> domainOfEndpoint;
--- a/test/soak/tcp_proxy.cpp
+++ b/test/soak/tcp_proxy.cpp
@@ -31,7 +31,8 @@
 
 } // namespace
 
-struct TcpProxy::Connection : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+struct TcpProxy::Connection
+    : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
     Connection(Tcp::socket clientSocket, const Executor& executor)
         : client { std::move(clientSocket) }
         , server { executor }
--- a/test/soak/tcp_proxy.hpp
+++ b/test/soak/tcp_proxy.hpp
@@ -25,8 +25,8 @@
 
     [[nodiscard]] static Task<void> accept(std::shared_ptr<State> state);
     [[nodiscard]] static Task<void> serve(std::shared_ptr<State> state, std::shared_ptr<Connection> connection);
-    [[nodiscard]] static Task<void> pump(std::shared_ptr<State> state, std::shared_ptr<Connection> connection,
-        bool isTowardsServer);
+    [[nodiscard]] static Task<void> pump(
+        std::shared_ptr<State> state, std::shared_ptr<Connection> connection, bool isTowardsServer);
 
 public:
     /**
--- a/test/support/gateway_bench.cpp
+++ b/test/support/gateway_bench.cpp
@@ -11,6 +11,7 @@
 
 constexpr Duration kStep { 5 };
 constexpr Duration kSilence { 200 };
+constexpr std::uint16_t kEndpointPort = 9000;
 constexpr unsigned kOk = 200;
 constexpr unsigned kShed = 503;
 constexpr unsigned kMisdirected = 421;
@@ -37,6 +38,7 @@
     EndpointRecord record;
     record.id = name;
     record.service = value.at("service");
+    record.address = { name, kEndpointPort };
     record.domain = value.at("domain");
     record.isDraining = value.at("draining");
     record.coldFor = Duration { value.at("cold_ms").get<Duration::rep>() };
@@ -66,6 +68,7 @@
         = [](HeaderFields& fields, const std::string& attemptId) { fields.set("attempt", attemptId); };
     this->protocol.prepareForEndpoint = [](HeaderFields& fields, const EndpointRequestFacts& facts) {
         fields.set("resume-after", facts.resumeAfter);
+        fields.set("copy-from", facts.copyFrom ? facts.copyFrom->address : "");
     };
     this->protocol.readPlan
         = [this](const nlohmann::json& value) { return this->plans.at(value.at("version").get<std::uint64_t>()); };
@@ -262,7 +265,9 @@
         const auto resume = request.fields["resume-after"];
         const std::string after { resume.data(), resume.size() };
         *place = this->received.size();
-        this->received.push_back({ endpoint, request.attemptId, after, this->time });
+        const auto source = request.fields["copy-from"];
+        this->received.push_back(
+            { endpoint, request.attemptId, after, std::string { source.data(), source.size() }, this->time });
         if (manner == EndpointManner::BreakInStream)
             *pieces = { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda" };
         else
--- a/test/support/gateway_bench.hpp
+++ b/test/support/gateway_bench.hpp
@@ -40,6 +40,8 @@
     std::string endpoint;
     std::string attemptId;
     std::string resumeAfter;
+    /** Endpoint from which the prompt was to be copied. */
+    std::string copyFrom;
     TimePoint at;
     bool wasAborted = false;
 };
