--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -13,9 +13,9 @@
 /** Age of the plan at the beginning of an outage at the worst; the rest of its lease is for serving on without the
  * store. */
 constexpr Duration kPlanWait { 1000 };
-/** Age of a watcher's last confirmation beyond which its way to the store may have fallen silent. The longest watch, a
- * digest and the host's own call fit into the two seconds after which changes have to be in force. */
-constexpr Duration kWatcherTrust { 1500 };
+/** Time in which a host notices that its watcher is behind, asks the store itself and takes what it missed. A watcher
+ * whose last confirmation is so old that no more is left may have a way to the store that fell silent. */
+constexpr Duration kCatchUpTime { 400 };
 /** A silent connection to the store must be noticed before endpoints that leave have to be out of use. */
 constexpr Duration kEndpointWait { 2500 };
 /** The same for domains that are withdrawn, which may be in use for five seconds. */
@@ -49,6 +49,7 @@
     : clock { hostClock }
     , settings { gatewaySettings }
     , protocol { platformProtocol }
+    , changeBounds { gatewaySettings.changes }
     , log { hostClock, std::move(dependencies.logWriter), logPrefix(gatewaySettings) }
     , client { std::move(dependencies.platform), this->hostMetrics }
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin }
@@ -125,6 +126,7 @@
 {
     this->lease.setLength(next.planLease - kLeaseMargin);
     this->retries.setBounds(next.retries);
+    this->changeBounds = next.changes;
 }
 
 CallerBounds Gateway::callerBounds() const { return this->plan ? this->plan->callerBounds() : CallerBounds {}; }
@@ -162,10 +164,10 @@
     this->log.write(line.add("reason", kRefusalNames[reason]).add("error", error));
 }
 
-StoreFeedHooks Gateway::watchHooks()
+StoreFeedHooks Gateway::watchHooks(std::function<Duration()> watcherTrust)
 {
     StoreFeedHooks hooks;
-    hooks.isWatchedElsewhere = [this] { return this->isWatchedElsewhere(); };
+    hooks.isWatchedElsewhere = [this, trust = std::move(watcherTrust)] { return this->isWatchedElsewhere(trust()); };
     // The plan's feed looks for a store that was lost, and the others wait for it.
     hooks.isProbedElsewhere = [this](TimePoint) { return !this->planFeed.reachesStore(); };
     return hooks;
@@ -173,7 +175,7 @@
 
 StoreFeedHooks Gateway::planHooks()
 {
-    auto hooks = this->watchHooks();
+    auto hooks = this->watchHooks([this] { return this->changeTrust(); });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         for (const auto& object : objects)
             this->takePlan(object);
@@ -189,7 +191,7 @@
 
 StoreFeedHooks Gateway::endpointHooks()
 {
-    auto hooks = this->watchHooks();
+    auto hooks = this->watchHooks([this] { return this->changeTrust(); });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         std::set<std::string, std::less<>> ids;
         for (const auto& object : objects) {
@@ -207,7 +209,7 @@
 
 StoreFeedHooks Gateway::domainHooks()
 {
-    auto hooks = this->watchHooks();
+    auto hooks = this->watchHooks([this] { return this->changeBounds.domain - kCatchUpTime; });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         std::set<std::string, std::less<>> domains;
         for (const auto& object : objects)
@@ -220,7 +222,7 @@
 
 StoreFeedHooks Gateway::hostHooks()
 {
-    auto hooks = this->watchHooks();
+    auto hooks = this->watchHooks([] { return kHostWait; });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         std::set<std::string, std::less<>> names;
         for (const auto& object : objects) {
@@ -237,12 +239,17 @@
     return hooks;
 }
 
-bool Gateway::isWatchedElsewhere() const
+Duration Gateway::changeTrust() const
+{
+    return std::min(this->changeBounds.plan, this->changeBounds.endpoint) - kCatchUpTime;
+}
+
+bool Gateway::isWatchedElsewhere(Duration trust) const
 {
     if (this->fleet.isWatcher() || this->fleet.watcher().empty())
         return false;
     // The plan is confirmed most often, so it shows soonest that a watcher hears nothing any more.
-    return this->clock.now() < this->planFeed.watcherConfirmed() + kWatcherTrust;
+    return this->clock.now() < this->planFeed.watcherConfirmed() + trust;
 }
 
 void Gateway::takePlan(const VersionedObject& object)
@@ -346,7 +353,7 @@
 
 void Gateway::logWatcher()
 {
-    auto name = this->isWatchedElsewhere() ? this->fleet.watcher() : std::string {};
+    auto name = this->isWatchedElsewhere(this->changeTrust()) ? this->fleet.watcher() : std::string {};
     if (name == this->loggedWatcher)
         return;
     LogLine line { LogEvent::WatcherChanged };
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -38,12 +38,13 @@
 
 /** @brief Host that forwards callers' requests straight to the endpoints. */
 class Gateway {
-    [[nodiscard]] StoreFeedHooks watchHooks();
+    [[nodiscard]] StoreFeedHooks watchHooks(std::function<Duration()> watcherTrust);
     [[nodiscard]] StoreFeedHooks planHooks();
     [[nodiscard]] StoreFeedHooks endpointHooks();
     [[nodiscard]] StoreFeedHooks domainHooks();
     [[nodiscard]] StoreFeedHooks hostHooks();
-    [[nodiscard]] bool isWatchedElsewhere() const;
+    [[nodiscard]] bool isWatchedElsewhere(Duration trust) const;
+    [[nodiscard]] Duration changeTrust() const;
     void takePlan(const VersionedObject& object);
     void takeEndpoint(const VersionedObject& object);
     void takeDomain(const VersionedObject& object);
@@ -100,7 +101,7 @@
     /** @brief Begins a stop: the balancer is told to send no new connections. */
     void beginStop();
 
-    /** @brief Takes changed settings: the lease of the plan and the retry bounds. @param next Settings. */
+    /** @brief Takes changed settings: the lease of the plan and the bounds. @param next Settings. */
     void reload(const GatewaySettings& next);
 
     /** @brief Takes this host out of the list of hosts. @return Awaitable. */
@@ -134,6 +135,7 @@
     Clock& clock;
     const GatewaySettings& settings;
     const GatewayProtocol& protocol;
+    ChangeBounds changeBounds;
     Metrics hostMetrics;
     DecisionLog log;
     PlatformClient client;
--- a/src/berylwing/gateway/gateway_settings.cpp
+++ b/src/berylwing/gateway/gateway_settings.cpp
@@ -24,6 +24,11 @@
     return {};
 }
 
+Duration readBound(DocumentReader& reader, const std::string& name, Duration fallback)
+{
+    return Duration { reader.number(name, 1, kMostMs, fallback.count()) };
+}
+
 } // namespace
 
 GatewaySettings readGatewaySettings(std::string_view text, std::string_view place)
@@ -46,6 +51,9 @@
     settings.retries.ratio = reader.decimal("retry_ratio", 0, kMostRatio, settings.retries.ratio);
     settings.retries.minimum = reader.decimal("retry_minimum", 0, kMostMinimum, settings.retries.minimum);
     settings.retries.window = Duration { reader.number("retry_window_ms", 1, kMostMs, kDefaultRetryWindowMs) };
+    settings.changes.plan = readBound(reader, "plan_bound_ms", settings.changes.plan);
+    settings.changes.endpoint = readBound(reader, "endpoint_bound_ms", settings.changes.endpoint);
+    settings.changes.domain = readBound(reader, "domain_bound_ms", settings.changes.domain);
     reader.finish();
     findings.throwIfAny();
     return settings;
--- a/src/berylwing/gateway/gateway_settings.hpp
+++ b/src/berylwing/gateway/gateway_settings.hpp
@@ -6,6 +6,15 @@
 
 namespace berylwing {
 
+/** @brief Times after which what operators and endpoints have changed has to be in force at all hosts. */
+struct ChangeBounds {
+    Duration plan { 2000 };
+    /** Use of an endpoint that leaves. */
+    Duration endpoint { 2000 };
+    /** Use of a failure domain that is withdrawn. */
+    Duration domain { 5000 };
+};
+
 /** @brief Settings of a host that forwards callers' requests straight to the endpoints. */
 struct GatewaySettings {
     std::string host;
@@ -22,6 +31,7 @@
     /** Time between the signal to stop and the end of the process. */
     Duration stopGrace {};
     RetryBounds retries;
+    ChangeBounds changes;
 };
 
 /**
--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -55,6 +55,10 @@
     options.faults = Duration { FLAGS_faults_ms };
     options.meanGap = Duration { FLAGS_gap_ms };
     options.only = parseKinds(FLAGS_only);
+    if (!FLAGS_timing) {
+        options.recovery = {};
+        options.calm = {};
+    }
     return options;
 }
 
