Tell from the logs what became of a request; name the caller's host name apart from the host

berylwing explain ID [FILE...] prints a request's lines with what its hosts and endpoints went through, and what to look at. Test: each field of a line once (failed before).

--- a/src/berylwing/client/command_line.cpp
+++ b/src/berylwing/client/command_line.cpp
@@ -1,12 +1,15 @@
 #include "berylwing/client/command_line.hpp"
 
 #include "berylwing/client/object_commands.hpp"
+#include "berylwing/client/request_story.hpp"
 #include "berylwing/client/status_command.hpp"
 #include "berylwing/http/platform_exchange.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <exception>
+#include <fstream>
+#include <iostream>
 #include <optional>
 #include <utility>
 
@@ -22,6 +25,7 @@
   berylwing status                          the fleet: hosts, endpoints, load
   berylwing apply FILE                      write all objects of a file
   berylwing check FILE                      check the objects of a file, write nothing
+  berylwing explain ID [FILE...]            tell from the hosts' logs what became of a request
 
 Options: --platform=ADDRESS:PORT (or FLAGS_platform in the environment), --json,
 --expected_version=N to write only over version N (0: only if there is none).
@@ -102,6 +106,27 @@
     }
 }
 
+ExitCode CommandLine::explain(const std::vector<std::string>& words)
+{
+    RequestStory story { words[1] };
+    for (std::size_t index = 2; index < words.size(); ++index) {
+        std::ifstream file { words[index] };
+        if (!file) {
+            this->err << "cannot read " << words[index] << "\n";
+            return ExitCode::Usage;
+        }
+        story.read(file);
+    }
+    if (words.size() == 2)
+        story.read(std::cin);
+    if (!story.isKnown()) {
+        this->err << "no line names the request " << words[1] << "\n";
+        return ExitCode::NotFound;
+    }
+    story.print(this->out);
+    return ExitCode::Done;
+}
+
 ExitCode CommandLine::dispatch(const std::vector<std::string>& words)
 {
     boost::asio::io_context context { 1 };
@@ -110,6 +135,8 @@
     ObjectCommands commands { this->options, platform, this->out, this->err };
     StatusCommand status { this->options, platform, this->out };
     const auto word = [&words](std::size_t index) { return index < words.size() ? words[index] : std::string {}; };
+    if (word(0) == "explain" && words.size() >= 2)
+        return this->explain(words);
     if (word(0) == "status")
         return runTask(context, status.run());
     if (word(0) == "apply" && words.size() == 2)
--- a/src/berylwing/client/command_line.hpp
+++ b/src/berylwing/client/command_line.hpp
@@ -21,6 +21,7 @@
 /** @brief Command line of the operators' client. */
 class CommandLine {
     [[nodiscard]] ExitCode dispatch(const std::vector<std::string>& words);
+    [[nodiscard]] ExitCode explain(const std::vector<std::string>& words);
 
 public:
     /**
--- a/src/berylwing/client/fwd.hpp
+++ b/src/berylwing/client/fwd.hpp
@@ -4,6 +4,7 @@
 
 class CommandLine;
 class ObjectCommands;
+class RequestStory;
 class StatusCommand;
 enum class ExitCode;
 
--- /dev/null
+++ b/src/berylwing/client/request_story.cpp
@@ -0,0 +1,150 @@
+#include "berylwing/client/request_story.hpp"
+
+#include "berylwing/core/reasons.hpp"
+#include "berylwing/telemetry/decision_log.hpp"
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace berylwing {
+
+namespace {
+
+using nlohmann::json;
+
+/** Time around a request in which what happened to its hosts and endpoints may explain it; ejections last that long. */
+constexpr Duration kContext { 3000 };
+
+std::string textOf(const json& fields, const char* name)
+{
+    const auto found = fields.find(name);
+    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string {};
+}
+
+std::string wordsOf(std::string text)
+{
+    std::replace(text.begin(), text.end(), '_', ' ');
+    return text;
+}
+
+/** What to look at for a request that ended with a reason. */
+std::string_view adviceFor(Refusal reason)
+{
+    switch (reason) {
+    case Refusal::ConfigurationStale:
+    case Refusal::ConfigurationUnknown:
+        return "the host could not confirm its plan: see dependency_lost and watcher_changed before it";
+    case Refusal::UnknownRoute:
+    case Refusal::UnknownWorkspace:
+        return "compare the plan of the last plan_taken with the version that the operator wrote";
+    case Refusal::NoEndpoint:
+        return "the service had no endpoint that was open: see endpoint_gone, endpoint_changed, domain_withdrawn";
+    case Refusal::EndpointAtBound:
+    case Refusal::EndpointUnreachable:
+    case Refusal::RetryBudgetSpent:
+        return "see the request_retried lines and what happened to the endpoints that they name";
+    case Refusal::EndpointBroken:
+    case Refusal::StreamIncomplete:
+        return "an endpoint broke the answer off: see request_broken, endpoint_ejected and endpoint_gone";
+    case Refusal::DeadlinePassed:
+        return "compare waited_ms of the last request_sent with took_ms: time at the endpoint or in the host";
+    case Refusal::Quarantined:
+        return "the same request broke off at several endpoints: search request_broken with the same target";
+    case Refusal::HostLeaving:
+        return "the host was stopping";
+    default:
+        return "docs/OPERATIONS.md lists the reasons";
+    }
+}
+
+} // namespace
+
+RequestStory::RequestStory(std::string attemptId)
+    : id { std::move(attemptId) }
+{
+}
+
+void RequestStory::read(std::istream& input)
+{
+    const auto droppedName = std::string { kLogEventNames[LogEvent::LinesDropped] };
+    std::string text;
+    while (std::getline(input, text)) {
+        // Collectors put a time or the name of a process before the line.
+        const auto begin = text.find('{');
+        if (begin == std::string::npos)
+            continue;
+        auto fields = json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
+        if (!fields.is_object() || !fields.contains("event") || !fields.contains("time_ms"))
+            continue;
+        Line line { fields.at("time_ms").get<std::int64_t>(), std::move(fields) };
+        const auto request = textOf(line.fields, "request");
+        this->droppedLines += textOf(line.fields, "event") == droppedName ? 1 : 0;
+        if (request == this->id) {
+            this->hosts.insert(textOf(line.fields, "host"));
+            if (auto endpoint = textOf(line.fields, "endpoint"); !endpoint.empty())
+                this->endpoints.insert(std::move(endpoint));
+            this->ownLines.push_back(std::move(line));
+        } else if (request.empty()) {
+            this->processLines.push_back(std::move(line));
+        }
+    }
+}
+
+bool RequestStory::isContext(const Line& line) const
+{
+    const auto endpoint = textOf(line.fields, "endpoint");
+    if (!endpoint.empty())
+        return this->endpoints.contains(endpoint);
+    return this->hosts.contains(textOf(line.fields, "host"));
+}
+
+std::vector<RequestStory::Line> RequestStory::relatedLines() const
+{
+    const auto byTime = [](const Line& left, const Line& right) { return left.timeMs < right.timeMs; };
+    auto lines = this->ownLines;
+    const auto [first, last] = std::minmax_element(lines.begin(), lines.end(), byTime);
+    const auto from = first->timeMs - kContext.count();
+    const auto to = last->timeMs + kContext.count();
+    std::copy_if(this->processLines.begin(), this->processLines.end(), std::back_inserter(lines),
+        [&](const Line& line) { return line.timeMs >= from && line.timeMs <= to && this->isContext(line); });
+    std::stable_sort(lines.begin(), lines.end(), byTime);
+    return lines;
+}
+
+std::string RequestStory::formatLine(const Line& line) const
+{
+    constexpr std::array<std::string_view, 5> kOutside { "time_ms", "host", "domain", "event", "request" };
+    auto text = textOf(line.fields, "host") + "  " + wordsOf(textOf(line.fields, "event"));
+    const char* separator = ": ";
+    for (const auto& [name, value] : line.fields.items()) {
+        if (std::find(kOutside.begin(), kOutside.end(), name) != kOutside.end())
+            continue;
+        text += separator + name + " " + (value.is_string() ? value.get<std::string>() : value.dump());
+        separator = ", ";
+    }
+    return text;
+}
+
+void RequestStory::print(std::ostream& output) const
+{
+    const auto lines = this->relatedLines();
+    const auto start
+        = std::min_element(this->ownLines.begin(), this->ownLines.end(), [](const Line& left, const Line& right) {
+              return left.timeMs < right.timeMs;
+          })->timeMs;
+    std::string reason;
+    for (const auto& line : lines) {
+        const bool isOwn = textOf(line.fields, "request") == this->id;
+        const auto offset = line.timeMs - start;
+        output << (offset < 0 ? "" : "+") << offset << " ms  " << (isOwn ? "" : "   (") << this->formatLine(line)
+               << (isOwn ? "" : ")") << "\n";
+        if (isOwn)
+            reason = textOf(line.fields, "reason");
+    }
+    if (const auto refusal = kRefusalNames.find(reason))
+        output << "It ended with " << reason << ": " << adviceFor(*refusal) << ".\n";
+    if (this->droppedLines > 0)
+        output << "Some hosts dropped lines under load (lines_dropped), so that parts may be missing.\n";
+}
+
+} // namespace berylwing
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -28,8 +28,8 @@
 constexpr Duration kHostWait { 10'000 };
 /** Hosts that start together register within a second. */
 constexpr Duration kHostPause { 1000 };
-/** Time for the watcher of the group to hand over a new plan; a version has two seconds to apply. */
-constexpr Duration kPlanFetchPause { 500 };
+/** Time for the watcher of the group to hand over what a host has missed; a change has two seconds to apply. */
+constexpr Duration kFetchPause { 500 };
 /** Time between two calls of a host that does not reach the store while the watcher of its group tries. */
 constexpr Duration kRetryWhileProbed { 3000 };
 constexpr Duration kRegisterPause { 500 };
@@ -62,10 +62,10 @@
     , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
-    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWait, {}, true, kPlanFetchPause },
+    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWait, {}, true, kFetchPause },
         this->planHooks(), this->log }
-    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint, { kEndpointWait, kEndpointPause, false, {} },
-        this->endpointHooks(), this->log }
+    , endpointFeed { hostClock, this->client, ObjectKind::Endpoint,
+        { kEndpointWait, kEndpointPause, false, kFetchPause }, this->endpointHooks(), this->log }
     , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, { kDomainWait, {}, false, {} },
         this->domainHooks(), this->log }
     , hostFeed { hostClock, this->client, ObjectKind::Host, { kHostWait, kHostPause, false, kHostPause },
@@ -153,7 +153,7 @@
     line.add("reason", kRefusalNames[*outcome.reason]).add("execution", kExecutionNames[outcome.execution]);
     line.add("took_ms", took).add("plan_age_ms", this->lease.age()).add("retry_after_ms", outcome.retryAfter);
     this->log.write(
-        request.facts.attemptId, std::move(line.add("host", request.hostname).add("target", request.target)));
+        request.facts.attemptId, std::move(line.add("hostname", request.hostname).add("target", request.target)));
     co_return outcome;
 }
 
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
 
 namespace {
 
@@ -415,3 +418,29 @@
     CHECK(bench.logText.find("secret-key") == std::string::npos);
     CHECK(bench.logText.find("data: a") == std::string::npos);
 }
+
+TEST_CASE("Gateway names no field of a log line twice", "[gateway][log]")
+{
+    ServingBench bench;
+    bench.ask("a1");
+    bench.ask("a2", "/unheard-of/1");
+    bench.setAll(EndpointManner::Break);
+    bench.ask("a3", "/order/1");
+    bench.ask("a4");
+    bench.gateway->beginStop();
+    bench.advance(Duration { 1000 });
+    std::istringstream lines { bench.logText };
+    std::string text;
+    int count = 0;
+    while (std::getline(lines, text)) {
+        std::set<std::string> names;
+        const auto parsed = nlohmann::json::parse(text, [&](int, nlohmann::json::parse_event_t event, auto& value) {
+            if (event == nlohmann::json::parse_event_t::key)
+                CHECK(names.insert(value.template get<std::string>()).second);
+            return true;
+        });
+        CHECK(parsed.at("host") == "knox-a-1");
+        ++count;
+    }
+    CHECK(count > 10);
+}
