--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -14,8 +14,8 @@
 constexpr Duration kFirstPause { 60 };
 /** Longest pause, so that a returned store is noticed well within the time that keys stay valid. */
 constexpr Duration kLongestPause { 500 };
-/** Time for which each message repeats a change, so that some of them may be lost. */
-constexpr Duration kNewsRepeat { 1500 };
+/** Time for which each message repeats a change, so that one of them may be lost; whoever has missed more asks. */
+constexpr Duration kNewsRepeat { 500 };
 /** Largest document that is passed on in messages between hosts; larger ones are fetched from the store. */
 constexpr std::size_t kMostNewsBytes = 1000;
 /** Changes in one message, which has to fit into a datagram. */
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -145,6 +145,27 @@
     CHECK(fleet.hostsWithLog("\"plan\":7") >= fleet.hosts.size() - watchers.size());
 }
 
+TEST_CASE("Watchers pass many changes at once without falling behind with their digests", "[gateway][exchange]")
+{
+    // All endpoints of a large service register within a few seconds, as after a start.
+    SettledFleet fleet { 17 };
+    fleet.endpointBytes = 250;
+    const auto watchers = fleet.watchers();
+    std::map<GatewayFleet::Host*, int> before;
+    for (const auto& [address, host] : fleet.hosts)
+        before[host.get()] = host->calls;
+    for (int number = 0; number < 90; ++number) {
+        fleet.putEndpoint("joined-" + std::to_string(number));
+        fleet.advance(Duration { 30 });
+    }
+    fleet.advance(kDrainBound);
+    CHECK(fleet.hostsWithLog("\"endpoint\":\"joined-89\"") == fleet.hosts.size());
+    for (const auto& [host, calls] : before) {
+        if (std::find(watchers.begin(), watchers.end(), host) == watchers.end())
+            CHECK(host->calls == calls);
+    }
+}
+
 TEST_CASE("A host that was suspended does not trust old news of its delegates", "[gateway][exchange]")
 {
     SettledFleet fleet { 9 };
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -108,7 +108,8 @@
 
 void GatewayFleet::putEndpoint(const std::string& id, bool isDraining)
 {
-    this->platform.store.write(ObjectKind::Endpoint, id, { { "draining", isDraining } });
+    this->platform.store.write(
+        ObjectKind::Endpoint, id, { { "draining", isDraining }, { "text", std::string(this->endpointBytes, 'x') } });
 }
 
 std::size_t GatewayFleet::hostsWithLog(const std::string& text) const
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -65,6 +65,8 @@
     FakePlatform platform;
     /** Bytes by which the documents of plans are longer than they have to be. */
     std::size_t planBytes = 0;
+    /** The same for the entries of endpoints. */
+    std::size_t endpointBytes = 0;
     TimePoint time { Duration { 1'000'000 } };
     /** Hosts by address. */
     std::map<std::string, std::unique_ptr<Host>> hosts;
