Rely on what a watcher told while it holds, whether or not it is still heard

Cause: when a watcher fell silent all hosts of its group asked the store with all four feeds in the moment before another one took over, although what the first one had told was still within the bounds on changes; and the successor's first confirmation came only at the end of its first watch, a second later. A feed that begins to ask again makes a short call first. Ruled out: late take-over (the successor's first digest comes 0.2 s after the silence is noticed). Test: three watchers are lost, no host but their successors asks (failed before, and with the first half alone).

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -246,10 +246,9 @@
 
 bool Gateway::isWatchedElsewhere(Duration trust) const
 {
-    if (this->fleet.isWatcher() || this->fleet.watcher().empty())
-        return false;
-    // The plan is confirmed most often, so it shows soonest that a watcher hears nothing any more.
-    return this->clock.now() < this->planFeed.watcherConfirmed() + trust;
+    // Whether a watcher has fallen silent does not matter by itself: another one takes over while what it told still
+    // holds. The plan is confirmed most often, so it shows soonest that a watcher hears nothing any more.
+    return !this->fleet.isWatcher() && this->clock.now() < this->planFeed.watcherConfirmed() + trust;
 }
 
 void Gateway::takePlan(const VersionedObject& object)
@@ -353,8 +352,10 @@
 
 void Gateway::logWatcher()
 {
-    auto name = this->isWatchedElsewhere(this->changeTrust()) ? this->fleet.watcher() : std::string {};
-    if (name == this->loggedWatcher)
+    const bool isWatched = this->isWatchedElsewhere(this->changeTrust());
+    auto name = isWatched ? this->fleet.watcher() : std::string {};
+    // Between two watchers the host still relies on what the first one told.
+    if (name == this->loggedWatcher || (isWatched && name.empty()))
         return;
     LogLine line { LogEvent::WatcherChanged };
     line.add("watcher", name).add("confirmed_age_ms", this->clock.now() - this->planFeed.watcherConfirmed());
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -258,16 +258,20 @@
     while (true) {
         if (this->mayRest()) {
             co_await this->newsArrived.waitUntil(this->clock.now() + kRestCheck);
+            // What others told is old by now, and hosts that rely on this one wait for its first confirmation.
+            this->mustConfirm = true;
             continue;
         }
         bool hasFailed = false;
         this->triedAt = this->clock.now();
         try {
-            if (this->mustList)
+            if (this->mustList) {
                 co_await this->list();
-            else
+                this->noteSuccess();
+            } else {
                 co_await this->watch();
-            this->noteSuccess();
+                this->noteSuccess();
+            }
         } catch (const PlatformError& error) {
             if (error.fault() == PlatformFault::HistoryGone) {
                 this->noteSuccess();
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -145,6 +145,25 @@
     CHECK(fleet.hostsWithLog("\"plan\":7") >= fleet.hosts.size() - watchers.size());
 }
 
+TEST_CASE("The loss of a watcher makes only its successor ask the store", "[gateway][exchange]")
+{
+    SettledFleet fleet { 9, { Duration { 3000 }, Duration { 3000 }, Duration { 5000 } } };
+    std::map<GatewayFleet::Host*, int> before;
+    for (const auto& [address, host] : fleet.hosts)
+        before[host.get()] = host->calls;
+    auto involved = fleet.watchers();
+    for (auto* watcher : involved)
+        watcher->isIsolated = true;
+    fleet.advance(Duration { 4000 });
+    for (auto* watcher : fleet.watchers())
+        involved.push_back(watcher);
+    CHECK(involved.size() > kDomains.size());
+    for (const auto& [host, calls] : before) {
+        if (std::find(involved.begin(), involved.end(), host) == involved.end())
+            CHECK(host->calls == calls);
+    }
+}
+
 TEST_CASE("Watchers pass many changes at once without falling behind with their digests", "[gateway][exchange]")
 {
     // All endpoints of a large service register within a few seconds, as after a start.
