Send callers elsewhere while a host is cut off from all that it could serve from

A host is unready while all open endpoints are out of reach and no other domain is heard; endpoints that fail for all hosts do not make all of them unready. Requests that try an endpoint which is out of reach no longer put its probes off by up to 6 s.

--- a/src/berylwing/gateway/endpoint_health.cpp
+++ b/src/berylwing/gateway/endpoint_health.cpp
@@ -47,6 +47,9 @@
     if (!isFailure)
         return;
     this->lastFailureAt = now;
+    // Its probes tell when an endpoint is back in reach; requests that try it meanwhile must not put them off.
+    if (this->needsProbe && verdict == EndpointVerdict::Unreachable)
+        return;
     this->needsProbe = this->needsProbe || verdict == EndpointVerdict::Unreachable;
     if (verdict == EndpointVerdict::Unreachable || std::popcount(this->history) > kMostFailures)
         this->eject(now);
--- a/src/berylwing/gateway/endpoint_health.hpp
+++ b/src/berylwing/gateway/endpoint_health.hpp
@@ -27,6 +27,9 @@
     /** @brief Tells whether the endpoint should be avoided. @param now Current time. @return True while it should. */
     [[nodiscard]] bool isEjected(TimePoint now) const noexcept { return this->needsProbe || now < this->ejectedUntil; }
 
+    /** @brief Tells whether no connection could be made to the endpoint. @return True until a probe reaches it. */
+    [[nodiscard]] bool isOutOfReach() const noexcept { return this->needsProbe; }
+
     /** @brief Avoids the endpoint until a connection to it was made. @param now Current time. */
     void suspect(TimePoint now) noexcept;
 
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -141,6 +141,19 @@
     return found == this->peers.end() ? std::string {} : found->first;
 }
 
+bool FleetView::hears(std::string_view host) const
+{
+    const auto found = this->peers.find(host);
+    return found != this->peers.end() && this->isHeard(found->second);
+}
+
+bool FleetView::hearsOtherGroups() const
+{
+    return this->hasOwnSummaries() || std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+        return entry.second.digest.has_elsewhere() && this->isHeard(entry.second);
+    });
+}
+
 bool FleetView::isStoreSought() const
 {
     return std::any_of(this->peers.begin(), this->peers.end(),
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -98,6 +98,12 @@
     /** @brief Finds the host that watches the store for this one. @return Its name; empty if none was heard lately. */
     [[nodiscard]] std::string watcher() const;
 
+    /** @brief Tells whether another host of the group was heard lately. @param host Its name. @return True if so. */
+    [[nodiscard]] bool hears(std::string_view host) const;
+
+    /** @brief Tells whether other groups were heard lately, by this host or one of its group. @return True if so. */
+    [[nodiscard]] bool hearsOtherGroups() const;
+
     /** @brief Tells whether another host looks for a store that it has lost. @return True if a watcher says so. */
     [[nodiscard]] bool isStoreSought() const;
 
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 class ColdLimit;
 class CrashNotes;
+class DomainIsolation;
 class EndpointDirectory;
 class EventSplitter;
 class FleetExchange;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -56,6 +56,7 @@
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
     , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
+    , isolation { this->directory, this->roster, this->fleet, gatewaySettings.domain }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , holders { hostClock }
     , crashes { hostClock }
@@ -105,7 +106,7 @@
 bool Gateway::isReady() const
 {
     return !this->isStopping() && this->plan && this->endpointFeed.isListed() && this->domainFeed.isListed()
-        && this->lease.isValid();
+        && this->lease.isValid() && !this->isolation.isCutOff();
 }
 
 bool Gateway::refusesNew() const
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/cold_limit.hpp"
 #include "berylwing/gateway/crash_notes.hpp"
+#include "berylwing/gateway/domain_isolation.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/fleet_exchange.hpp"
 #include "berylwing/gateway/fleet_view.hpp"
@@ -147,6 +148,7 @@
     /** Watcher on which this host relies, as it was last logged; empty if it asks the store itself. */
     std::string loggedWatcher;
     FleetView fleet;
+    DomainIsolation isolation;
     ColdLimit coldLimit;
     PromptHolders holders;
     CrashNotes crashes;
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -444,3 +444,50 @@
     }
     CHECK(count > 10);
 }
+
+TEST_CASE("Gateway that is cut off from all it could serve from sends callers elsewhere", "[gateway][reach]")
+{
+    constexpr const char* kOtherHost = "10.0.0.9";
+    ServingBench bench;
+    bench.platform.store.write(
+        ObjectKind::Host, "knox-b-9", { { "domain", "knox-b" }, { "address", kOtherHost }, { "port", 7000 } });
+    bench.advance(Duration { 1500 });
+    std::uint64_t sequence = 0;
+    const auto hearOther = [&] {
+        wire::FleetMessage message;
+        message.mutable_digest()->set_host("knox-b-9");
+        message.mutable_digest()->set_incarnation(1);
+        message.mutable_digest()->set_sequence(++sequence);
+        bench.gateway->receive(kOtherHost, message.SerializeAsString());
+    };
+    const auto askAll = [&] {
+        for (int request = 0; request < 12; ++request)
+            bench.start("r" + std::to_string(request), "/status/1");
+        bench.advance(Duration { 300 });
+    };
+    // No endpoint answers, but the other domain is heard: the fault is the endpoints' own.
+    bench.setAll(EndpointManner::Refuse);
+    hearOther();
+    askAll();
+    CHECK(bench.gateway->isReady());
+    bench.advance(Duration { 1500 });
+    CHECK_FALSE(bench.gateway->isReady());
+    hearOther();
+    CHECK(bench.gateway->isReady());
+    bench.advance(Duration { 1500 });
+    CHECK_FALSE(bench.gateway->isReady());
+    // An endpoint of its own domain is enough to serve on.
+    bench.manners["knox-a-1"] = EndpointManner::Answer;
+    bench.advance(Duration { 1800 });
+    CHECK(bench.gateway->isReady());
+}
+
+TEST_CASE("Gateway without other failure domains serves on as well as it can", "[gateway][reach]")
+{
+    ServingBench bench;
+    bench.setAll(EndpointManner::Refuse);
+    for (int request = 0; request < 12; ++request)
+        bench.start("r" + std::to_string(request), "/status/1");
+    bench.advance(Duration { 2000 });
+    CHECK(bench.gateway->isReady());
+}
--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -45,9 +45,9 @@
 
     [[nodiscard]] const std::vector<const SoakRun*>& runsOf(const SoakAttempt& attempt) const
     {
-        static const std::vector<const SoakRun*> none;
+        static const std::vector<const SoakRun*> kNone;
         const auto found = this->runsById.find(attempt.id);
-        return found == this->runsById.end() ? none : found->second;
+        return found == this->runsById.end() ? kNone : found->second;
     }
 
     [[nodiscard]] const SoakAttempt* attemptOf(const SoakRun& run) const
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -54,6 +54,29 @@
     }
 }
 
+void disturbLink(TcpProxy& link, const PlannedFault& fault)
+{
+    switch (fault.kind) {
+    case SoakFault::StoreLinkSilent:
+    case SoakFault::EndpointLinkSilent:
+        link.silenceOpen();
+        break;
+    case SoakFault::StoreLinkReset:
+    case SoakFault::EndpointLinkReset:
+        link.resetOpen();
+        break;
+    case SoakFault::StoreLinkSlow:
+    case SoakFault::EndpointLinkSlow:
+        link.setManner({ kSlowLink, false, false });
+        break;
+    default: {
+        const bool isTowardsServer = fault.other % 2 == 0;
+        link.setManner({ {}, isTowardsServer, !isTowardsServer });
+        break;
+    }
+    }
+}
+
 } // namespace
 
 Task<void> Soak::strikeAll()
@@ -160,20 +183,7 @@
 {
     auto& host = this->hostAt(fault.target);
     const auto disturbance = this->beginDisturbance(host.process.addresses().host);
-    switch (fault.kind) {
-    case SoakFault::StoreLinkSilent:
-        host.storeLink.silenceOpen();
-        break;
-    case SoakFault::StoreLinkReset:
-        host.storeLink.resetOpen();
-        break;
-    case SoakFault::StoreLinkSlow:
-        host.storeLink.setManner({ kSlowLink, false, false });
-        break;
-    default:
-        host.storeLink.setManner({ {}, fault.other % 2 == 0, fault.other % 2 == 1 });
-        break;
-    }
+    disturbLink(host.storeLink, fault);
     co_await this->clock.sleepFor(fault.length);
     host.storeLink.setManner({});
     this->endDisturbance(disturbance);
@@ -184,20 +194,7 @@
     auto& endpoint = this->endpointAt(fault.target);
     ++endpoint.engine.disturbances;
     endpoint.engine.disturbRuns();
-    switch (fault.kind) {
-    case SoakFault::EndpointLinkSilent:
-        endpoint.link.silenceOpen();
-        break;
-    case SoakFault::EndpointLinkReset:
-        endpoint.link.resetOpen();
-        break;
-    case SoakFault::EndpointLinkSlow:
-        endpoint.link.setManner({ kSlowLink, false, false });
-        break;
-    default:
-        endpoint.link.setManner({ {}, fault.other % 2 == 0, fault.other % 2 == 1 });
-        break;
-    }
+    disturbLink(endpoint.link, fault);
     co_await this->clock.sleepFor(fault.length);
     endpoint.link.setManner({});
     --endpoint.engine.disturbances;
