--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -103,10 +103,15 @@
     spawn(executor, "digests", this->exchange.run());
 }
 
-bool Gateway::isReady() const
+std::string_view Gateway::unreadyReason() const
 {
-    return !this->isStopping() && this->plan && this->endpointFeed.isListed() && this->domainFeed.isListed()
-        && this->lease.isValid() && !this->isolation.isCutOff();
+    if (this->isStopping())
+        return "stopping";
+    if (!this->plan || !this->endpointFeed.isListed() || !this->domainFeed.isListed())
+        return "starting";
+    if (!this->lease.isValid())
+        return kRefusalNames[Refusal::ConfigurationStale];
+    return this->isolation.isCutOff() ? "cut_off" : "";
 }
 
 bool Gateway::refusesNew() const
@@ -364,10 +369,21 @@
     this->loggedWatcher = std::move(name);
 }
 
+void Gateway::logReadiness()
+{
+    const auto reason = this->unreadyReason();
+    if (std::exchange(this->loggedUnreadyReason, reason) == reason)
+        return;
+    LogLine line { LogEvent::ReadinessChanged };
+    line.add("ready", std::int64_t { reason.empty() }).add("reason", reason).add("plan_age_ms", this->lease.age());
+    this->log.write(line);
+}
+
 Task<void> Gateway::maintain()
 {
     while (true) {
         this->logWatcher();
+        this->logReadiness();
         this->directory.dropLapsed();
         this->prober.probeDue();
         this->fleet.dropSilent();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -54,6 +54,9 @@
     void takeHost(const VersionedObject& object);
     void logHostCount();
     void logWatcher();
+    void logReadiness();
+    /** Tells why this host wants no new connections; empty if it wants some. */
+    [[nodiscard]] std::string_view unreadyReason() const;
     [[nodiscard]] FleetExchangeParts exchangeParts(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderParts forwarderParts(OpenSession open);
@@ -91,7 +94,7 @@
     void start();
 
     /** @brief Tells whether this host wants new connections. @return True if it can serve requests. */
-    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] bool isReady() const { return this->unreadyReason().empty(); }
 
     /** @brief Tells whether the host is stopping. @return True after beginStop(). */
     [[nodiscard]] bool isStopping() const noexcept { return this->stoppingSince.has_value(); }
@@ -147,6 +150,8 @@
     std::size_t loggedHosts = 1;
     /** Watcher on which this host relies, as it was last logged; empty if it asks the store itself. */
     std::string loggedWatcher;
+    /** Reason for being unready, as it was last logged. */
+    std::string_view loggedUnreadyReason = "starting";
     FleetView fleet;
     DomainIsolation isolation;
     ColdLimit coldLimit;
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -265,13 +265,11 @@
         bool hasFailed = false;
         this->triedAt = this->clock.now();
         try {
-            if (this->mustList) {
+            if (this->mustList)
                 co_await this->list();
-                this->noteSuccess();
-            } else {
+            else
                 co_await this->watch();
-                this->noteSuccess();
-            }
+            this->noteSuccess();
         } catch (const PlatformError& error) {
             if (error.fault() == PlatformFault::HistoryGone) {
                 this->noteSuccess();
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -15,6 +15,7 @@
     Stopping,
     Stopped,
     SettingsReloaded,
+    ReadinessChanged,
     DependencyLost,
     DependencyRegained,
     HistoryLost,
@@ -42,11 +43,12 @@
 };
 
 /** @brief Names of the log events. */
-inline constexpr EnumNames<LogEvent, 28> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 29> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
     "settings_reloaded",
+    "readiness_changed",
     "dependency_lost",
     "dependency_regained",
     "history_lost",
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -480,6 +480,9 @@
     bench.manners["knox-a-1"] = EndpointManner::Answer;
     bench.advance(Duration { 1800 });
     CHECK(bench.gateway->isReady());
+    const auto lost = bench.logText.find("\"event\":\"readiness_changed\",\"ready\":0,\"reason\":\"cut_off\"");
+    REQUIRE(lost != std::string::npos);
+    CHECK(bench.logText.find("\"event\":\"readiness_changed\",\"ready\":1", lost) != std::string::npos);
 }
 
 TEST_CASE("Gateway without other failure domains serves on as well as it can", "[gateway][reach]")
