--- a/test/soak/promises_test.cpp
+++ b/test/soak/promises_test.cpp
@@ -148,7 +148,10 @@
     record.stops.push_back({ "knox-a-1", signalled, signalled + 3 * kSecond });
     record.disturbances.push_back({ "knox-a-1", { signalled, signalled + 4 * kSecond } });
     CHECK(breaksTiming(record, "graceful stop"));
-    // A kill meanwhile excuses the host.
+    // A kill meanwhile excuses the host, also when it begins no disturbance of its own.
+    record.stops.front().isOverruled = true;
+    CHECK_FALSE(breaksTiming(record, "graceful stop"));
+    record.stops.front().isOverruled = false;
     record.disturbances.push_back({ "knox-a-1", { signalled + kSecond, signalled + 4 * kSecond } });
     CHECK_FALSE(breaksTiming(record, "graceful stop"));
 }
