Read the change again: one piece for what stood twice

- Notes of other hosts were decoded by two loops and queued by four; readNotes() and NoteQueue::push() for several serve all.
- Loads of endpoints were written into messages at three places, messages sent and their bytes counted at three: one function each.
- Three feeds collected the names of a list in loops of their own: namesOf().
- The status of a gateway's refusal is told by reason, without the twisted condition.
- RequestStory looked for its first line twice, and compared ids in three places.
- The soak wrote the promised figures a second time into settings and entries; they come from SoakBounds. strikeDigests also resets callers: strikeHostLinks.

--- a/src/berylwing/client/request_story.cpp
+++ b/src/berylwing/client/request_story.cpp
@@ -77,19 +77,20 @@
         if (!fields.is_object() || !fields.contains("event") || !fields.contains("time_ms"))
             continue;
         Line line { fields.at("time_ms").get<std::int64_t>(), std::move(fields) };
-        const auto request = textOf(line.fields, "request");
         this->droppedLines += textOf(line.fields, "event") == droppedName ? 1 : 0;
-        if (request == this->id) {
+        if (this->isOwn(line)) {
             this->hosts.insert(textOf(line.fields, "host"));
             if (auto endpoint = textOf(line.fields, "endpoint"); !endpoint.empty())
                 this->endpoints.insert(std::move(endpoint));
             this->ownLines.push_back(std::move(line));
-        } else if (request.empty()) {
+        } else if (textOf(line.fields, "request").empty()) {
             this->processLines.push_back(std::move(line));
         }
     }
 }
 
+bool RequestStory::isOwn(const Line& line) const { return textOf(line.fields, "request") == this->id; }
+
 bool RequestStory::isContext(const Line& line) const
 {
     const auto endpoint = textOf(line.fields, "endpoint");
@@ -128,17 +129,15 @@
 void RequestStory::print(std::ostream& output) const
 {
     const auto lines = this->relatedLines();
-    const auto start
-        = std::min_element(this->ownLines.begin(), this->ownLines.end(), [](const Line& left, const Line& right) {
-              return left.timeMs < right.timeMs;
-          })->timeMs;
+    const auto isOwnLine = [this](const Line& line) { return this->isOwn(line); };
+    const auto start = std::find_if(lines.begin(), lines.end(), isOwnLine)->timeMs;
     std::string reason;
     for (const auto& line : lines) {
-        const bool isOwn = textOf(line.fields, "request") == this->id;
+        const bool isContextLine = !this->isOwn(line);
         const auto offset = line.timeMs - start;
-        output << (offset < 0 ? "" : "+") << offset << " ms  " << (isOwn ? "" : "   (") << this->formatLine(line)
-               << (isOwn ? "" : ")") << "\n";
-        if (isOwn)
+        output << (offset < 0 ? "" : "+") << offset << " ms  " << (isContextLine ? "   (" : "")
+               << this->formatLine(line) << (isContextLine ? ")" : "") << "\n";
+        if (!isContextLine)
             reason = textOf(line.fields, "reason");
     }
     if (const auto refusal = kRefusalNames.find(reason))
--- a/src/berylwing/client/request_story.hpp
+++ b/src/berylwing/client/request_story.hpp
@@ -23,6 +23,7 @@
         nlohmann::json fields;
     };
 
+    [[nodiscard]] bool isOwn(const Line& line) const;
     [[nodiscard]] bool isContext(const Line& line) const;
     [[nodiscard]] std::vector<Line> relatedLines() const;
     [[nodiscard]] std::string formatLine(const Line& line) const;
--- a/src/berylwing/gateway/crash_notes.cpp
+++ b/src/berylwing/gateway/crash_notes.cpp
@@ -49,8 +49,7 @@
 std::vector<EndpointNote> CrashNotes::take(const wire::EndpointNotes& crashes)
 {
     std::vector<EndpointNote> unknown;
-    for (int place = 0; place < std::min(crashes.subjects_size(), crashes.endpoints_size()); ++place) {
-        const EndpointNote crash { crashes.subjects(place), crashes.endpoints(place) };
+    for (const auto& crash : readNotes(crashes)) {
         if (this->add(crash.subject, crash.endpoint))
             unknown.push_back(crash);
     }
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -95,12 +95,17 @@
         wire::FleetMessage own;
         *own.mutable_digest()->mutable_echo() = this->parts.fleet.echoFor(peer.name);
         const auto bytes = common + own.SerializeAsString();
-        this->parts.send(peer.address, bytes);
-        sent += bytes.size() + kDatagramOverhead;
+        sent += this->send(peer, bytes);
     }
     return sent;
 }
 
+std::size_t FleetExchange::send(const HostEntry& host, const std::string& bytes) const
+{
+    this->parts.send(host.address, bytes);
+    return bytes.size() + kDatagramOverhead;
+}
+
 std::vector<HostEntry> FleetExchange::delegatesOf(const std::string& domain) const
 {
     auto hosts = this->parts.roster.likelyDelegates(domain);
@@ -134,10 +139,8 @@
     const auto bytes = message.SerializeAsString();
     std::size_t sent = 0;
     for (const auto& domain : groups) {
-        for (const auto& host : this->delegatesOf(domain)) {
-            this->parts.send(host.address, bytes);
-            sent += bytes.size() + kDatagramOverhead;
-        }
+        for (const auto& host : this->delegatesOf(domain))
+            sent += this->send(host, bytes);
     }
     return sent;
 }
@@ -165,10 +168,8 @@
     const auto uses = this->parts.holders.take(digest.uses());
     const auto crashes = this->parts.crashes.take(digest.crashes());
     if (this->isDelegate && !digest.is_delegate()) {
-        for (const auto& use : uses)
-            this->usesForOthers.push(use);
-        for (const auto& crash : crashes)
-            this->crashesForOthers.push(crash);
+        this->usesForOthers.push(uses);
+        this->crashesForOthers.push(crashes);
     }
     const auto sentAt = this->parts.fleet.earliestSending(digest);
     if (digest.reaches_store()) {
@@ -204,19 +205,15 @@
             continue;
         wire::FleetMessage answer;
         *answer.mutable_news() = *news;
-        const auto bytes = answer.SerializeAsString();
-        this->parts.send(sender.address, bytes);
-        this->parts.metrics.addControlBytes(bytes.size() + kDatagramOverhead);
+        this->parts.metrics.addControlBytes(this->send(sender, answer.SerializeAsString()));
     }
 }
 
 void FleetExchange::takeSummary(const wire::GroupSummary& summary)
 {
     this->summarySenders.insert_or_assign(summary.host(), this->parts.clock.now());
-    for (const auto& use : this->parts.holders.take(summary.uses()))
-        this->usesForGroup.push(use);
-    for (const auto& crash : this->parts.crashes.take(summary.crashes()))
-        this->crashesForGroup.push(crash);
+    this->usesForGroup.push(this->parts.holders.take(summary.uses()));
+    this->crashesForGroup.push(this->parts.crashes.take(summary.crashes()));
     this->parts.fleet.take(summary);
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -48,6 +48,8 @@
     [[nodiscard]] wire::Digest makeDigest();
     [[nodiscard]] std::size_t sendDigest(wire::Digest digest);
     [[nodiscard]] std::size_t sendSummaries();
+    /** Sends a message. @return Bytes on the wire. */
+    std::size_t send(const HostEntry& host, const std::string& bytes) const;
     [[nodiscard]] std::vector<HostEntry> delegatesOf(const std::string& domain) const;
     void takeDigest(wire::Digest digest);
     void takeSummary(const wire::GroupSummary& summary);
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -59,20 +59,14 @@
     for (const auto& [id, endpoint] : this->directory.all()) {
         if (endpoint->inFlight == 0)
             continue;
-        auto& loads = *digest.mutable_loads();
-        loads.add_endpoints(endpoint->hash);
-        loads.add_in_flight(endpoint->inFlight);
-        loads.add_unread_tokens(endpoint->unreadTokens);
+        append(*digest.mutable_loads(), endpoint->hash, { endpoint->inFlight, endpoint->unreadTokens });
     }
     digest.set_is_watcher(this->isWatcher());
     if (!this->isDelegate())
         return digest;
     digest.set_is_delegate(true);
-    for (const auto& [endpoint, load] : this->hasOwnSummaries() ? this->loadsElsewhere() : Loads {}) {
-        digest.mutable_elsewhere()->add_endpoints(endpoint);
-        digest.mutable_elsewhere()->add_in_flight(load.inFlight);
-        digest.mutable_elsewhere()->add_unread_tokens(load.unreadTokens);
-    }
+    for (const auto& [endpoint, load] : this->hasOwnSummaries() ? this->loadsElsewhere() : Loads {})
+        append(*digest.mutable_elsewhere(), endpoint, load);
     return digest;
 }
 
@@ -83,12 +77,11 @@
         add(totals, peer.digest.loads());
     wire::EndpointLoads loads;
     for (const auto& [id, endpoint] : this->directory.all()) {
-        const auto& total = totals[endpoint->hash];
-        if (total.inFlight + endpoint->inFlight == 0)
-            continue;
-        loads.add_endpoints(endpoint->hash);
-        loads.add_in_flight(total.inFlight + endpoint->inFlight);
-        loads.add_unread_tokens(total.unreadTokens + endpoint->unreadTokens);
+        auto total = totals[endpoint->hash];
+        total.inFlight += endpoint->inFlight;
+        total.unreadTokens += endpoint->unreadTokens;
+        if (total.inFlight > 0)
+            append(loads, endpoint->hash, total);
     }
     return loads;
 }
@@ -178,6 +171,13 @@
     }
 }
 
+void FleetView::append(wire::EndpointLoads& loads, std::uint32_t endpoint, const Load& load)
+{
+    loads.add_endpoints(endpoint);
+    loads.add_in_flight(load.inFlight);
+    loads.add_unread_tokens(load.unreadTokens);
+}
+
 FleetView::Loads FleetView::loadsElsewhere() const
 {
     Loads totals;
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -39,6 +39,7 @@
     using Loads = std::unordered_map<std::uint32_t, Load>;
 
     static void add(Loads& totals, const wire::EndpointLoads& loads);
+    static void append(wire::EndpointLoads& loads, std::uint32_t endpoint, const Load& load);
     [[nodiscard]] Loads loadsElsewhere() const;
     [[nodiscard]] bool isHeard(const Peer& peer) const;
     [[nodiscard]] bool isHeardWatcher(const Peer& peer, bool reachesIt) const;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -42,6 +42,14 @@
     return "\"host\":\"" + settings.host + "\",\"domain\":\"" + settings.domain + "\",";
 }
 
+std::set<std::string, std::less<>> namesOf(const std::vector<VersionedObject>& objects)
+{
+    std::set<std::string, std::less<>> names;
+    for (const auto& object : objects)
+        names.insert(object.name);
+    return names;
+}
+
 } // namespace
 
 Gateway::Gateway(Clock& hostClock, const GatewaySettings& gatewaySettings, const GatewayProtocol& platformProtocol,
@@ -199,12 +207,9 @@
 {
     auto hooks = this->watchHooks([this] { return this->changeTrust(); });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
-        std::set<std::string, std::less<>> ids;
-        for (const auto& object : objects) {
-            ids.insert(object.name);
+        for (const auto& object : objects)
             this->takeEndpoint(object);
-        }
-        this->directory.retain(ids);
+        this->directory.retain(namesOf(objects));
     };
     hooks.change = [this](const VersionedObject& object) { this->takeEndpoint(object); };
     hooks.confirm = [this](TimePoint) { this->directory.regainStore(); };
@@ -216,12 +221,8 @@
 StoreFeedHooks Gateway::domainHooks()
 {
     auto hooks = this->watchHooks([this] { return this->changeBounds.domain - kCatchUpTime; });
-    hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
-        std::set<std::string, std::less<>> domains;
-        for (const auto& object : objects)
-            domains.insert(object.name);
-        this->directory.setDomainsOut(std::move(domains));
-    };
+    hooks.replaceAll
+        = [this](const std::vector<VersionedObject>& objects) { this->directory.setDomainsOut(namesOf(objects)); };
     hooks.change = [this](const VersionedObject& object) { this->takeDomain(object); };
     return hooks;
 }
@@ -230,12 +231,9 @@
 {
     auto hooks = this->watchHooks([] { return kHostWait; });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
-        std::set<std::string, std::less<>> names;
-        for (const auto& object : objects) {
-            names.insert(object.name);
+        for (const auto& object : objects)
             this->takeHost(object);
-        }
-        this->roster.retain(names);
+        this->roster.retain(namesOf(objects));
         this->logHostCount();
     };
     hooks.change = [this](const VersionedObject& object) {
--- a/src/berylwing/gateway/note_queue.cpp
+++ b/src/berylwing/gateway/note_queue.cpp
@@ -1,5 +1,7 @@
 #include "berylwing/gateway/note_queue.hpp"
 
+#include <algorithm>
+
 namespace berylwing {
 
 namespace {
@@ -11,12 +13,26 @@
 
 } // namespace
 
+std::vector<EndpointNote> readNotes(const wire::EndpointNotes& notes)
+{
+    std::vector<EndpointNote> result;
+    for (int place = 0; place < std::min(notes.subjects_size(), notes.endpoints_size()); ++place)
+        result.push_back({ notes.subjects(place), notes.endpoints(place) });
+    return result;
+}
+
 void NoteQueue::push(const EndpointNote& note)
 {
     if (this->announcements.size() < kMostAnnounced)
         this->announcements.push_back({ note, this->clock.now() });
 }
 
+void NoteQueue::push(const std::vector<EndpointNote>& notes)
+{
+    for (const auto& note : notes)
+        this->push(note);
+}
+
 void NoteQueue::describe(wire::EndpointNotes& notes)
 {
     const auto oldest = this->clock.now() - kAnnouncedFor;
--- a/src/berylwing/gateway/note_queue.hpp
+++ b/src/berylwing/gateway/note_queue.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <vector>
 
 namespace berylwing {
 
@@ -16,6 +17,9 @@
     std::uint32_t endpoint = 0;
 };
 
+/** @brief Reads the notes of a message. @param notes Part of the message. @return Notes in their order. */
+[[nodiscard]] std::vector<EndpointNote> readNotes(const wire::EndpointNotes& notes);
+
 /** @brief Notes that are told to other hosts, each for some time, so that some messages may be lost. */
 class NoteQueue {
     struct Announcement {
@@ -33,6 +37,9 @@
     /** @brief Adds a note, unless the queue is full. @param note Note. */
     void push(const EndpointNote& note);
 
+    /** @brief Adds notes until the queue is full. @param notes Notes. */
+    void push(const std::vector<EndpointNote>& notes);
+
     /** @brief Drops all notes. */
     void clear() noexcept { this->announcements.clear(); }
 
--- a/src/berylwing/gateway/prompt_holders.cpp
+++ b/src/berylwing/gateway/prompt_holders.cpp
@@ -58,8 +58,7 @@
 {
     std::vector<EndpointNote> unknown;
     const auto now = this->clock.now();
-    for (int place = 0; place < std::min(uses.subjects_size(), uses.endpoints_size()); ++place) {
-        const EndpointNote use { uses.subjects(place), uses.endpoints(place) };
+    for (const auto& use : readNotes(uses)) {
         auto* holder = this->find(use);
         if (holder == nullptr)
             continue;
--- a/src/berylwing/http/gateway_answer.cpp
+++ b/src/berylwing/http/gateway_answer.cpp
@@ -25,10 +25,12 @@
  */
 unsigned gatewayStatusOf(const Outcome& outcome)
 {
-    const bool isForNow = outcome.reason == Refusal::DeadlinePassed || outcome.reason == Refusal::Quarantined;
-    if (!isForNow || (outcome.reason == Refusal::Quarantined && outcome.execution != Execution::NotRun))
-        return statusOf(outcome);
-    return outcome.execution == Execution::NotRun ? kServiceUnavailable : kGatewayTimeout;
+    const bool isNotRun = outcome.execution == Execution::NotRun;
+    if (outcome.reason == Refusal::DeadlinePassed)
+        return isNotRun ? kServiceUnavailable : kGatewayTimeout;
+    if (outcome.reason == Refusal::Quarantined && isNotRun)
+        return kServiceUnavailable;
+    return statusOf(outcome);
 }
 
 } // namespace
--- a/test/soak/gateway_process.cpp
+++ b/test/soak/gateway_process.cpp
@@ -1,5 +1,7 @@
 #include "soak/gateway_process.hpp"
 
+#include "soak/soak_record.hpp"
+
 #include <cerrno>
 #include <fcntl.h>
 #include <fstream>
@@ -55,10 +57,13 @@
 void GatewayProcess::writeSettings() const
 {
     const auto& host = this->hostAddresses;
+    const SoakBounds bounds;
     const nlohmann::json settings { { "host", host.host }, { "domain", host.domain },
         { "callers", textOf(host.callers) }, { "readiness", textOf(host.readiness) },
         { "metrics", textOf(host.metrics) }, { "platform", textOf(host.store) }, { "digests", textOf(host.digests) },
-        { "plan_lease_ms", 5000 }, { "stop_grace_ms", 8000 }, { "retry_ratio", 0.2 }, { "retry_minimum", 54 },
+        { "plan_lease_ms", bounds.keyRevoked.count() }, { "plan_bound_ms", bounds.planInForce.count() },
+        { "endpoint_bound_ms", bounds.endpointLeft.count() }, { "domain_bound_ms", bounds.domainLeft.count() },
+        { "stop_grace_ms", bounds.stopGrace.count() }, { "retry_ratio", 0.2 }, { "retry_minimum", 54 },
         { "retry_window_ms", 10'000 } };
     std::ofstream { this->settingsPath() } << settings.dump(4) << '\n';
 }
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -172,7 +172,7 @@
     json services = json::array();
     for (const auto* name : { "engines", "desk" })
         services.push_back({ { "name", name }, { "max_connections", 200 }, { "cold_per_s", bounds.coldPerSecond },
-            { "cold_start_s", 3 } });
+            { "cold_start_s", std::chrono::duration_cast<std::chrono::seconds>(bounds.coldTime).count() } });
     this->store.write(std::string { names::kConfigKind }, "main",
         { { "version", this->planVersion }, { "routes", routes }, { "services", services }, { "tenants", workspaces },
             { "limits",
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -76,7 +76,7 @@
     [[nodiscard]] Task<void> strikeHost(PlannedFault fault);
     [[nodiscard]] Task<void> strikeStoreLink(PlannedFault fault);
     [[nodiscard]] Task<void> strikeEndpointLink(PlannedFault fault);
-    [[nodiscard]] Task<void> strikeDigests(PlannedFault fault);
+    [[nodiscard]] Task<void> strikeHostLinks(PlannedFault fault);
     [[nodiscard]] Task<void> strikeStore(PlannedFault fault);
     [[nodiscard]] Task<void> strikeEndpoint(PlannedFault fault);
     [[nodiscard]] Task<void> operate(PlannedFault fault);
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -18,7 +18,6 @@
 constexpr Duration kServesOn { 4000 };
 /** Time after which an address may be used again. */
 constexpr Duration kAddressPause { 2000 };
-constexpr Duration kColdTime { 3000 };
 constexpr Duration kSlowLink { 150 };
 constexpr Duration kSlowDigests { 400 };
 /** Fifty times the usual time of an answer. */
@@ -120,7 +119,7 @@
     else if (fault.kind <= SoakFault::EndpointLinkOneWay)
         co_await this->strikeEndpointLink(fault);
     else if (fault.kind <= SoakFault::DigestsSlow)
-        co_await this->strikeDigests(fault);
+        co_await this->strikeHostLinks(fault);
     else if (fault.kind <= SoakFault::StoreTurnsAway)
         co_await this->strikeStore(fault);
     else if (fault.kind <= SoakFault::EndpointLeaves)
@@ -200,7 +199,7 @@
     --endpoint.engine.disturbances;
 }
 
-Task<void> Soak::strikeDigests(PlannedFault fault)
+Task<void> Soak::strikeHostLinks(PlannedFault fault)
 {
     auto& host = this->hostAt(fault.target);
     auto& other = this->hostAt(fault.other);
@@ -314,7 +313,7 @@
     co_await this->waitForStore();
     endpoint.engine.restart(this->newInstance());
     endpoint.link.setRefusing(false);
-    this->publish(endpoint, false, kColdTime);
+    this->publish(endpoint, false, SoakBounds {}.coldTime);
     --endpoint.engine.disturbances;
     endpoint.isEnding = false;
 }
@@ -338,7 +337,7 @@
     endpoint.engine.restart(this->newInstance());
     // The address is used again, by an endpoint of the same service under another id.
     endpoint.link.setRefusing(false);
-    this->publish(endpoint, false, kColdTime);
+    this->publish(endpoint, false, SoakBounds {}.coldTime);
     --endpoint.engine.disturbances;
     endpoint.isEnding = false;
 }
--- a/test/soak/soak_record.hpp
+++ b/test/soak/soak_record.hpp
@@ -40,6 +40,8 @@
     Duration overtime { 500 };
     /** Requests a second that a cold endpoint bears, and what is tolerated beyond. */
     double coldPerSecond = 6;
+    /** Time for which an endpoint is cold after its start. */
+    Duration coldTime { 3000 };
     double coldOverage = 1.5;
     double coldTolerance = 5;
     unsigned mostAttempts = 2;
