Stop hosts with ledger shards without a crash

Cause: the compiler (g++ 12) miscompiles a co_await whose result is compared in the condition itself; LedgerShard::giveUp ran into an illegal instruction, so that each planned stop of a daemon that owned shards ended by SIGILL. Ruled out: the order of destruction at the end (the trap comes before "stopped"), memory faults (the same under ASan, no report). No other co_await stands in a comparison. The gateway does not use the ledger.

--- a/src/berylwing/ledger/ledger_shard.cpp
+++ b/src/berylwing/ledger/ledger_shard.cpp
@@ -98,7 +98,8 @@
 {
     this->givingUp = true;
     ++this->changeNumber;
-    if (co_await this->commit(deadline) == CommitResult::Written)
+    const auto result = co_await this->commit(deadline);
+    if (result == CommitResult::Written)
         this->lose();
 }
 
--- /dev/null
+++ b/test/berylwing/ledger/ledger_shard_test.cpp
@@ -0,0 +1,81 @@
+#include "berylwing/ledger/ledger_shard.hpp"
+
+#include "berylwing/telemetry/metrics.hpp"
+#include "support/fake_platform.hpp"
+#include "support/runtime_context.hpp"
+#include <catch2/catch.hpp>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+/** Longest time for giving a shard up. */
+constexpr Duration kDeadline { 300 };
+constexpr Duration kLongEnough { 500 };
+
+/** A host that takes a ledger shard over, on a paused clock. */
+class ShardFixture {
+public:
+    ~ShardFixture() { this->context.destroyPending(); }
+
+    void run(Task<void> task)
+    {
+        spawn(this->context.get_executor(), "test", std::move(task));
+        constexpr Duration kStep { 5 };
+        for (const auto until = this->time + kLongEnough; this->time < until;) {
+            this->time += kStep;
+            this->clock.fireDue();
+            this->context.restart();
+            this->context.poll();
+        }
+    }
+
+    void acquire()
+    {
+        this->run([](ShardFixture* fixture) -> Task<void> {
+            static_cast<void>(co_await fixture->shard.acquire([](const std::string&, std::uint64_t) { return false; }));
+        }(this));
+    }
+
+    void giveUp()
+    {
+        this->run([](ShardFixture* fixture) -> Task<void> {
+            co_await fixture->shard.giveUp(fixture->time + kDeadline);
+            fixture->hasGivenUp = true;
+        }(this));
+    }
+
+    RuntimeContext context;
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    FakePlatform platform;
+    Metrics metrics;
+    PlatformClient client { this->platform.exchangeOf("here", this->clock), this->metrics };
+    Identity identity { "here", "knox-a", 1, "", 0, 0 };
+    LedgerShard shard { "shard-1", this->clock, [] { return std::int64_t { 0 }; }, this->identity, this->client,
+        this->metrics };
+    bool hasGivenUp = false;
+};
+
+} // namespace
+
+TEST_CASE("LedgerShard is given up in a planned stop", "[ledger]")
+{
+    ShardFixture fixture;
+    fixture.acquire();
+    REQUIRE(fixture.shard.isOwned());
+    fixture.giveUp();
+    CHECK(fixture.hasGivenUp);
+    CHECK_FALSE(fixture.shard.isOwned());
+}
+
+TEST_CASE("LedgerShard stays owned if giving it up is not written in time", "[ledger]")
+{
+    ShardFixture fixture;
+    fixture.acquire();
+    fixture.platform.trouble = PlatformTrouble::Down;
+    fixture.giveUp();
+    CHECK(fixture.hasGivenUp);
+    CHECK(fixture.shard.isOwned());
+}
