Log the loads on which the choice of an endpoint was based, and compare them with the true ones

Change: request_sent has the believed load (own and others' requests), the mean and the limit of the service and the age of what the host knew of others. Digests and summaries say how old the loads of other groups are. 'berylwing loads' reads the logs of all hosts, counts the true load of each endpoint and says, for each service and five seconds, how many requests found it over the limit and how many of these hosts believed it to be below. No choice is changed.

--- a/src/berylwing/client/command_line.cpp
+++ b/src/berylwing/client/command_line.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/client/command_line.hpp"
 
+#include "berylwing/client/load_audit.hpp"
 #include "berylwing/client/object_commands.hpp"
 #include "berylwing/client/request_timeline.hpp"
 #include "berylwing/client/status_command.hpp"
@@ -26,6 +27,7 @@
   berylwing apply FILE                      write all objects of a file
   berylwing check FILE                      validate the objects of a file without writing
   berylwing explain ID [FILE...]            show a request's timeline from the hosts' logs
+  berylwing loads [FILE...]                 compare the loads that hosts believed in with the true ones, from all logs
 
 Options: --platform=ADDRESS:PORT (or FLAGS_platform in the environment), --json,
 --expected_version=N to write only over version N (0: only if there is none).
@@ -89,6 +91,26 @@
     return code;
 }
 
+/**
+ * Reads logs from the files that the arguments name from an index on, or from standard input if there is none.
+ * Returns false, after reporting it, if a file cannot be read.
+ */
+template <typename Reader>
+bool readLogs(Reader& reader, const std::vector<std::string>& arguments, std::size_t first, std::ostream& errors)
+{
+    for (std::size_t index = first; index < arguments.size(); ++index) {
+        std::ifstream file { arguments[index] };
+        if (!file) {
+            errors << "cannot read " << arguments[index] << "\n";
+            return false;
+        }
+        reader.read(file);
+    }
+    if (arguments.size() == first)
+        reader.read(std::cin);
+    return true;
+}
+
 } // namespace
 
 CommandLine::CommandLine(ClientOptions clientOptions, std::ostream& output, std::ostream& errors)
@@ -111,16 +133,8 @@
 ExitCode CommandLine::explain(const std::vector<std::string>& arguments)
 {
     RequestTimeline timeline { arguments[1] };
-    for (std::size_t index = 2; index < arguments.size(); ++index) {
-        std::ifstream file { arguments[index] };
-        if (!file) {
-            this->err << "cannot read " << arguments[index] << "\n";
-            return ExitCode::Usage;
-        }
-        timeline.read(file);
-    }
-    if (arguments.size() == 2)
-        timeline.read(std::cin);
+    if (!readLogs(timeline, arguments, 2, this->err))
+        return ExitCode::Usage;
     if (!timeline.isKnown()) {
         this->err << "no log line found for request " << arguments[1] << "\n";
         return ExitCode::NotFound;
@@ -129,6 +143,15 @@
     return ExitCode::Done;
 }
 
+ExitCode CommandLine::auditLoads(const std::vector<std::string>& arguments)
+{
+    LoadAudit audit;
+    if (!readLogs(audit, arguments, 1, this->err))
+        return ExitCode::Usage;
+    audit.print(this->out);
+    return ExitCode::Done;
+}
+
 ExitCode CommandLine::dispatch(const std::vector<std::string>& arguments)
 {
     boost::asio::io_context context { 1 };
@@ -140,6 +163,8 @@
         = [&arguments](std::size_t index) { return index < arguments.size() ? arguments[index] : std::string {}; };
     if (argument(0) == "explain" && arguments.size() >= 2)
         return this->explain(arguments);
+    if (argument(0) == "loads")
+        return this->auditLoads(arguments);
     if (argument(0) == "status")
         return runTask(context, status.run());
     if (argument(0) == "apply" && arguments.size() == 2)
--- a/src/berylwing/client/command_line.hpp
+++ b/src/berylwing/client/command_line.hpp
@@ -25,6 +25,7 @@
 class CommandLine {
     [[nodiscard]] ExitCode dispatch(const std::vector<std::string>& arguments);
     [[nodiscard]] ExitCode explain(const std::vector<std::string>& arguments);
+    [[nodiscard]] ExitCode auditLoads(const std::vector<std::string>& arguments);
 
 public:
     /**
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -132,6 +132,7 @@
     summary.set_domain(this->dependencies.domain);
     summary.set_host(this->dependencies.host);
     *summary.mutable_loads() = this->dependencies.fleet.makeGroupLoads();
+    summary.set_loads_age_ms(static_cast<std::uint64_t>(this->dependencies.fleet.groupLoadAge().count()));
     this->usesForOtherGroups.appendTo(*summary.mutable_uses());
     this->dependencies.holders.appendTo(*summary.mutable_uses());
     this->crashesForOtherGroups.appendTo(*summary.mutable_crashes());
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -44,7 +44,8 @@
 
 void FleetView::applySummary(const wire::GroupSummary& summary)
 {
-    this->summaries.insert_or_assign(summary.domain(), Summary { summary.loads(), this->clock.now() });
+    const Duration loadsAge { static_cast<Duration::rep>(summary.loads_age_ms()) };
+    this->summaries.insert_or_assign(summary.domain(), Summary { summary.loads(), this->clock.now(), loadsAge });
     this->updateDirectoryLoads();
 }
 
@@ -67,6 +68,7 @@
     digest.set_is_delegate(true);
     for (const auto& [endpoint, load] : this->hasSummaries() ? this->otherGroupLoads() : Loads {})
         appendLoad(*digest.mutable_elsewhere(), endpoint, load);
+    digest.set_elsewhere_age_ms(static_cast<std::uint64_t>(this->otherGroupLoadAge().count()));
     return digest;
 }
 
@@ -186,14 +188,42 @@
             addLoads(totals, summary.loads);
         return totals;
     }
+    if (const auto* latest = this->findLatestElsewhere())
+        addLoads(totals, latest->digest.elsewhere());
+    return totals;
+}
+
+const FleetView::Peer* FleetView::findLatestElsewhere() const
+{
     const Peer* latest = nullptr;
     for (const auto& [host, peer] : this->peers) {
         if (peer.digest.has_elsewhere() && (latest == nullptr || peer.receivedAt > latest->receivedAt))
             latest = &peer;
     }
-    if (latest != nullptr)
-        addLoads(totals, latest->digest.elsewhere());
-    return totals;
+    return latest;
+}
+
+Duration FleetView::groupLoadAge() const
+{
+    Duration total {};
+    for (const auto& [host, peer] : this->peers)
+        total += this->clock.now() - peer.receivedAt;
+    return total / static_cast<Duration::rep>(std::max<std::size_t>(this->peers.size(), 1));
+}
+
+Duration FleetView::otherGroupLoadAge() const
+{
+    if (!this->hasSummaries()) {
+        const auto* latest = this->findLatestElsewhere();
+        if (latest == nullptr)
+            return {};
+        const Duration ageWhenSent { static_cast<Duration::rep>(latest->digest.elsewhere_age_ms()) };
+        return this->clock.now() - latest->receivedAt + ageWhenSent;
+    }
+    Duration total {};
+    for (const auto& [domain, summary] : this->summaries)
+        total += this->clock.now() - summary.receivedAt + summary.loadsAge;
+    return total / static_cast<Duration::rep>(this->summaries.size());
 }
 
 void FleetView::updateDirectoryLoads()
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -4,6 +4,7 @@
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/host_roster.hpp"
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -29,6 +30,8 @@
     struct Summary {
         wire::EndpointLoads loads;
         TimePoint receivedAt {};
+        /** Age of the loads when the summary was sent. */
+        Duration loadsAge {};
     };
 
     /** Load of one endpoint. */
@@ -42,6 +45,9 @@
     static void addLoads(Loads& totals, const wire::EndpointLoads& loads);
     static void appendLoad(wire::EndpointLoads& loads, std::uint32_t endpoint, const Load& load);
     [[nodiscard]] Loads otherGroupLoads() const;
+    /** Returns the peer whose digest has the latest loads of other groups; a null pointer if there is none. */
+    [[nodiscard]] const Peer* findLatestElsewhere() const;
+    [[nodiscard]] Duration otherGroupLoadAge() const;
     [[nodiscard]] bool isLive(const Peer& peer) const;
     [[nodiscard]] bool isLiveWatcher(const Peer& peer, bool canReachStore) const;
     [[nodiscard]] std::size_t countHigherRankedPeers() const;
@@ -75,6 +81,15 @@
     /** @brief Adds up the loads of this host and its group. @return Loads. */
     [[nodiscard]] wire::EndpointLoads makeGroupLoads() const;
 
+    /** @brief Returns the mean age of the loads reported by this host's group. @return Age; zero without digests. */
+    [[nodiscard]] Duration groupLoadAge() const;
+
+    /**
+     * @brief Estimates for how long the loads of endpoints have not included the other hosts' latest requests.
+     * @return Mean age of the loads reported by the own group, or of those of the other groups if that is higher.
+     */
+    [[nodiscard]] Duration loadAge() const { return std::max(this->groupLoadAge(), this->otherGroupLoadAge()); }
+
     /** @brief Echoes the send time of a peer's last digest. @param host Peer. @return Echo; empty if it is unknown. */
     [[nodiscard]] wire::ClockEcho makeEcho(const std::string& host) const;
 
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -119,6 +119,9 @@
     TimePoint deadline {};
     /** Endpoints of earlier attempts, which are not chosen again. */
     std::vector<GatewayEndpointPtr> tried {};
+    /** Load on which the last choice of an endpoint was based. */
+    LoadBelief load {};
+    Duration loadAge {};
     unsigned attempts = 0;
     /** Attempts in which the endpoint may have executed the request. */
     unsigned executions = 0;
@@ -211,6 +214,10 @@
     endpoint = this->dependencies.placement.choose(placementRequestOf(context), context.traits);
     if (!endpoint)
         return this->failureOf(context, context.failureReason);
+    if (this->dependencies.log.isSampled(context.request.metadata.attemptId)) {
+        context.load = this->dependencies.placement.describeLoad(*endpoint);
+        context.loadAge = this->dependencies.loadAge();
+    }
     if (context.attempts > 0 && !this->dependencies.retryBudget.tryAcquire(context.service))
         return this->failureOf(context, Refusal::RetryBudgetSpent);
     return std::nullopt;
@@ -362,7 +369,10 @@
     LogLine line { LogEvent::RequestSent };
     line.add("route", context.route->name).add("plan", static_cast<std::int64_t>(context.plan->version()));
     line.add("plan_age_ms", this->dependencies.lease.age()).add("endpoint", endpoint.record.id);
+    line.add("service", context.service);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { context.attempts });
+    line.add("load_own", std::int64_t { context.load.own }).add("load_others", std::int64_t { context.load.others });
+    line.add("load_mean", context.load.mean).add("load_limit", context.load.limit).add("load_age_ms", context.loadAge);
     line.add("waited_ms", this->dependencies.clock.now() - context.request.arrivedAt);
     const auto unreadTokens = this->recordPrompt(context, endpoint, cacheSource, line);
     this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -35,6 +35,8 @@
     const PlanLease& lease;
     const EndpointDirectory& directory;
     const Placement& placement;
+    /** Returns the age of what this host knows of the other hosts' requests. */
+    std::function<Duration()> loadAge;
     PromptCacheIndex& promptCache;
     CrashQuarantine& crashQuarantine;
     FleetRetryBudget& retryBudget;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -90,7 +90,7 @@
 ForwarderDependencies Gateway::makeForwarderDependencies(SessionFactory open)
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        this->holders, this->crashes, this->retries, std::move(open),
+        [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries, std::move(open),
         [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -31,11 +31,8 @@
     std::uint64_t pendingTokens = 0;
 };
 
-/**
- * Returns the load up to which an endpoint receives requests because of their prompts. The mean includes the endpoints
- * of the service that receive no requests, which lower it.
- */
-double loadLimitOf(const EndpointDirectory& directory, std::string_view service)
+/** Returns the mean load of a service; it includes the endpoints that receive no requests, which lower it. */
+double meanLoadOf(const EndpointDirectory& directory, std::string_view service)
 {
     double total = 0;
     double count = 0;
@@ -45,9 +42,12 @@
         ++count;
         total += endpoint->load();
     }
-    return kMaxLoadRatio * total / std::max(count, 1.0) + kLoadTolerance;
+    return total / std::max(count, 1.0);
 }
 
+/** Returns the load up to which an endpoint receives requests because of their prompts. */
+double loadLimitOf(double meanLoad) { return kMaxLoadRatio * meanLoad + kLoadTolerance; }
+
 } // namespace
 
 Placement::Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdRateLimit& limit,
@@ -87,7 +87,7 @@
 GatewayEndpointPtr Placement::chooseByPrompt(
     const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& endpoints) const
 {
-    const auto loadLimit = loadLimitOf(this->directory, request.service);
+    const auto loadLimit = loadLimitOf(meanLoadOf(this->directory, request.service));
     std::vector<Candidate> candidates;
     for (const auto& endpoint : endpoints) {
         if (endpoint->load() >= loadLimit)
@@ -109,6 +109,12 @@
     return found->endpoint;
 }
 
+LoadBelief Placement::describeLoad(const GatewayEndpoint& endpoint) const
+{
+    const auto mean = meanLoadOf(this->directory, endpoint.record.service);
+    return { endpoint.inFlight, endpoint.remoteInFlight, mean, loadLimitOf(mean) };
+}
+
 GatewayEndpointPtr Placement::findCacheSource(const PlacementRequest& request, const GatewayEndpoint& target) const
 {
     if (!request.isSticky || request.sharedTokens < kMinCopiedTokens
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -22,6 +22,18 @@
     const std::vector<GatewayEndpointPtr>& tried;
 };
 
+/** @brief What a host knows of the load of an endpoint when it chooses it. */
+struct LoadBelief {
+    /** Requests of this host at the endpoint. */
+    std::uint32_t own = 0;
+    /** Requests of other hosts at the endpoint, by their last digests. */
+    std::uint32_t others = 0;
+    /** Mean load of the endpoints of the service. */
+    double mean = 0;
+    /** Load from which on the endpoint receives no requests because of their prompts. */
+    double limit = 0;
+};
+
 /**
  * @brief Chooses the endpoint of a request.
  *
@@ -61,6 +73,13 @@
      */
     [[nodiscard]] GatewayEndpointPtr choose(const PlacementRequest& request, const ServiceTraits& service) const;
 
+    /**
+     * @brief Describes on which loads the choice of an endpoint was based.
+     * @param endpoint Endpoint that has just been chosen, before the request counts among its load.
+     * @return Load.
+     */
+    [[nodiscard]] LoadBelief describeLoad(const GatewayEndpoint& endpoint) const;
+
     /**
      * @brief Finds an endpoint from which the chosen endpoint can copy the KV cache of the shared segments.
      *
--- a/src/berylwing/telemetry/decision_log.cpp
+++ b/src/berylwing/telemetry/decision_log.cpp
@@ -4,6 +4,7 @@
 #include "berylwing/core/wall_clock.hpp"
 #include <algorithm>
 #include <climits>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
@@ -65,6 +66,13 @@
     return *this;
 }
 
+LogLine& LogLine::add(std::string_view name, double value)
+{
+    this->addName(name);
+    this->text += fmt::format("{:.1f}", value);
+    return *this;
+}
+
 DecisionLog::DecisionLog(const Clock& hostClock, Writer lineWriter, std::string linePrefix)
     : clock { hostClock }
     , writer { std::move(lineWriter) }
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -89,6 +89,9 @@
     /** @brief Adds a number. @param name Field. @param value Number. @return This line. */
     LogLine& add(std::string_view name, std::int64_t value);
 
+    /** @brief Adds a number with one decimal. @param name Field. @param value Number. @return This line. */
+    LogLine& add(std::string_view name, double value);
+
     /** @brief Adds a duration. @param name Field, with the suffix _ms. @param value Duration. @return This line. */
     LogLine& add(std::string_view name, Duration value) { return this->add(name, std::int64_t { value.count() }); }
 
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -76,6 +76,27 @@
     CHECK(fixture.here.endpoint().load() == 0);
 }
 
+TEST_CASE("FleetView tells the age of the loads that other hosts reported", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    CHECK(fixture.here.view.loadAge() == Duration {});
+    fixture.here.view.applyDigest(fixture.there.view.makeDigest());
+    fixture.time += Duration { 150 };
+    CHECK(fixture.here.view.loadAge() == Duration { 150 });
+    wire::GroupSummary summary;
+    summary.set_domain("elsewhere");
+    summary.mutable_loads();
+    summary.set_loads_age_ms(100);
+    fixture.there.view.applySummary(summary);
+    fixture.time += Duration { 50 };
+    // A delegate passes on how old the loads of other groups are, and they age further until its next digest.
+    auto digest = fixture.there.view.makeDigest();
+    digest.mutable_elsewhere();
+    fixture.here.view.applyDigest(digest);
+    fixture.time += Duration { 20 };
+    CHECK(fixture.here.view.loadAge() == Duration { 170 });
+}
+
 TEST_CASE("FleetView drops the digest of a host that stays silent", "[gateway][fleet]")
 {
     FleetFixture fixture;
