Spread requests by the requests of other hosts that a host cannot know of yet

What callers saw: on the grown site 5 to 10 in 100 requests to the application, and up to 6 in 100 to the engines, went to an endpoint that held over twice the mean of its service plus three; up to 31 at one with 6 slots while others were idle.

Cause: all hosts choose the best endpoint by the same loads, which are 300 to 1,000 ms old. The least loaded endpoint, or the one that caches a popular prompt, is the best one for all of them until the next digest; a host's choice did not ask how many requests others had sent since. Class: a decision of many from one late view with a single best answer.

Change: a host expects the others to send as many requests as itself (UnseenRequests: its own rate x the other hosts x the age of the loads). Requests without a prompt are spread over the endpoints that these requests fill evenly, at random by the room that they have left; with a current view the least loaded one is chosen as before. A prompt is spread over as many endpoints, those that cache it first, as have room for its unseen requests, estimated from this host's own uses of it and from the excess load of endpoints that cache it; the limit leaves a margin for requests that are not seen. One host alone decides as before.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -189,7 +189,7 @@
 {
     const bool isSticky = context.sharedSegment != nullptr;
     const auto key = isSticky ? context.promptKey : context.requestHash;
-    return { context.service, key, context.sharedTokens, isSticky, context.tried };
+    return { context.service, key, context.sharedTokens, isSticky, context.tried, context.requestHash };
 }
 
 Outcome Forwarder::failureOf(const RequestContext& context, Refusal reason) const
@@ -240,6 +240,7 @@
     if (const auto refusal = this->prepare(context))
         co_return *refusal;
     this->dependencies.retryBudget.recordRequest(context.service);
+    this->dependencies.unseenRequests.recordRequest(context.service);
     while (true) {
         GatewayEndpointPtr endpoint;
         if (const auto outcome = this->chooseEndpoint(context, endpoint))
@@ -373,6 +374,7 @@
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { context.attempts });
     line.add("load_own", std::int64_t { context.load.own }).add("load_others", std::int64_t { context.load.others });
     line.add("load_mean", context.load.mean).add("load_limit", context.load.limit).add("load_age_ms", context.loadAge);
+    line.add("load_unseen", context.load.unseen);
     line.add("waited_ms", this->dependencies.clock.now() - context.request.arrivedAt);
     const auto unreadTokens = this->recordPrompt(context, endpoint, cacheSource, line);
     this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -40,6 +40,7 @@
     PromptCacheIndex& promptCache;
     CrashQuarantine& crashQuarantine;
     FleetRetryBudget& retryBudget;
+    UnseenRequests& unseenRequests;
     SessionFactory openSession;
     /** Reports an endpoint that stopped responding. */
     std::function<void(GatewayEndpoint&)> reportSilence;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -71,7 +71,10 @@
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , holders { hostClock }
     , crashes { hostClock }
-    , placement { hostClock, this->directory, this->coldLimit, this->holders, gatewaySettings.domain }
+    , unseenRequests { hostClock, [this] { return this->roster.names().size(); },
+        [this] { return this->fleet.loadAge(); } }
+    , placement { hostClock, this->directory, this->coldLimit, this->holders, this->unseenRequests,
+        gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay },
@@ -90,8 +93,9 @@
 ForwarderDependencies Gateway::makeForwarderDependencies(SessionFactory open)
 {
     return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries, std::move(open),
-        [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log };
+        [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries, this->unseenRequests,
+        std::move(open), [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics,
+        this->log };
 }
 
 FleetExchangeDependencies Gateway::makeExchangeDependencies(
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -162,6 +162,7 @@
     ColdRateLimit coldLimit;
     PromptCacheIndex holders;
     CrashQuarantine crashes;
+    UnseenRequests unseenRequests;
     Placement placement;
     FleetRetryBudget retries;
     ReachabilityProber prober;
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/hash.hpp"
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace berylwing {
@@ -22,6 +23,12 @@
 /** Minimum length of a prompt to copy; setting up a transfer takes as long as processing some hundred tokens. */
 constexpr std::uint32_t kMinCopiedTokens = 500;
 
+/** Standard deviations of an endpoint's unseen requests that its load is kept below the limit. */
+constexpr double kUnseenMargin = 0.25;
+
+/** Factor by which the load of a popular prompt exceeds what hosts know of it, since it is still growing. */
+constexpr double kGrowthFactor = 2;
+
 struct Candidate {
     GatewayEndpointPtr endpoint;
     /** Position in the rendezvous order of the prompt; the highest score comes first. */
@@ -29,33 +36,122 @@
     bool isCached = false;
     /** Estimated tokens that the endpoint has to process before it responds. */
     std::uint64_t pendingTokens = 0;
+    /** Whether no other endpoint responds much sooner. */
+    bool isResponsive = false;
 };
 
-/** Returns the mean load of a service; it includes the endpoints that receive no requests, which lower it. */
-double meanLoadOf(const EndpointDirectory& directory, std::string_view service)
-{
+/** Load of all endpoints of a service, including those that receive no requests, which lower the mean. */
+struct ServiceLoad {
+    [[nodiscard]] double mean() const { return this->total / std::max(this->count, 1.0); }
+
+    /** Returns the load up to which an endpoint receives requests because of their prompts. */
+    [[nodiscard]] double limit(double unseenRequests) const
+    {
+        const auto deviation = std::sqrt(unseenRequests / std::max(this->count, 1.0));
+        return std::max(this->mean(), kMaxLoadRatio * this->mean() + kLoadTolerance - kUnseenMargin * deviation);
+    }
+
     double total = 0;
     double count = 0;
+};
+
+ServiceLoad loadOf(const EndpointDirectory& directory, std::string_view service)
+{
+    ServiceLoad load;
     for (const auto& [id, endpoint] : directory.all()) {
         if (endpoint->record.service != service)
             continue;
-        ++count;
-        total += endpoint->load();
+        ++load.count;
+        load.total += endpoint->load();
+    }
+    return load;
+}
+
+/** Returns the common load of the least loaded endpoints after a number of requests were spread evenly over them. */
+double fillLevelOf(const std::vector<GatewayEndpointPtr>& endpoints, double requests)
+{
+    std::vector<double> loads;
+    loads.reserve(endpoints.size());
+    for (const auto& endpoint : endpoints)
+        loads.push_back(endpoint->load());
+    std::sort(loads.begin(), loads.end());
+    double filled = requests;
+    for (std::size_t count = 1; count < loads.size(); ++count) {
+        filled += loads[count - 1];
+        const auto level = filled / static_cast<double>(count);
+        if (level <= loads[count])
+            return level;
+    }
+    return (filled + loads.back()) / static_cast<double>(loads.size());
+}
+
+/** Draws an endpoint at random; its part of all requests is proportional to its weight. */
+class WeightedDraw {
+public:
+    explicit WeightedDraw(std::uint64_t hash)
+        : requestHash { hash }
+    {
     }
-    return total / std::max(count, 1.0);
+
+    void add(const GatewayEndpointPtr& endpoint, double weight)
+    {
+        if (weight <= 0)
+            return;
+        const auto score = rendezvousScore(this->requestHash, endpoint->record.id, weight);
+        if (this->best && score <= this->bestScore)
+            return;
+        this->best = endpoint;
+        this->bestScore = score;
+    }
+
+    [[nodiscard]] const GatewayEndpointPtr& drawn() const noexcept { return this->best; }
+
+private:
+    std::uint64_t requestHash;
+    GatewayEndpointPtr best;
+    double bestScore = 0;
+};
+
+/** Sorts the candidates for a prompt: responsive ones first, then those that cache it, then by rendezvous order. */
+void sortByPreference(std::vector<Candidate>& candidates)
+{
+    const auto shortest = std::min_element(candidates.begin(), candidates.end(),
+        [](const Candidate& left, const Candidate& right) { return left.pendingTokens < right.pendingTokens; });
+    const auto maxPendingTokens = shortest->pendingTokens + kBacklogTolerance;
+    for (auto& candidate : candidates)
+        candidate.isResponsive = candidate.pendingTokens <= maxPendingTokens;
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+        if (left.isResponsive != right.isResponsive)
+            return left.isResponsive;
+        return left.isCached != right.isCached ? left.isCached : left.score > right.score;
+    });
 }
 
-/** Returns the load up to which an endpoint receives requests because of their prompts. */
-double loadLimitOf(double meanLoad) { return kMaxLoadRatio * meanLoad + kLoadTolerance; }
+/** Draws one of the first candidates that together have room for the unseen requests of a prompt. */
+GatewayEndpointPtr drawByRoom(
+    const std::vector<Candidate>& candidates, double loadLimit, double unseenRequests, std::uint64_t requestHash)
+{
+    WeightedDraw draw { requestHash };
+    auto remaining = unseenRequests;
+    for (const auto& candidate : candidates) {
+        const auto room = loadLimit - candidate.endpoint->load();
+        draw.add(candidate.endpoint, std::min(room, std::max(remaining, 1.0)));
+        remaining -= room;
+        if (remaining <= 0)
+            break;
+    }
+    return draw.drawn();
+}
 
 } // namespace
 
 Placement::Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdRateLimit& limit,
-    const PromptCacheIndex& cacheIndex, std::string ownDomain)
+    const PromptCacheIndex& cacheIndex, const UnseenRequests& unseenRequestEstimate, std::string ownDomain)
     : clock { hostClock }
     , directory { endpointDirectory }
     , coldRateLimit { limit }
     , promptCache { cacheIndex }
+    , unseenRequests { unseenRequestEstimate }
     , domain { std::move(ownDomain) }
 {
 }
@@ -81,38 +177,40 @@
     if (candidates.empty())
         return nullptr;
     const auto endpoint = request.isSticky ? this->chooseByPrompt(request, candidates) : nullptr;
-    return endpoint ? endpoint : this->chooseLeastLoaded(candidates);
+    return endpoint ? endpoint : this->chooseByLoad(request, candidates);
 }
 
 GatewayEndpointPtr Placement::chooseByPrompt(
     const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& endpoints) const
 {
-    const auto loadLimit = loadLimitOf(meanLoadOf(this->directory, request.service));
+    const auto load = loadOf(this->directory, request.service);
+    const auto unseenAtService = this->unseenRequests.estimate(request.service);
+    const auto limit = load.limit(unseenAtService);
     std::vector<Candidate> candidates;
+    double excess = 0;
     for (const auto& endpoint : endpoints) {
-        if (endpoint->load() >= loadLimit)
-            continue;
         const bool isCached = this->promptCache.isCached(request.key, endpoint->hash);
+        if (endpoint->load() >= limit) {
+            excess += isCached ? endpoint->load() - load.mean() : 0;
+            continue;
+        }
         const auto pendingTokens = endpoint->backlog() + (isCached ? 0 : request.sharedTokens + kUncachedPenalty);
         candidates.push_back({ endpoint, rendezvousScore(request.key, endpoint->record.id), isCached, pendingTokens });
     }
     if (candidates.empty())
         return nullptr;
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
-        return left.isCached != right.isCached ? left.isCached : left.score > right.score;
-    });
-    const auto shortest = std::min_element(candidates.begin(), candidates.end(),
-        [](const Candidate& left, const Candidate& right) { return left.pendingTokens < right.pendingTokens; });
-    const auto maxPendingTokens = shortest->pendingTokens + kBacklogTolerance;
-    const auto found = std::find_if(candidates.begin(), candidates.end(),
-        [maxPendingTokens](const Candidate& candidate) { return candidate.pendingTokens <= maxPendingTokens; });
-    return found->endpoint;
+    sortByPreference(candidates);
+    // A popular prompt causes the excess load of the endpoints that cache it, and the same part of the unseen requests.
+    const auto unseenByExcess = kGrowthFactor * excess * unseenAtService / std::max(load.total, 1.0);
+    const auto unseenByOwnUses = this->unseenRequests.estimate(this->promptCache.ownUseRate(request.key));
+    return drawByRoom(candidates, limit, std::max(unseenByExcess, unseenByOwnUses), request.requestHash);
 }
 
 LoadBelief Placement::describeLoad(const GatewayEndpoint& endpoint) const
 {
-    const auto mean = meanLoadOf(this->directory, endpoint.record.service);
-    return { endpoint.inFlight, endpoint.remoteInFlight, mean, loadLimitOf(mean) };
+    const auto load = loadOf(this->directory, endpoint.record.service);
+    const auto unseen = this->unseenRequests.estimate(endpoint.record.service);
+    return { endpoint.inFlight, endpoint.remoteInFlight, load.mean(), load.limit(unseen), unseen };
 }
 
 GatewayEndpointPtr Placement::findCacheSource(const PlacementRequest& request, const GatewayEndpoint& target) const
@@ -134,6 +232,19 @@
     return best;
 }
 
+GatewayEndpointPtr Placement::chooseByLoad(
+    const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& candidates) const
+{
+    const auto unseen = this->unseenRequests.estimate(request.service);
+    if (unseen < 1)
+        return this->chooseLeastLoaded(candidates);
+    const auto level = fillLevelOf(candidates, unseen);
+    WeightedDraw draw { request.requestHash };
+    for (const auto& endpoint : candidates)
+        draw.add(endpoint, level - endpoint->load());
+    return draw.drawn();
+}
+
 GatewayEndpointPtr Placement::chooseLeastLoaded(const std::vector<GatewayEndpointPtr>& candidates) const
 {
     return *std::min_element(
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/gateway/cold_rate_limit.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/prompt_cache_index.hpp"
+#include "berylwing/gateway/unseen_requests.hpp"
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +21,8 @@
     bool isSticky = false;
     /** Endpoints that were tried before and are not chosen again. */
     const std::vector<GatewayEndpointPtr>& tried;
+    /** Hash of the attempt id, by which requests are spread over endpoints. */
+    std::uint64_t requestHash = 0;
 };
 
 /** @brief What a host knows of the load of an endpoint when it chooses it. */
@@ -32,6 +35,8 @@
     double mean = 0;
     /** Load from which on the endpoint receives no requests because of their prompts. */
     double limit = 0;
+    /** Expected requests of other hosts to the service that these loads do not include. */
+    double unseen = 0;
 };
 
 /**
@@ -45,10 +50,15 @@
  * These rules are meant for skewed loads, in which a few prompts are far more frequent than the others; for many
  * prompts that arrive at once while all caches are empty; and for services some of whose endpoints fail or are still
  * cold.
+ *
+ * All hosts choose by about the same loads, which do not include the latest requests of other hosts. If more of these
+ * are expected than an endpoint has room for, the requests are therefore spread over further endpoints at random.
  */
 class Placement {
     [[nodiscard]] GatewayEndpointPtr chooseByPrompt(
         const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& candidates) const;
+    [[nodiscard]] GatewayEndpointPtr chooseByLoad(
+        const PlacementRequest& request, const std::vector<GatewayEndpointPtr>& candidates) const;
     [[nodiscard]] GatewayEndpointPtr chooseLeastLoaded(const std::vector<GatewayEndpointPtr>& candidates) const;
     /** Checks if an endpoint may receive a request; a cold one only within its rate limit. */
     [[nodiscard]] bool canReceive(const GatewayEndpoint& endpoint, const ServiceTraits& service, TimePoint now) const;
@@ -60,10 +70,11 @@
      * @param endpointDirectory Endpoints of all services.
      * @param coldRateLimit Rate limit of cold endpoints.
      * @param cacheIndex Endpoints that cache shared prompts.
+     * @param unseenRequestEstimate Requests of other hosts that the known loads do not include.
      * @param ownDomain Failure domain of this host, preferred among equally loaded endpoints.
      */
     Placement(const Clock& hostClock, const EndpointDirectory& endpointDirectory, const ColdRateLimit& coldRateLimit,
-        const PromptCacheIndex& cacheIndex, std::string ownDomain);
+        const PromptCacheIndex& cacheIndex, const UnseenRequests& unseenRequestEstimate, std::string ownDomain);
 
     /**
      * @brief Chooses an endpoint.
@@ -98,6 +109,7 @@
     const EndpointDirectory& directory;
     const ColdRateLimit& coldRateLimit;
     const PromptCacheIndex& promptCache;
+    const UnseenRequests& unseenRequests;
     std::string domain;
 };
 
--- a/src/berylwing/gateway/prompt_cache_index.cpp
+++ b/src/berylwing/gateway/prompt_cache_index.cpp
@@ -20,9 +20,9 @@
 
 PromptCacheIndex::CacheEntry* PromptCacheIndex::findOrAdd(const EndpointNote& use)
 {
-    if (this->entriesByPrompt.size() >= kMaxPrompts && !this->entriesByPrompt.contains(use.subject))
+    if (this->prompts.size() >= kMaxPrompts && !this->prompts.contains(use.subject))
         return nullptr;
-    auto& list = this->entriesByPrompt[use.subject];
+    auto& list = this->prompts[use.subject].entries;
     const auto found = std::find_if(
         list.begin(), list.end(), [&use](const CacheEntry& holder) { return holder.endpoint == use.endpoint; });
     return found == list.end() ? &list.emplace_back(CacheEntry { use.endpoint }) : &*found;
@@ -36,6 +36,7 @@
     const auto now = this->clock.now();
     holder->usedAt = now;
     holder->usedLocallyAt = now;
+    this->prompts.at(use.subject).ownUses.record(now);
     if (holder->announcedAt + kAnnounceInterval > now)
         return;
     holder->announcedAt = now;
@@ -46,10 +47,10 @@
 {
     const auto now = this->clock.now();
     this->announcements.clear();
-    for (const auto& [prompt, list] : this->entriesByPrompt) {
-        for (const auto& holder : list) {
+    for (const auto& [hash, prompt] : this->prompts) {
+        for (const auto& holder : prompt.entries) {
             if (holder.usedLocallyAt + kAnnounceInterval > now)
-                this->announcements.push({ prompt, holder.endpoint });
+                this->announcements.push({ hash, holder.endpoint });
         }
     }
 }
@@ -76,18 +77,25 @@
     if (now < this->lastRemovalAt + kRemovalInterval)
         return;
     this->lastRemovalAt = now;
-    for (auto entry = this->entriesByPrompt.begin(); entry != this->entriesByPrompt.end();) {
-        std::erase_if(entry->second, [now](const CacheEntry& holder) { return holder.usedAt + kCacheTtl < now; });
-        entry = entry->second.empty() ? this->entriesByPrompt.erase(entry) : std::next(entry);
+    for (auto entry = this->prompts.begin(); entry != this->prompts.end();) {
+        auto& entries = entry->second.entries;
+        std::erase_if(entries, [now](const CacheEntry& holder) { return holder.usedAt + kCacheTtl < now; });
+        entry = entries.empty() ? this->prompts.erase(entry) : std::next(entry);
     }
 }
 
 bool PromptCacheIndex::isCached(std::uint64_t prompt, std::uint32_t endpoint) const
 {
-    const auto found = this->entriesByPrompt.find(prompt);
-    return found != this->entriesByPrompt.end()
-        && std::any_of(found->second.begin(), found->second.end(),
+    const auto found = this->prompts.find(prompt);
+    return found != this->prompts.end()
+        && std::any_of(found->second.entries.begin(), found->second.entries.end(),
             [endpoint](const CacheEntry& holder) { return holder.endpoint == endpoint; });
 }
 
+EventRate PromptCacheIndex::ownUseRate(std::uint64_t prompt) const
+{
+    const auto found = this->prompts.find(prompt);
+    return found == this->prompts.end() ? EventRate { kUseAveragingTime } : found->second.ownUses;
+}
+
 } // namespace berylwing
--- a/src/berylwing/gateway/prompt_cache_index.hpp
+++ b/src/berylwing/gateway/prompt_cache_index.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/announcement_queue.hpp"
+#include "berylwing/gateway/event_rate.hpp"
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,14 @@
         TimePoint usedLocallyAt {};
     };
 
+    /** Averaging time of the rate of a prompt's uses, in which a host sends a popular prompt several times. */
+    static constexpr Duration kUseAveragingTime { 1000 };
+
+    struct Prompt {
+        std::vector<CacheEntry> entries;
+        EventRate ownUses { kUseAveragingTime };
+    };
+
     /** Finds or adds the entry of a use. @return Entry; a null pointer if it is new and the limit is reached. */
     CacheEntry* findOrAdd(const EndpointNote& use);
 
@@ -64,9 +73,12 @@
      */
     [[nodiscard]] bool isCached(std::uint64_t prompt, std::uint32_t endpoint) const;
 
+    /** @brief Returns how often this host sends a prompt. @param prompt Hash of the prompt's id. @return Rate. */
+    [[nodiscard]] EventRate ownUseRate(std::uint64_t prompt) const;
+
 private:
     const Clock& clock;
-    std::unordered_map<std::uint64_t, std::vector<CacheEntry>> entriesByPrompt;
+    std::unordered_map<std::uint64_t, Prompt> prompts;
     AnnouncementQueue announcements;
     TimePoint lastRemovalAt {};
 };
--- a/test/support/placement_fleet.hpp
+++ b/test/support/placement_fleet.hpp
@@ -68,6 +68,7 @@
         CrashQuarantine crashes;
         Metrics metrics;
         ColdRateLimit coldRateLimit;
+        UnseenRequests unseenRequests;
         Placement placement;
         FleetExchange exchange;
         /** Whether messages between this host and others are dropped. */
