Bound bytes of endpoints that are no answer and do not end

What callers would see: an endpoint in trouble may send bytes without end, in a head, a body or a stream. A head of interim responses, a chunk size or a trailer without its end, the rest of an answer to another request, and an event that does not end were read until the deadline of up to 15 s; chunk sizes and events were kept in memory and searched anew with each read, so that the host stood still. A request whose rejection had a body without end was reported as "may have run".

Cause: only the body had a deadline of its own; nothing bounded what was neither head nor body. A request that the endpoint did not read kept the connection open after the call had failed, since the writer holds it.

Change: a head has 16 KiB, what waits for its end 64 KiB, an event 256 KiB, interim responses eight, a body that nobody needs 64 KiB and 200 ms; a failure that is not the endpoint's own answer, or is to be retried, 64 KiB. Beyond that the connection is closed at once and the request goes on at another endpoint or its caller is told. An answer that is the endpoint's own is passed on as before, as it comes, until the deadline.

Tests: [endless] with real sockets and with fake endpoints, clock paused: heads, bodies, streams; orders.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -5,6 +5,7 @@
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
+#include <spdlog/spdlog.h>
 #include <utility>
 
 namespace berylwing {
@@ -23,6 +24,10 @@
  * if the response breaks.
  */
 constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+/** Size up to which an incomplete event of a stream is buffered; the events of a model have a few hundred bytes. */
+constexpr std::size_t kMaxEventBytes = 256 * 1024;
+/** Time for reading the body of a rejection, so that its connection can be used again. */
+constexpr Duration kRejectionTimeout { 200 };
 /** Time after the deadline for the endpoint's own response that the deadline has passed. */
 constexpr Duration kDeadlineTolerance { 40 };
 /**
@@ -329,6 +334,8 @@
     try {
         co_return co_await this->exchange(context, *endpoint, *session);
     } catch (const EndpointError& error) {
+        // The endpoint may go on sending for as long as the connection is open.
+        session->abort();
         context.events.discardIncompleteEvent();
         if (context.request.isCallerGone)
             co_return AttemptResult::MayHaveRun;
@@ -396,7 +403,8 @@
         const bool isMisdirected = head.status == kMisdirectedRequest;
         this->recordResult(endpoint, isMisdirected ? EndpointResult::Unreachable : EndpointResult::Shed);
         context.failureReason = isMisdirected ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
-        while (co_await session.readBody(context.deadline)) { }
+        const auto rejectionDeadline = this->dependencies.clock.now() + kRejectionTimeout;
+        co_await skipRejection(session, std::min(context.deadline, rejectionDeadline));
         co_return AttemptResult::NotRun;
     }
     if (isSuccess(head.status) && (!head.metadata.isSigned || head.metadata.isEncoded))
@@ -414,6 +422,22 @@
     co_return result;
 }
 
+Task<void> Forwarder::skipRejection(EndpointSession& session, TimePoint deadline)
+{
+    try {
+        std::size_t skipped = 0;
+        while (const auto bytes = co_await session.readBody(deadline)) {
+            skipped += bytes->size();
+            if (skipped > kMaxBufferedBytes)
+                throw EndpointError { EndpointFault::Broken, "the body of a rejection does not end" };
+        }
+    } catch (const EndpointError& error) {
+        // The head has already told that the request did not run.
+        spdlog::debug("closed the connection after a rejection: {}", error.what());
+        session.abort();
+    }
+}
+
 Task<void> Forwarder::writeHead(RequestContext& context, const ResponseHead& head)
 {
     if (std::exchange(context.isHeadWritten, true))
@@ -429,11 +453,17 @@
     const bool isEventStream
         = isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStreamType);
     const auto deadline = context.deadline + kDeadlineTolerance;
+    // A server error of the endpoint is passed on only if the request cannot be retried at another endpoint.
+    const bool isRetriedFailure = head.status >= kFirstServerError && !context.isHeadWritten
+        && context.route->isRetryable() && context.executions + 1 < context.route->maxAttempts;
+    const bool isPassedOn = !isRetriedFailure && (isSuccess(head.status) || head.metadata.isSigned);
     std::string buffered;
     while (const auto bytes = co_await session.readBody(deadline)) {
         call.lastActivityAt = this->dependencies.clock.now();
         if (isEventStream) {
             const auto events = context.events.append(*bytes);
+            if (context.events.incompleteEvent().size() > kMaxEventBytes)
+                throw EndpointError { EndpointFault::Broken, "an event of the stream does not end" };
             if (events.empty())
                 continue;
             co_await this->writeHead(context, head);
@@ -443,15 +473,15 @@
         buffered += *bytes;
         if (buffered.size() < kMaxBufferedBytes)
             continue;
+        if (!isPassedOn)
+            throw EndpointError { EndpointFault::Broken, "the body of a failure does not end" };
         co_await this->writeHead(context, head);
         co_await context.writer.body(buffered);
         buffered.clear();
     }
     if (!context.events.incompleteEvent().empty())
         throw EndpointError { EndpointFault::Broken, "the stream ended inside an event" };
-    // A server error of the endpoint is passed on only if the request cannot be retried at another endpoint.
-    if (head.status >= kFirstServerError && !context.isHeadWritten && context.route->isRetryable()
-        && context.executions + 1 < context.route->maxAttempts)
+    if (isRetriedFailure)
         co_return AttemptResult::MayHaveRun;
     co_await this->writeHead(context, head);
     if (!buffered.empty())
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -77,6 +77,8 @@
         RequestContext& context, GatewayEndpoint& endpoint, EndpointSession& session);
     [[nodiscard]] Task<AttemptResult> relayResponse(
         RequestContext& context, const ResponseHead& head, EndpointSession& session, RetryableCall& call);
+    /** Reads the body of a rejection, or closes its connection if that would take too long. */
+    [[nodiscard]] static Task<void> skipRejection(EndpointSession& session, TimePoint deadline);
     [[nodiscard]] static PlacementRequest placementRequestOf(const RequestContext& context);
     /** Records that an endpoint receives the prompt. @return Tokens that the endpoint has to process. */
     [[nodiscard]] std::uint32_t recordPrompt(const RequestContext& context, const GatewayEndpoint& endpoint,
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -37,6 +37,7 @@
 constexpr unsigned kNotModified = 304;
 /** Maximum number of late responses to earlier requests that are skipped on one connection. */
 constexpr int kMaxStaleResponses = 2;
+constexpr int kMaxInterimResponses = 8;
 
 /** What the context with all endpoints share. */
 struct SessionContext {
@@ -106,6 +107,7 @@
     Task<ResponseHead> readHead(TimePoint deadline)
     {
         int staleCount = 0;
+        int interimCount = 0;
         while (true) {
             co_await this->reader.readHead(deadline);
             auto& response = this->reader.parser().get();
@@ -115,11 +117,14 @@
             if (status >= kFirstFinalStatus && !isStale)
                 break;
             if (isStale && ++staleCount > kMaxStaleResponses)
-                throw EndpointError { EndpointFault::Broken, "too many responses to other requests on the connection" };
+                this->fail("too many responses to other requests on the connection");
             if (isStale && this->reader.parser().need_eof())
-                throw EndpointError { EndpointFault::Broken,
-                    "a response to another request has no length, so the connection cannot be reused" };
-            while (co_await this->reader.readBody(deadline)) { }
+                this->fail("a response to another request has no length, so the connection cannot be reused");
+            if (!isStale && ++interimCount > kMaxInterimResponses)
+                this->fail("too many interim responses");
+            const bool isSkipped = co_await this->reader.skipBody(deadline);
+            if (!isSkipped)
+                this->fail("the response to another request does not end");
             this->reader.reset(this->isHeadRequest);
         }
         co_return this->toHead();
@@ -136,6 +141,13 @@
     void abort() { this->reader.abort(); }
 
 private:
+    /** Closes the connection, which the endpoint may go on sending on, and throws. */
+    [[noreturn]] void fail(const char* error)
+    {
+        this->reader.abort();
+        throw EndpointError { EndpointFault::Broken, error };
+    }
+
     using OutgoingRequest = http::request<http::string_body>;
 
     static Task<void> write(std::shared_ptr<Session> session, std::shared_ptr<OutgoingRequest> outgoing)
--- a/src/berylwing/http/response_reader.cpp
+++ b/src/berylwing/http/response_reader.cpp
@@ -13,6 +13,11 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBytes = 16 * 1024;
+constexpr std::uint32_t kMaxHeadBytes = 16 * 1024;
+/** Limit of the bytes that wait for the end of a head, chunk header or trailer. */
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/** Limit of the body of a response that nobody needs; reading it costs more than a new connection. */
+constexpr std::size_t kMaxSkippedBytes = 64 * 1024;
 /** Longest gap between two reads of a response; no engine pauses this long between two tokens. */
 constexpr Duration kStreamIdleTimeout { 30'000 };
 
@@ -33,6 +38,7 @@
 void ResponseReader::reset(bool answersHead)
 {
     this->currentParser.emplace();
+    this->currentParser->header_limit(kMaxHeadBytes);
     this->currentParser->body_limit(boost::none);
     this->currentParser->eager(true);
     this->currentParser->skip(answersHead);
@@ -60,8 +66,10 @@
     this->setActivityDeadline(TimePoint::max());
 }
 
-void ResponseReader::throwReadError(const boost::system::error_code& error) const
+void ResponseReader::throwReadError(const boost::system::error_code& error)
 {
+    // The endpoint may go on sending for as long as the connection is open.
+    this->abort();
     throw EndpointError { this->isTimeout(error) ? EndpointFault::Silent : EndpointFault::Broken, error.message() };
 }
 
@@ -72,6 +80,8 @@
 
 Task<void> ResponseReader::readMore(TimePoint deadline)
 {
+    if (this->connection->buffer.size() > kMaxUnparsedBytes)
+        this->throwReadError(http::make_error_code(http::error::buffer_overflow));
     boost::system::error_code error;
     this->setActivityDeadline(deadline);
     const auto size = co_await this->connection->socket.async_read_some(
@@ -106,6 +116,17 @@
     }
 }
 
+Task<bool> ResponseReader::skipBody(TimePoint deadline)
+{
+    std::size_t skipped = 0;
+    while (const auto bytes = co_await this->readBody(deadline)) {
+        skipped += bytes->size();
+        if (skipped > kMaxSkippedBytes)
+            co_return false;
+    }
+    co_return true;
+}
+
 Task<std::optional<std::string>> ResponseReader::readBody(TimePoint deadline)
 {
     while (!this->currentParser->is_done()) {
--- a/src/berylwing/http/response_reader.hpp
+++ b/src/berylwing/http/response_reader.hpp
@@ -13,7 +13,8 @@
 class ResponseReader {
     [[nodiscard]] Task<void> readMore(TimePoint deadline);
     [[nodiscard]] bool isTimeout(const boost::system::error_code& error) const;
-    [[noreturn]] void throwReadError(const boost::system::error_code& error) const;
+    /** Closes the connection and throws. */
+    [[noreturn]] void throwReadError(const boost::system::error_code& error);
     void parse();
 
 public:
@@ -52,6 +53,14 @@
      */
     [[nodiscard]] Task<std::optional<std::string>> readBody(TimePoint deadline);
 
+    /**
+     * @brief Reads the rest of a body that is not needed, so that the connection can carry another request.
+     * @param deadline Time after which reading fails.
+     * @return False if the body is so long that the connection has to be closed.
+     * @throws EndpointError As readBody().
+     */
+    [[nodiscard]] Task<bool> skipBody(TimePoint deadline);
+
     /**
      * @brief Replaces the parser, to read the next response on the connection.
      * @param answersHead Whether the response answers a HEAD request and so has no body.
--- /dev/null
+++ b/test/berylwing/http/endless_response_test.cpp
@@ -0,0 +1,182 @@
+#include "berylwing/http/endpoint_session.hpp"
+#include "support/runtime_context.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace berylwing;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr Duration kDeadline { 5000 };
+/** Bytes after which the endpoint gives up; more than the socket buffers of both sides hold. */
+constexpr std::size_t kMaxSentBytes = 64 * 1024 * 1024;
+
+/** Endpoint that answers a request with a prefix and then repeats a filler until the connection is closed. */
+class EndlessEndpoint {
+public:
+    EndlessEndpoint()
+    {
+        this->protocol.readAnswer = [](const HeaderFields& fields) {
+            ResponseMetadata metadata;
+            metadata.attemptId = std::string { fields["attempt"] };
+            return metadata;
+        };
+    }
+
+    ~EndlessEndpoint() { this->context.destroyPending(); }
+
+    Task<void> serve(std::string prefix, std::string filler)
+    {
+        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+        co_await socket.async_wait(Tcp::socket::wait_read, asio::use_awaitable);
+        boost::system::error_code error;
+        co_await asio::async_write(socket, asio::buffer(prefix), asio::redirect_error(asio::use_awaitable, error));
+        while (!error && this->sentBytes < kMaxSentBytes && !filler.empty())
+            this->sentBytes += co_await asio::async_write(
+                socket, asio::buffer(filler), asio::redirect_error(asio::use_awaitable, error));
+        std::string request(64 * 1024, '\0');
+        while (!error && filler.empty())
+            co_await socket.async_read_some(asio::buffer(request), asio::redirect_error(asio::use_awaitable, error));
+        this->isClosed = static_cast<bool>(error);
+    }
+
+    Task<void> call()
+    {
+        const auto session = co_await this->open(this->endpoint, ConnectionReuse::None);
+        const auto deadline = this->clock.now() + kDeadline;
+        try {
+            co_await session->send(this->request);
+            static_cast<void>(co_await session->readHead(deadline));
+            this->hasHead = true;
+            while (const auto bytes = co_await session->readBody(deadline))
+                this->bodyBytes += bytes->size();
+            this->isComplete = true;
+        } catch (const EndpointError& error) {
+            this->fault = error.fault();
+        }
+    }
+
+    [[nodiscard]] EndpointRecord makeRecord()
+    {
+        EndpointRecord record;
+        record.id = "engine";
+        record.address = { "127.0.0.1", this->acceptor.local_endpoint().port() };
+        return record;
+    }
+
+    /** Lets the endpoint answer; the clock does not advance. */
+    void run(const std::string& prefix, const std::string& filler)
+    {
+        spawn(this->context.get_executor(), "endpoint", this->serve(prefix, filler));
+        spawn(this->context.get_executor(), "call", this->call());
+        while (!this->fault && !this->isComplete && this->sentBytes < kMaxSentBytes && this->step()) { }
+        // The call has ended or the endpoint has given up; a closed connection shows at the endpoint's next bytes.
+        for (int count = 0; count < 1000 && !this->isClosed; ++count)
+            this->step();
+    }
+
+    bool step()
+    {
+        this->context.restart();
+        return this->context.run_one_for(std::chrono::milliseconds { 20 }) > 0;
+    }
+
+    berylwing::test::RuntimeContext context;
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    GatewayProtocol protocol;
+    Tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    SessionFactory open = makeSessionFactory(this->clock, this->protocol);
+    GatewayEndpoint endpoint { this->makeRecord() };
+    std::string requestBody;
+    EndpointRequest request { "POST", "/", {}, this->requestBody, "one" };
+    std::size_t sentBytes = 0;
+    std::size_t bodyBytes = 0;
+    bool hasHead = false;
+    bool isComplete = false;
+    /** Whether the endpoint has seen that its connection was closed. */
+    bool isClosed = false;
+    std::optional<EndpointFault> fault;
+};
+
+std::string repeat(const std::string& text, std::size_t bytes)
+{
+    std::string repeated;
+    while (repeated.size() < bytes)
+        repeated += text;
+    return repeated;
+}
+
+constexpr std::size_t kFillerBytes = 16 * 1024;
+const std::string kHead = "HTTP/1.1 200 OK\r\nattempt: one\r\n";
+const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string kStaleHead = "HTTP/1.1 200 OK\r\nattempt: other\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("A connection whose response head does not end is closed without waiting for a deadline", "[http][endless]")
+{
+    EndlessEndpoint endpoint;
+    // An endpoint that does not read the request must not keep the connection open either.
+    endpoint.requestBody = std::string(GENERATE(std::size_t { 0 }, std::size_t { 16 * 1024 * 1024 }), 'r');
+    SECTION("one field") { endpoint.run(kHead + "note: ", repeat("a", kFillerBytes)); }
+    SECTION("fields") { endpoint.run(kHead, repeat("note: a\r\n", kFillerBytes)); }
+    SECTION("status line") { endpoint.run("HTTP/1.1 200 ", repeat("a", kFillerBytes)); }
+    SECTION("no status line") { endpoint.run("", repeat("a", kFillerBytes)); }
+    SECTION("empty lines") { endpoint.run("", repeat("\r\n", kFillerBytes)); }
+    SECTION("interim responses") { endpoint.run("", repeat("HTTP/1.1 100 Continue\r\n\r\n", kFillerBytes)); }
+    SECTION("early hints") { endpoint.run("", repeat("HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n", kFillerBytes)); }
+    CHECK(endpoint.fault == EndpointFault::Broken);
+    CHECK_FALSE(endpoint.hasHead);
+    CHECK(endpoint.isClosed);
+    CHECK(endpoint.sentBytes < kMaxSentBytes);
+}
+
+TEST_CASE("A connection on which a response to another request does not end is closed", "[http][endless]")
+{
+    EndlessEndpoint endpoint;
+    endpoint.run(kStaleHead, repeat("8\r\naaaaaaaa\r\n", kFillerBytes));
+    CHECK(endpoint.fault == EndpointFault::Broken);
+    CHECK_FALSE(endpoint.hasHead);
+    CHECK(endpoint.isClosed);
+    CHECK(endpoint.sentBytes < kMaxSentBytes);
+}
+
+TEST_CASE("A connection whose body has bytes without end that are no part of it is closed", "[http][endless]")
+{
+    EndlessEndpoint endpoint;
+    SECTION("chunk size") { endpoint.run(kChunkedHead, repeat("0", kFillerBytes)); }
+    SECTION("chunk extension") { endpoint.run(kChunkedHead + "8;note=", repeat("a", kFillerBytes)); }
+    SECTION("trailer") { endpoint.run(kChunkedHead + "0\r\nnote: ", repeat("a", kFillerBytes)); }
+    SECTION("trailers") { endpoint.run(kChunkedHead + "0\r\n", repeat("note: a\r\n", kFillerBytes)); }
+    SECTION("chunk without its end") { endpoint.run(kChunkedHead + "1\r\na", repeat("a", kFillerBytes)); }
+    CHECK(endpoint.fault == EndpointFault::Broken);
+    CHECK_FALSE(endpoint.isComplete);
+    CHECK(endpoint.bodyBytes <= 1);
+    CHECK(endpoint.isClosed);
+    CHECK(endpoint.sentBytes < kMaxSentBytes);
+}
+
+TEST_CASE("A connection that gets a byte now and then is closed at the deadline of the head", "[http][endless]")
+{
+    EndlessEndpoint endpoint;
+    spawn(endpoint.context.get_executor(), "endpoint", endpoint.serve(kHead + "note: a", ""));
+    spawn(endpoint.context.get_executor(), "call", endpoint.call());
+    while (endpoint.step()) { }
+    CHECK_FALSE(endpoint.fault);
+    endpoint.time += kDeadline + Duration { 1000 };
+    endpoint.clock.fireDue();
+    for (int count = 0; count < 50 && !endpoint.isClosed; ++count) {
+        endpoint.step();
+        endpoint.clock.fireDue();
+    }
+    CHECK(endpoint.fault == EndpointFault::Silent);
+    CHECK(endpoint.isClosed);
+}
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kInternalServerError = 500;
+constexpr std::size_t kEndlessChunkBytes = 16 * 1024;
+/** Bytes after which an endless body stops without its end. */
+constexpr std::size_t kMaxEndlessBytes = 64 * 1024 * 1024;
 
 GatewaySettings makeSettings(std::string host)
 {
@@ -45,6 +48,12 @@
     return record;
 }
 
+bool isEndless(EndpointBehavior behavior)
+{
+    return behavior == EndpointBehavior::EndlessEvent || behavior == EndpointBehavior::EndlessRejection
+        || behavior == EndpointBehavior::EndlessFailure || behavior == EndpointBehavior::EndlessUnsignedFailure;
+}
+
 } // namespace
 
 /** Caller of a request in progress. */
@@ -242,7 +251,8 @@
     for (const auto& request : this->receivedRequests) {
         const auto behavior = this->behaviors.find(request.endpoint);
         const bool isRejected = behavior != this->behaviors.end()
-            && (behavior->second == EndpointBehavior::Shed || behavior->second == EndpointBehavior::Misdirected);
+            && (behavior->second == EndpointBehavior::Shed || behavior->second == EndpointBehavior::Misdirected
+                || behavior->second == EndpointBehavior::EndlessRejection);
         runs += request.attemptId == attemptId && !isRejected ? 1 : 0;
     }
     return runs;
@@ -287,19 +297,31 @@
             throw EndpointError { EndpointFault::Broken, "reset" };
         ResponseHead head;
         head.status = kOk;
-        head.metadata.isSigned = behavior != EndpointBehavior::Unsigned;
-        head.metadata.isNotRun = behavior == EndpointBehavior::Shed;
-        if (behavior == EndpointBehavior::Shed)
+        head.metadata.isSigned
+            = behavior != EndpointBehavior::Unsigned && behavior != EndpointBehavior::EndlessUnsignedFailure;
+        head.metadata.isNotRun = behavior == EndpointBehavior::Shed || behavior == EndpointBehavior::EndlessRejection;
+        if (head.metadata.isNotRun)
             head.status = kServiceUnavailable;
         if (behavior == EndpointBehavior::Misdirected)
             head.status = kMisdirectedRequest;
-        if (behavior == EndpointBehavior::Fail)
+        if (behavior == EndpointBehavior::Fail || behavior == EndpointBehavior::EndlessFailure
+            || behavior == EndpointBehavior::EndlessUnsignedFailure)
             head.status = kInternalServerError;
         if (head.status == kOk)
             head.fields.set("Content-Type", "text/event-stream");
         co_return head;
     };
-    session->readBody = [chunks, behavior](TimePoint) -> Task<std::optional<std::string>> {
+    session->readBody = [this, chunks, behavior, aborted, isAborted, requestIndex](
+                            TimePoint deadline) -> Task<std::optional<std::string>> {
+        if (isEndless(behavior)) {
+            auto& bytesRead = this->receivedRequests[*requestIndex].bytesRead;
+            if (bytesRead >= kMaxEndlessBytes)
+                co_await aborted->waitUntil(deadline);
+            if (*isAborted || bytesRead >= kMaxEndlessBytes)
+                throw EndpointError { *isAborted ? EndpointFault::Broken : EndpointFault::Silent, "no end" };
+            bytesRead += kEndlessChunkBytes;
+            co_return std::string(kEndlessChunkBytes, 'x');
+        }
         if (chunks->empty() && behavior == EndpointBehavior::BreakInStream)
             throw EndpointError { EndpointFault::Broken, "reset" };
         if (chunks->empty())
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -28,6 +28,14 @@
     BreakInStream,
     /** Answers without a signature. */
     Unsigned,
+    /** Answers with an event that does not end. */
+    EndlessEvent,
+    /** Rejects the request like Shed, with a body that does not end. */
+    EndlessRejection,
+    /** Answers with a server error whose body does not end. */
+    EndlessFailure,
+    /** The same without a signature. */
+    EndlessUnsignedFailure,
     /** Accepts the request and does not respond until it is aborted. */
     Hang,
     /** Does not respond to new connections. */
@@ -45,6 +53,8 @@
     /** Endpoint from which the cached prompt should be copied. */
     std::string copyFrom;
     TimePoint at;
+    /** Bytes of the body that the host has read. */
+    std::size_t bytesRead = 0;
     bool wasAborted = false;
 };
 
