Deny routes and keys only while the plan is sure to be complete

That something does not exist is proved only while no newer plan has to be in force: for the bound on plans (2 or 3 s) after the last confirmation. Class: a missing entry in a late view taken for a fact.

Change: PlanLease knows both bounds; between them an unknown route or key gets configuration_stale, which is true ("not run") and lets the caller return. What the plan has is served until the lease ends, as before.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -160,14 +160,15 @@
     context.route = context.plan->findRoute(context.request.hostname, pathOf(context.request.target));
     // An outdated plan does not prove that a route or a key does not exist.
     if (context.route == nullptr)
-        return this->dependencies.lease.isValid() ? NotRun { Refusal::UnknownRoute }
-                                                  : NotRun { Refusal::ConfigurationStale, retryAfter };
+        return this->dependencies.lease.isComplete() ? NotRun { Refusal::UnknownRoute }
+                                                     : NotRun { Refusal::ConfigurationStale, retryAfter };
     if (!context.route->isPublic && context.plan->hasWorkspaces()) {
         if (!this->dependencies.lease.isValid())
             return NotRun { Refusal::ConfigurationStale, retryAfter };
         context.holder = context.plan->findKeyHolder(metadata.apiKey);
         if (context.holder == nullptr)
-            return NotRun { Refusal::UnknownWorkspace };
+            return this->dependencies.lease.isComplete() ? NotRun { Refusal::UnknownWorkspace }
+                                                         : NotRun { Refusal::ConfigurationStale, retryAfter };
     }
     context.service = context.route->selectService(context.requestHash);
     if (const auto* traits = context.plan->findService(context.service))
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -63,7 +63,7 @@
     , changeDeadlines { gatewaySettings.changeDeadlines }
     , log { hostClock, std::move(dependencies.logWriter), logPrefix(gatewaySettings) }
     , client { std::move(dependencies.platform), this->hostMetrics }
-    , lease { hostClock, gatewaySettings.planLease - kLeaseMargin }
+    , lease { hostClock, gatewaySettings.planLease - kLeaseMargin, gatewaySettings.changeDeadlines.plan - kLeaseMargin }
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
     , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
@@ -146,7 +146,7 @@
 
 void Gateway::reload(const GatewaySettings& next)
 {
-    this->lease.setDuration(next.planLease - kLeaseMargin);
+    this->lease.setBounds(next.planLease - kLeaseMargin, next.changeDeadlines.plan - kLeaseMargin);
     this->retries.setLimits(next.retries);
     this->changeDeadlines = next.changeDeadlines;
 }
