Keep signals waiting until the daemon's handlers are installed

Cause: the handlers stand only after settings are read and all parts are built; until then the default action ends the process.

Change: main() blocks SIGTERM, SIGINT and SIGHUP first; the daemons unblock them when their handlers wait.

Not mended: a signal while the system still loads the program's libraries.

--- a/src/berylwing/daemon/daemon.cpp
+++ b/src/berylwing/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/wall_clock.hpp"
+#include "berylwing/daemon/process_signals.hpp"
 #include "berylwing/host/host.hpp"
 #include "berylwing/http/caller_server.hpp"
 #include "berylwing/http/endpoint_client.hpp"
@@ -77,6 +78,7 @@
         spawn(executor, "status", this->status.run());
         spawn(executor, "signals", this->stopOnSignal());
         this->host->start();
+        unblockHandledSignals();
         this->context.run();
     }
 
--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/finding.hpp"
 #include "berylwing/core/wall_clock.hpp"
+#include "berylwing/daemon/process_signals.hpp"
 #include "berylwing/gateway/gateway.hpp"
 #include "berylwing/http/endpoint_session.hpp"
 #include "berylwing/http/gateway_server.hpp"
@@ -59,6 +60,7 @@
         spawn(executor, "metrics", this->metrics.run());
         spawn(executor, "stop", this->stopOnSignal());
         spawn(executor, "reload", this->reloadOnSignal());
+        unblockHandledSignals();
         this->context.run();
     }
 
--- a/src/berylwing/daemon/main.cpp
+++ b/src/berylwing/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "berylwing/core/finding.hpp"
 #include "berylwing/daemon/daemon.hpp"
 #include "berylwing/daemon/gateway_daemon.hpp"
+#include "berylwing/daemon/process_signals.hpp"
 #include "berylwing/telemetry/log.hpp"
 
 #include <cstdlib>
@@ -64,6 +65,7 @@
 
 int main(int argc, char** argv)
 {
+    berylwing::blockHandledSignals();
     gflags::SetUsageMessage("runs a berylwing host, for example: berylwingd --settings=host.json");
     gflags::SetVersionString("0.1.0");
     // Each of these flags can also be set by an environment variable, such as FLAGS_settings.
