Serve requests only once the hosts that share the fleet's limits are known

A host that had the plan, the endpoints and the domains but not yet the list of hosts counted itself alone: it took the whole retry budget and the whole rate of cold endpoints of the fleet for its share, and so did every other host that started with it while the store answered about hosts late.

Change: until the first list of hosts the host is unready and answers as one without a plan (not run, come back). A list that it has had serves for good, however old it is: hosts that leave make shares too small, which is safe.

Test: "Gateway serves no requests while it does not know with which hosts it shares the fleet's limits" failed before: ready, and served."

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -92,10 +92,16 @@
 
 ForwarderDependencies Gateway::makeForwarderDependencies(SessionFactory open)
 {
-    return { this->clock, this->protocol, [this] { return this->plan; }, this->lease, this->directory, this->placement,
-        [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries, this->unseenRequests,
-        std::move(open), [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics,
-        this->log };
+    return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
+        this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
+        this->unseenRequests, std::move(open),
+        [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log };
+}
+
+std::shared_ptr<const RoutingPlan> Gateway::usablePlan() const
+{
+    // A host that knows of no others would take the whole retry budget and cold rate of the fleet for its own share.
+    return this->hostFeed.isListed() ? this->plan : nullptr;
 }
 
 FleetExchangeDependencies Gateway::makeExchangeDependencies(
@@ -123,7 +129,7 @@
 {
     if (this->isStopping())
         return "stopping";
-    if (!this->plan || !this->endpointFeed.isListed() || !this->domainFeed.isListed())
+    if (!this->plan || !this->endpointFeed.isListed() || !this->domainFeed.isListed() || !this->hostFeed.isListed())
         return "starting";
     if (!this->lease.isValid())
         return kRefusalNames[Refusal::ConfigurationStale];
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -62,6 +62,8 @@
     void logReadiness();
     /** Returns why this host is not ready for new connections; empty if it is ready. */
     [[nodiscard]] std::string_view unreadyReason() const;
+    /** Returns the plan by which requests are served; a null pointer while the plan or the list of hosts is unknown. */
+    [[nodiscard]] std::shared_ptr<const RoutingPlan> usablePlan() const;
     [[nodiscard]] FleetExchangeDependencies makeExchangeDependencies(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open);
--- a/test/berylwing/gateway/stale_plan_test.cpp
+++ b/test/berylwing/gateway/stale_plan_test.cpp
@@ -63,3 +63,23 @@
         CHECK(harness.sendAndWait("key", "/status/1", "other-key")->outcome->reason == Refusal::UnknownWorkspace);
     }
 }
+
+TEST_CASE("Gateway serves no requests while it does not know with which hosts it shares the fleet's limits",
+    "[gateway][lease]")
+{
+    GatewayHarness harness;
+    harness.platform.silentKinds = { ObjectKind::Host };
+    harness.putPlan(GatewayHarness::makePlan(1));
+    harness.putEndpoint("engine", "knox-a");
+    harness.advance(Duration { 1000 });
+    CHECK_FALSE(harness.gateway->isReady());
+    CHECK(isNotRun(*harness.sendAndWait("one", "/status/1"), Refusal::ConfigurationUnknown));
+    harness.platform.silentKinds.clear();
+    harness.advance(Duration { 10'000 });
+    CHECK(harness.gateway->isReady());
+    CHECK(harness.sendAndWait("two", "/status/1")->outcome->isComplete());
+    // A host that has had the list serves with it, however old it is.
+    harness.platform.silentKinds = { ObjectKind::Host };
+    harness.advance(Duration { 30'000 });
+    CHECK(harness.sendAndWait("three", "/status/1")->outcome->isComplete());
+}
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -56,16 +56,17 @@
                 throwUnavailable();
         }
     }
+    const bool isSilent = this->silentHosts.contains(host) || this->silentKinds.contains(call.kind);
     if (call.operation == PlatformOperation::WatchKind) {
         const auto until = clock.now() + call.wait;
-        while (!this->silentHosts.contains(host) && call.after >= this->store.oldestRevision
+        while (!isSilent && call.after >= this->store.oldestRevision
             && !this->store.hasChangesAfter(call.kind, call.after) && clock.now() < until) {
             co_await clock.sleepFor(kWatchPollInterval);
             if (this->isUnreachable(host))
                 throwUnavailable();
         }
     }
-    if (this->silentHosts.contains(host)) {
+    if (isSilent) {
         co_await clock.sleepFor(startedAt + call.timeout - clock.now());
         throw PlatformError { PlatformFault::OutcomeUnknown, "timed out" };
     }
--- a/test/support/fake_platform.hpp
+++ b/test/support/fake_platform.hpp
@@ -40,6 +40,8 @@
     std::set<std::string> slowHosts;
     /** Hosts whose calls get no response and time out. */
     std::set<std::string> silentHosts;
+    /** Kinds of objects about which calls get no response and time out. */
+    std::set<ObjectKind> silentKinds;
     /** Hosts that read from the outdated copy made by freezeReads(). */
     std::set<std::string> staleReadHosts;
 
