Spread the copies of a prompt over the endpoints that cache it

Each copy of a popular prompt was taken from the first endpoint, by id, that caches it in the target's domain, or else in any; sources serve one copy after the other, so that copies to many targets, as when the prompt spreads, waited for each other while other endpoints had it, too.

Change: the source is drawn by prompt and target; one in the target's domain still comes first.

Test: "Placement spreads the copies of a popular prompt over the endpoints that cache it" failed before (1 source in the domain, 2 in all)."

--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -29,6 +29,9 @@
 /** Factor by which the load of a popular prompt exceeds what hosts know of it, since it is still growing. */
 constexpr double kGrowthFactor = 2;
 
+/** Weight of a source in the target's failure domain, from which a copy takes half the time of others. */
+constexpr double kNearSourceWeight = 1'000'000;
+
 struct Candidate {
     GatewayEndpointPtr endpoint;
     /** Position in the rendezvous order of the prompt; the highest score comes first. */
@@ -219,17 +222,15 @@
         || this->promptCache.isCached(request.key, target.hash))
         return nullptr;
     const auto now = this->clock.now();
-    GatewayEndpointPtr best;
+    // Each target prefers another source, since a source serves one copy at a time.
+    WeightedDraw draw { request.key ^ target.hash };
     for (const auto& [id, endpoint] : this->directory.all()) {
         if (endpoint->record.service != request.service || endpoint->isMissing || endpoint->health.isEjected(now)
             || !this->promptCache.isCached(request.key, endpoint->hash))
             continue;
-        // A copy within a failure domain takes half the time of a copy between two.
-        const bool isNear = endpoint->record.domain == target.record.domain;
-        if (!best || (isNear && best->record.domain != target.record.domain))
-            best = endpoint;
+        draw.add(endpoint, endpoint->record.domain == target.record.domain ? kNearSourceWeight : 1);
     }
-    return best;
+    return draw.drawn();
 }
 
 GatewayEndpointPtr Placement::chooseByLoad(
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -303,6 +303,30 @@
     CHECK(recomputedTokens == 0);
 }
 
+TEST_CASE("Placement spreads the copies of a popular prompt over the endpoints that cache it", "[gateway][placement]")
+{
+    LoadSimulation load;
+    const auto key = hashText("prompt");
+    const PlacementRequest request { "engines", key, 6100, true, load.none };
+    // Three endpoints of domain-0 and two of domain-1.
+    for (const auto* id : { "engine-0", "engine-4", "engine-8", "engine-1", "engine-5" })
+        load.promptCache.recordUse({ key, load.directory.all().at(id)->hash });
+    std::set<std::string> near;
+    std::set<std::string> all;
+    for (const auto& [id, endpoint] : load.directory.all()) {
+        const auto source = load.placement.findCacheSource(request, *endpoint);
+        if (!source)
+            continue;
+        all.insert(source->record.id);
+        if (endpoint->record.domain == "domain-0") {
+            CHECK(source->record.domain == "domain-0");
+            near.insert(source->record.id);
+        }
+    }
+    CHECK(near.size() > 1);
+    CHECK(all.size() > 3);
+}
+
 TEST_CASE(
     "Placement finds no source that is unreachable, or for a prompt that is short or cached", "[gateway][placement]")
 {
