Bound the responses of the store in size

Found on bounding the answers of endpoints: a call to the store, or a probe, had a timeout but no limit of size; bytes without end filled the host's memory until then, at 1 Gbit/s its whole limit within two seconds.

Change: a response has 32 MiB, what waits for the end of a head, chunk header or trailer 128 KiB.

Test: "A call to the store whose response does not end fails after a bounded number of bytes"; the body and the chunk extension failed before.

--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -12,6 +12,11 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/** Limit of a response; a list of all objects of the store is far smaller. */
+constexpr std::uint64_t kMaxResponseBytes = 32 * 1024 * 1024;
+/** Limit of the bytes that wait for the end of a head, chunk header or trailer. */
+constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+
 void throwOnError(const boost::system::error_code& error)
 {
     if (!error)
@@ -43,9 +48,9 @@
     boost::system::error_code error;
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, error));
     throwOnError(error);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer { kMaxUnparsedBytes };
     http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
+    parser.body_limit(kMaxResponseBytes);
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     throwOnError(error);
     co_return parser.release();
--- a/test/berylwing/http/endless_response_test.cpp
+++ b/test/berylwing/http/endless_response_test.cpp
@@ -1,4 +1,6 @@
 #include "berylwing/http/endpoint_session.hpp"
+
+#include "berylwing/http/http_call.hpp"
 #include "support/runtime_context.hpp"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -17,6 +19,9 @@
 constexpr Duration kDeadline { 5000 };
 /** Bytes after which the endpoint gives up; more than the socket buffers of both sides hold. */
 constexpr std::size_t kMaxSentBytes = 64 * 1024 * 1024;
+constexpr unsigned kHttpVersion = 11;
+/** So long that only the size of the response can end the call. */
+constexpr Duration kStoreTimeout { 600'000 };
 
 /** Endpoint that answers a request with a prefix and then repeats a filler until the connection is closed. */
 class EndlessEndpoint {
@@ -71,6 +76,18 @@
         return record;
     }
 
+    /** Calls the endpoint like the store. */
+    Task<void> callStore()
+    {
+        HttpRequest call { boost::beast::http::verb::get, "/", kHttpVersion };
+        try {
+            static_cast<void>(co_await callHttp(this->endpoint.record.address, std::move(call), kStoreTimeout));
+            this->isComplete = true;
+        } catch (const HttpCallError& error) {
+            this->storeFault = error.fault();
+        }
+    }
+
     /** Lets the endpoint answer; the clock does not advance. */
     void run(const std::string& prefix, const std::string& filler)
     {
@@ -104,6 +121,7 @@
     /** Whether the endpoint has seen that its connection was closed. */
     bool isClosed = false;
     std::optional<EndpointFault> fault;
+    std::optional<HttpFault> storeFault;
 };
 
 std::string repeat(const std::string& text, std::size_t bytes)
@@ -164,6 +182,24 @@
     CHECK(endpoint.sentBytes < kMaxSentBytes);
 }
 
+TEST_CASE("A call to the store whose response does not end fails after a bounded number of bytes", "[http][endless]")
+{
+    EndlessEndpoint endpoint;
+    const auto [prefix, filler] = GENERATE(table<std::string, std::string>({
+        { "HTTP/1.1 200 OK\r\n\r\n", repeat("a", kFillerBytes) },
+        { kChunkedHead + "8;note=", repeat("a", kFillerBytes) },
+        { kHead, repeat("note: a\r\n", kFillerBytes) },
+    }));
+    spawn(endpoint.context.get_executor(), "endpoint", endpoint.serve(prefix, filler));
+    spawn(endpoint.context.get_executor(), "call", endpoint.callStore());
+    while (!endpoint.storeFault && !endpoint.isComplete && endpoint.sentBytes < kMaxSentBytes && endpoint.step()) { }
+    for (int count = 0; count < 1000 && !endpoint.isClosed; ++count)
+        endpoint.step();
+    CHECK(endpoint.storeFault == HttpFault::Interrupted);
+    CHECK(endpoint.isClosed);
+    CHECK(endpoint.sentBytes < kMaxSentBytes);
+}
+
 TEST_CASE("A connection that gets a byte now and then is closed at the deadline of the head", "[http][endless]")
 {
     EndlessEndpoint endpoint;
