--- a/src/berylwing/client/load_audit.cpp
+++ b/src/berylwing/client/load_audit.cpp
@@ -3,20 +3,18 @@
 #include "berylwing/telemetry/decision_log.hpp"
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
+#include <utility>
 
 namespace berylwing {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr std::int64_t kWindowMs = 5000;
 /** Multiple of the mean load of a service, and requests on top of it, that the users allow at an endpoint. */
 constexpr double kMaxLoadRatio = 2;
 constexpr double kLoadTolerance = 3;
 
-std::string textOf(const json& fields, const char* name) { return fields.value(name, std::string {}); }
-
 bool isEvent(const std::string& name, LogEvent event) { return name == kLogEventNames[event]; }
 
 /** Checks if a line says that a request is no longer at its endpoint. */
@@ -31,15 +29,8 @@
 
 void LoadAudit::read(std::istream& input)
 {
-    std::string text;
-    while (std::getline(input, text)) {
-        const auto begin = text.find('{');
-        if (begin == std::string::npos)
-            continue;
-        auto fields = json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
-        if (fields.is_object() && fields.contains("event") && fields.contains("time_ms"))
-            this->lines.push_back({ fields.at("time_ms").get<std::int64_t>(), std::move(fields) });
-    }
+    auto read = readLogLines(input);
+    std::move(read.begin(), read.end(), std::back_inserter(this->lines));
 }
 
 void LoadAudit::endRequest(const RequestId& request)
@@ -60,7 +51,7 @@
         this->endRequest((entry++)->first);
 }
 
-void LoadAudit::addSend(const Line& line, const std::string& service, const std::string& endpoint)
+void LoadAudit::addSend(const LoggedEvent& line, const std::string& service, const std::string& endpoint)
 {
     auto& loads = this->held[service];
     auto& load = loads[endpoint];
@@ -80,16 +71,16 @@
         window.believedBelow += believed < line.fields.value("load_limit", 0.0) ? 1 : 0;
     }
     ++load;
-    this->running[{ textOf(line.fields, "host"), textOf(line.fields, "request") }] = { service, endpoint };
+    this->running[{ line.text("host"), line.text("request") }] = { service, endpoint };
 }
 
-void LoadAudit::apply(const Line& line)
+void LoadAudit::apply(const LoggedEvent& line)
 {
-    const auto event = textOf(line.fields, "event");
-    const auto host = textOf(line.fields, "host");
-    const auto endpoint = textOf(line.fields, "endpoint");
-    const auto service = textOf(line.fields, "service");
-    const RequestId request { host, textOf(line.fields, "request") };
+    const auto event = line.text("event");
+    const auto host = line.text("host");
+    const auto endpoint = line.text("endpoint");
+    const auto service = line.text("service");
+    const RequestId request { host, line.text("request") };
     if (isEvent(event, LogEvent::Started)) {
         this->endRequestsOf(host);
     } else if (isEvent(event, LogEvent::EndpointSeen)) {
@@ -107,9 +98,9 @@
 void LoadAudit::print(std::ostream& output)
 {
     std::stable_sort(this->lines.begin(), this->lines.end(),
-        [](const Line& left, const Line& right) { return left.timeMs < right.timeMs; });
+        [](const LoggedEvent& left, const LoggedEvent& right) { return left.timeMs < right.timeMs; });
     const auto first = std::find_if(this->lines.begin(), this->lines.end(),
-        [](const Line& line) { return isEvent(textOf(line.fields, "event"), LogEvent::RequestSent); });
+        [](const LoggedEvent& line) { return isEvent(line.text("event"), LogEvent::RequestSent); });
     this->startMs = first == this->lines.end() ? 0 : first->timeMs;
     for (const auto& line : this->lines)
         this->apply(line);
--- a/src/berylwing/client/load_audit.hpp
+++ b/src/berylwing/client/load_audit.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "berylwing/core/clock.hpp"
+#include "berylwing/client/log_lines.hpp"
 #include <cstdint>
 #include <istream>
 #include <map>
-#include <nlohmann/json.hpp>
 #include <ostream>
 #include <string>
 #include <utility>
@@ -19,11 +18,6 @@
  * the logs of all hosts without dropped lines.
  */
 class LoadAudit {
-    struct Line {
-        std::int64_t timeMs = 0;
-        nlohmann::json fields;
-    };
-
     /** Requests of one service that were sent within a window. */
     struct Window {
         int sent = 0;
@@ -40,8 +34,8 @@
     /** Host and request. */
     using RequestId = std::pair<std::string, std::string>;
 
-    void apply(const Line& line);
-    void addSend(const Line& line, const std::string& service, const std::string& endpoint);
+    void apply(const LoggedEvent& line);
+    void addSend(const LoggedEvent& line, const std::string& service, const std::string& endpoint);
     void endRequest(const RequestId& request);
     void endRequestsOf(const std::string& host);
 
@@ -53,7 +47,7 @@
     void print(std::ostream& output);
 
 private:
-    std::vector<Line> lines;
+    std::vector<LoggedEvent> lines;
     std::int64_t startMs = 0;
     /** Listed endpoints of each service, with the number of their requests. */
     std::map<std::string, std::map<std::string, std::int64_t>> held;
--- a/src/berylwing/client/request_timeline.cpp
+++ b/src/berylwing/client/request_timeline.cpp
@@ -10,20 +10,12 @@
 
 namespace {
 
-using nlohmann::json;
-
 /**
  * Interval before and after a request in which events of its hosts and endpoints are shown, because they may explain
  * its outcome. Ejections of endpoints last that long.
  */
 constexpr Duration kContextInterval { 3000 };
 
-std::string findText(const json& fields, const char* name)
-{
-    const auto found = fields.find(name);
-    return found != fields.end() && found->is_string() ? found->get<std::string>() : std::string {};
-}
-
 std::string replaceUnderscores(std::string text)
 {
     std::replace(text.begin(), text.end(), '_', ' ');
@@ -71,55 +63,46 @@
 void RequestTimeline::read(std::istream& input)
 {
     const auto droppedEvent = std::string { kLogEventNames[LogEvent::LinesDropped] };
-    std::string text;
-    while (std::getline(input, text)) {
-        // Log collectors may prefix the line with a time or the name of a process.
-        const auto begin = text.find('{');
-        if (begin == std::string::npos)
-            continue;
-        auto fields = json::parse(text.begin() + static_cast<std::ptrdiff_t>(begin), text.end(), nullptr, false);
-        if (!fields.is_object() || !fields.contains("event") || !fields.contains("time_ms"))
-            continue;
-        Line line { fields.at("time_ms").get<std::int64_t>(), std::move(fields) };
-        this->droppedReports += findText(line.fields, "event") == droppedEvent ? 1 : 0;
+    for (auto& line : readLogLines(input)) {
+        this->droppedReports += line.text("event") == droppedEvent ? 1 : 0;
         if (this->isRequestLine(line)) {
-            this->hosts.insert(findText(line.fields, "host"));
-            if (auto endpoint = findText(line.fields, "endpoint"); !endpoint.empty())
+            this->hosts.insert(line.text("host"));
+            if (auto endpoint = line.text("endpoint"); !endpoint.empty())
                 this->endpoints.insert(std::move(endpoint));
             this->requestLines.push_back(std::move(line));
-        } else if (findText(line.fields, "request").empty()) {
+        } else if (line.text("request").empty()) {
             this->processLines.push_back(std::move(line));
         }
     }
 }
 
-bool RequestTimeline::isRequestLine(const Line& line) const { return findText(line.fields, "request") == this->id; }
+bool RequestTimeline::isRequestLine(const LoggedEvent& line) const { return line.text("request") == this->id; }
 
-bool RequestTimeline::isContextLine(const Line& line) const
+bool RequestTimeline::isContextLine(const LoggedEvent& line) const
 {
-    const auto endpoint = findText(line.fields, "endpoint");
+    const auto endpoint = line.text("endpoint");
     if (!endpoint.empty())
         return this->endpoints.contains(endpoint);
-    return this->hosts.contains(findText(line.fields, "host"));
+    return this->hosts.contains(line.text("host"));
 }
 
-std::vector<RequestTimeline::Line> RequestTimeline::relatedLines() const
+std::vector<LoggedEvent> RequestTimeline::relatedLines() const
 {
-    const auto byTime = [](const Line& left, const Line& right) { return left.timeMs < right.timeMs; };
+    const auto byTime = [](const LoggedEvent& left, const LoggedEvent& right) { return left.timeMs < right.timeMs; };
     auto lines = this->requestLines;
     const auto [first, last] = std::minmax_element(lines.begin(), lines.end(), byTime);
     const auto from = first->timeMs - kContextInterval.count();
     const auto to = last->timeMs + kContextInterval.count();
     std::copy_if(this->processLines.begin(), this->processLines.end(), std::back_inserter(lines),
-        [&](const Line& line) { return line.timeMs >= from && line.timeMs <= to && this->isContextLine(line); });
+        [&](const LoggedEvent& line) { return line.timeMs >= from && line.timeMs <= to && this->isContextLine(line); });
     std::stable_sort(lines.begin(), lines.end(), byTime);
     return lines;
 }
 
-std::string RequestTimeline::formatLine(const Line& line) const
+std::string RequestTimeline::formatLine(const LoggedEvent& line) const
 {
     constexpr std::array<std::string_view, 5> kOmittedFields { "time_ms", "host", "domain", "event", "request" };
-    auto text = findText(line.fields, "host") + "  " + replaceUnderscores(findText(line.fields, "event"));
+    auto text = line.text("host") + "  " + replaceUnderscores(line.text("event"));
     const char* separator = ": ";
     for (const auto& [name, value] : line.fields.items()) {
         if (std::find(kOmittedFields.begin(), kOmittedFields.end(), name) != kOmittedFields.end())
@@ -133,7 +116,7 @@
 void RequestTimeline::print(std::ostream& output) const
 {
     const auto lines = this->relatedLines();
-    const auto hasRequestId = [this](const Line& line) { return this->isRequestLine(line); };
+    const auto hasRequestId = [this](const LoggedEvent& line) { return this->isRequestLine(line); };
     const auto start = std::find_if(lines.begin(), lines.end(), hasRequestId)->timeMs;
     std::string reason;
     for (const auto& line : lines) {
@@ -142,7 +125,7 @@
         output << (offset < 0 ? "" : "+") << offset << " ms  " << (isContextOnly ? "   (" : "")
                << this->formatLine(line) << (isContextOnly ? ")" : "") << "\n";
         if (!isContextOnly)
-            reason = findText(line.fields, "reason");
+            reason = line.text("reason");
     }
     if (const auto refusal = kRefusalNames.find(reason))
         output << "It ended with " << reason << ": " << hintFor(*refusal) << ".\n";
--- a/src/berylwing/client/request_timeline.hpp
+++ b/src/berylwing/client/request_timeline.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "berylwing/client/log_lines.hpp"
 #include "berylwing/core/clock.hpp"
 #include <cstddef>
 #include <istream>
-#include <nlohmann/json.hpp>
 #include <ostream>
 #include <set>
 #include <string>
@@ -18,15 +18,10 @@
  * such as a lost connection to the store or a new plan, and of its endpoints.
  */
 class RequestTimeline {
-    struct Line {
-        std::int64_t timeMs = 0;
-        nlohmann::json fields;
-    };
-
-    [[nodiscard]] bool isRequestLine(const Line& line) const;
-    [[nodiscard]] bool isContextLine(const Line& line) const;
-    [[nodiscard]] std::vector<Line> relatedLines() const;
-    [[nodiscard]] std::string formatLine(const Line& line) const;
+    [[nodiscard]] bool isRequestLine(const LoggedEvent& line) const;
+    [[nodiscard]] bool isContextLine(const LoggedEvent& line) const;
+    [[nodiscard]] std::vector<LoggedEvent> relatedLines() const;
+    [[nodiscard]] std::string formatLine(const LoggedEvent& line) const;
 
 public:
     /** @brief Creates an empty timeline. @param requestId Id of the request. */
@@ -43,9 +38,9 @@
 
 private:
     std::string id;
-    std::vector<Line> requestLines;
+    std::vector<LoggedEvent> requestLines;
     /** Lines that belong to no request; those near the request are printed with it. */
-    std::vector<Line> processLines;
+    std::vector<LoggedEvent> processLines;
     std::set<std::string> hosts;
     std::set<std::string> endpoints;
     /** Number of lines that report dropped lines. */
