Log the prompt parts of broken requests and the crashes that hosts learn of

request_broken has the segments of the prompt and how much of the answer had been passed on, crash_learned what a host heard of a crash and from which host.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -169,6 +170,7 @@
 {
     const auto uses = this->dependencies.holders.merge(digest.uses());
     const auto crashes = this->dependencies.crashes.merge(digest.crashes());
+    this->logCrashes(crashes, digest.host());
     if (this->isDelegate && !digest.is_delegate()) {
         this->usesForOtherGroups.push(uses);
         this->crashesForOtherGroups.push(crashes);
@@ -183,6 +185,15 @@
         this->dependencies.holders.repeatAnnouncements();
 }
 
+void FleetExchange::logCrashes(const std::vector<EndpointNote>& crashes, std::string_view sender)
+{
+    for (const auto& crash : crashes) {
+        LogLine line { LogEvent::CrashLearned };
+        line.add("subject", fmt::format("{:016x}", crash.subject)).add("endpoint", std::int64_t { crash.endpoint });
+        this->dependencies.log.write(line.add("from", sender));
+    }
+}
+
 StoreFeed* FleetExchange::findFeed(std::uint32_t kind) const
 {
     const auto found = std::find_if(this->dependencies.feeds.begin(), this->dependencies.feeds.end(),
@@ -215,7 +226,9 @@
 {
     this->summarySenders.insert_or_assign(summary.host(), this->dependencies.clock.now());
     this->usesForOwnGroup.push(this->dependencies.holders.merge(summary.uses()));
-    this->crashesForOwnGroup.push(this->dependencies.crashes.merge(summary.crashes()));
+    const auto crashes = this->dependencies.crashes.merge(summary.crashes());
+    this->logCrashes(crashes, summary.host());
+    this->crashesForOwnGroup.push(crashes);
     this->dependencies.fleet.applySummary(summary);
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -58,6 +58,8 @@
     void handleNewsRequests(const HostEntry& sender, const wire::Digest& digest);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
     void logRoleChange(const wire::Digest& digest);
+    /** Logs crashes that another host has reported. */
+    void logCrashes(const std::vector<EndpointNote>& crashes, std::string_view sender);
 
 public:
     /** @brief Creates an exchange; run() starts it. @param exchangeDependencies Components of the host. */
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -55,6 +55,15 @@
     return tokens;
 }
 
+/** Lists the ids of the segments of a prompt. */
+std::string describeSegments(const std::vector<PromptSegment>& segments)
+{
+    std::string text;
+    for (const auto& segment : segments)
+        text.append(text.empty() ? "" : ",").append(segment.id);
+    return text;
+}
+
 Duration retryAfterOf(std::uint64_t requestHash)
 {
     return kMinRetryAfter + Duration { static_cast<Duration::rep>(requestHash % kRetryJitterMs) };
@@ -131,6 +140,8 @@
     /** Attempts in which the endpoint may have executed the request. */
     unsigned executions = 0;
     bool isHeadWritten = false;
+    /** Parts of the answer to the last attempt that were passed on, each with one or more events. */
+    unsigned relayedParts = 0;
     /** Whether this host aborted the call because the endpoint was silent, so that the request is not to blame. */
     bool isAbortedByHost = false;
     EventSplitter events {};
@@ -315,6 +326,7 @@
     const InFlightCounter inFlight { endpoint };
     context.tried.push_back(endpoint);
     ++context.attempts;
+    context.relayedParts = 0;
     if (endpoint->isCold(this->dependencies.clock.now()))
         endpoint->lastColdSendAt = this->dependencies.clock.now();
     std::shared_ptr<EndpointSession> session;
@@ -350,6 +362,8 @@
         LogLine line { LogEvent::RequestBroken };
         line.add("endpoint", endpoint->record.id).add("error", error.what());
         line.add("target", context.request.target).add("runs", std::int64_t { context.executions });
+        line.add("segments", describeSegments(context.request.metadata.promptSegments));
+        line.add("relayed_parts", std::int64_t { context.relayedParts });
         this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
         co_return AttemptResult::MayHaveRun;
     }
@@ -469,6 +483,7 @@
                 continue;
             co_await this->writeHead(context, head);
             co_await context.writer.body(events);
+            ++context.relayedParts;
             continue;
         }
         buffered += *bytes;
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -39,11 +39,12 @@
     RequestRefused,
     RequestBroken,
     CallerLeft,
+    CrashLearned,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 29> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 30> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -72,6 +73,7 @@
     "request_refused",
     "request_broken",
     "caller_left",
+    "crash_learned",
     "lines_dropped",
 } };
 
