Quarantine prompt segments that crash endpoints

What callers saw: one segment of a prompt crashed 28 to 47 endpoints in 20 s, one after the other, and broke about nine requests with each.

Cause: CrashQuarantine counted crashes by a fingerprint of the whole request, of which no two were alike. What the requests had in common was not known to it: 297 of 298 subjects had one crash, three segments stood in all 34.

Change: CrashEvidence relates crashes to all that a request has in common with others, and finds the cause among them. A request counts only if it broke before its answer was past its beginning; an answer clears; crashes at one moment count once, and not for a segment that broke at few of the endpoints; a known cause explains its crashes; of nested segments the most specific one is blamed unless others below the same one crash endpoints too. Hosts repeat to each other what they know (crashes, answers, causes, with ages) in every digest and summary, in bounded messages, so that hosts that start, return or lost datagrams learn of it; formerly a crash was announced for 800 ms. After ten minutes one host sends one request with a cause; the delay doubles with each such crash.

--- a/src/berylwing/gateway/announcement_queue.hpp
+++ b/src/berylwing/gateway/announcement_queue.hpp
@@ -9,13 +9,9 @@
 
 namespace berylwing {
 
-/**
- * @brief Fact about an endpoint that hosts gossip about.
- *
- * It says either that the endpoint has a shared prompt in its cache, or that its connection broke during a request.
- */
+/** @brief Fact that hosts gossip about: an endpoint has a shared prompt in its cache. */
 struct EndpointNote {
-    /** Hash of the prompt's id, or fingerprint of the request. */
+    /** Hash of the prompt's id. */
     std::uint64_t subject = 0;
     /** Hash of the endpoint's id. */
     std::uint32_t endpoint = 0;
--- a/src/berylwing/gateway/crash_quarantine.hpp
+++ b/src/berylwing/gateway/crash_quarantine.hpp
@@ -1,87 +1,119 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
-#include "berylwing/gateway/announcement_queue.hpp"
+#include "berylwing/gateway/crash_evidence.hpp"
+#include "berylwing/gateway/crash_suspect.hpp"
 #include "berylwing/gateway/digest.pb.h"
+#include "berylwing/telemetry/decision_log.hpp"
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace berylwing {
 
 /**
- * @brief Quarantines requests that crash endpoints.
+ * @brief Quarantines what crashes endpoints: whole requests, and segments that prompts have in common.
  *
  * A request that crashes every endpoint that executes it would take down the whole service, since callers and hosts
- * retry it. The register counts the endpoints whose connection broke during a request; a request that broke at several
- * endpoints is refused for a while. Hosts share what they have observed, because retries may arrive at any host.
+ * retry it; so would the requests that share such a segment. A cause that CrashEvidence finds is refused by all hosts.
+ * After a while one host sends a single request with it: an answer ends the quarantine, a crash renews it.
  *
- * A response clears a request. This spares requests that were only in flight while another request crashed the
- * endpoint, and requests at endpoints that reset some of their connections.
+ * Hosts report to each other what they know of recent crashes, answers and causes, and repeat it, because datagrams are
+ * lost and hosts start or return at any time. Reports carry ages, since the clocks of hosts differ.
  */
 class CrashQuarantine {
-    struct CrashRecord {
-        /** Hashes of the endpoints at which the request broke. */
-        std::vector<std::uint32_t> endpoints;
-        TimePoint lastCrashAt {};
+    /** Cause that is refused. */
+    struct Quarantine {
+        std::uint32_t specificity = 0;
+        TimePoint lastCrashAt;
+        /** Trials that ended in a crash. */
+        unsigned trials = 0;
+        /** Last time at which this host sent a request with the cause. */
+        TimePoint triedAt = TimePoint::min();
+        TimePoint reportedAt {};
     };
 
-    /** Adds a crash. @return False if it was known already or the register is full. */
-    bool addCrash(std::uint64_t fingerprint, std::uint32_t endpoint);
+    /** Answer that cleared a suspect, to be reported to other hosts. */
+    struct Clearance {
+        TimePoint at;
+        TimePoint reportUntil;
+        /** Whether this host knows it first-hand, or from its record of an earlier report. */
+        bool isOwn = false;
+        TimePoint reportedAt {};
+    };
+
+    [[nodiscard]] static Duration trialDelayOf(const Quarantine& quarantine);
+    void add(const CrashSuspect& suspect, const CrashEvidence::Crash& crash, std::string_view sender);
+    void clear(std::uint64_t subject, TimePoint at, std::string_view sender);
+    void quarantine(const CrashSuspect& cause, const Quarantine& state, std::string_view sender);
+    void appendCrashes(wire::CrashReport& report, std::size_t limit, bool isForOthers);
+    void appendClearances(wire::CrashReport& report, std::size_t limit, bool isForOthers);
+    void appendCauses(wire::CrashReport& report, std::size_t limit);
+    void mergeCauses(const wire::CrashReport& report, std::string_view sender);
 
 public:
-    /** @brief Creates an empty register. @param hostClock Clock of the host. */
-    explicit CrashQuarantine(const Clock& hostClock)
-        : clock { hostClock }
-        , announcements { hostClock }
-    {
-    }
+    /** @brief Checks if this host is the one that may send a request with a cause, to see if it still crashes. */
+    using TrialCheck = std::function<bool(std::uint64_t subject)>;
+
+    /** @brief Lists what a host reports. */
+    enum class Scope {
+        /** What the host has observed, and what others need to find or refuse a cause. */
+        Own,
+        /** All that the host knows, as delegates report to other groups. */
+        All,
+    };
 
     /**
-     * @brief Computes a fingerprint by which retries of a request are recognized, whichever attempt id they have.
-     * @param workspace Workspace of the caller.
-     * @param target Path and query.
-     * @param body Body.
-     * @return Fingerprint.
+     * @brief Creates an empty quarantine.
+     * @param hostClock Clock of the host.
+     * @param decisionLog Log of the host.
+     * @param isTrialHost Checks if this host tries a cause.
      */
-    [[nodiscard]] static std::uint64_t fingerprintOf(
-        std::string_view workspace, std::string_view target, std::string_view body);
+    CrashQuarantine(const Clock& hostClock, DecisionLog& decisionLog, TrialCheck isTrialHost);
 
-    /** @brief Checks if no crash is recorded, so that callers can skip the fingerprint. @return True if so. */
-    [[nodiscard]] bool isEmpty() const noexcept { return this->records.empty(); }
+    /** @brief Checks if no crash is recorded, so that callers can skip listing suspects. @return True if so. */
+    [[nodiscard]] bool isEmpty() const noexcept { return this->evidence.isEmpty() && this->quarantined.empty(); }
 
     /**
-     * @brief Records that the connection to an endpoint broke during a request.
-     * @param fingerprint Fingerprint of the request.
-     * @param endpoint Hash of the endpoint's id.
+     * @brief Records that the connection to an endpoint broke before the answer to a request had begun.
+     * @param suspects Suspects of the request.
+     * @param endpoint Hash that identifies the process of the endpoint.
      */
-    void recordCrash(std::uint64_t fingerprint, std::uint32_t endpoint);
-
-    /** @brief Clears a request that was answered. @param fingerprint Fingerprint of the request. */
-    void clear(std::uint64_t fingerprint) { this->records.erase(fingerprint); }
+    void recordCrash(const std::vector<CrashSuspect>& suspects, std::uint32_t endpoint);
 
-    /** @brief Checks if a request is to be refused. @param fingerprint Fingerprint. @return True if it is. */
-    [[nodiscard]] bool isQuarantined(std::uint64_t fingerprint) const;
+    /** @brief Clears the suspects of a request whose answer is past its beginning. @param suspects Suspects. */
+    void recordAnswer(const std::vector<CrashSuspect>& suspects);
 
     /**
-     * @brief Merges the crashes that another host has observed.
-     * @param crashes Field of the received message.
-     * @return Crashes that were not known before.
+     * @brief Checks if a request is to be refused; a request that is admitted as a trial has to be sent.
+     * @param suspects Suspects of the request.
+     * @return Time after which the request may be tried again; nothing if it may be sent.
      */
-    std::vector<EndpointNote> merge(const wire::EndpointNotes& crashes);
+    [[nodiscard]] std::optional<Duration> findRefusal(const std::vector<CrashSuspect>& suspects);
+
+    /** @brief Merges the report of another host. @param report Report. @param sender Host, for the log. */
+    void merge(const wire::CrashReport& report, std::string_view sender);
 
-    /** @brief Appends the crashes that this host has recently recorded to a message. @param crashes Its field. */
-    void appendTo(wire::EndpointNotes& crashes) { this->announcements.appendTo(crashes); }
+    /** @brief Appends what this host reports to others. @param report Field of the message. @param scope Extent. */
+    void appendTo(wire::CrashReport& report, Scope scope);
 
-    /** @brief Removes requests without a recent crash. */
-    void removeExpired();
+    /** @brief Quarantines the causes that have been found, and removes what has expired. */
+    void update();
 
 private:
     const Clock& clock;
-    std::unordered_map<std::uint64_t, CrashRecord> records;
-    AnnouncementQueue announcements;
+    DecisionLog& log;
+    TrialCheck isTrialHost;
+    CrashEvidence evidence;
+    std::map<std::uint64_t, Quarantine> quarantined;
+    std::map<std::uint64_t, Clearance> clearances;
+    /** Cause that is quarantined unless an answer clears it in time. */
+    std::optional<CrashSuspect> foundCause;
+    TimePoint foundAt {};
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -48,6 +48,7 @@
     explicit GatewayEndpoint(EndpointRecord endpointRecord)
         : record { std::move(endpointRecord) }
         , hash { static_cast<std::uint32_t>(hashText(this->record.id)) }
+        , processHash { static_cast<std::uint32_t>(hashText(this->record.id, this->record.startedAt)) }
     {
     }
 
@@ -69,6 +70,8 @@
     EndpointRecord record;
     /** Hash of the id, which identifies the endpoint in messages between hosts. */
     std::uint32_t hash;
+    /** Hash of the id and the start time, which differs between processes that have the same id. */
+    std::uint32_t processHash;
     EndpointHealth health;
     TimePoint coldUntil {};
     /** Time of the last request that was sent while the endpoint was cold. */
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
-#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -29,8 +28,6 @@
     : dependencies { std::move(exchangeDependencies) }
     , usesForOtherGroups { this->dependencies.clock }
     , usesForOwnGroup { this->dependencies.clock }
-    , crashesForOtherGroups { this->dependencies.clock }
-    , crashesForOwnGroup { this->dependencies.clock }
 {
 }
 
@@ -68,11 +65,11 @@
 {
     auto digest = this->dependencies.fleet.makeDigest();
     this->dependencies.holders.appendTo(*digest.mutable_uses());
-    this->dependencies.crashes.appendTo(*digest.mutable_crashes());
-    if (digest.is_delegate()) {
+    const auto scope = digest.is_delegate() ? CrashQuarantine::Scope::All : CrashQuarantine::Scope::Own;
+    if (!this->dependencies.crashes.isEmpty())
+        this->dependencies.crashes.appendTo(*digest.mutable_crash_report(), scope);
+    if (digest.is_delegate())
         this->usesForOwnGroup.appendTo(*digest.mutable_uses());
-        this->crashesForOwnGroup.appendTo(*digest.mutable_crashes());
-    }
     for (auto* feed : this->dependencies.feeds) {
         if (digest.is_watcher() && feed->isListed())
             *digest.add_news() = feed->makeRecentNews();
@@ -136,8 +133,8 @@
     summary.set_loads_age_ms(static_cast<std::uint64_t>(this->dependencies.fleet.groupLoadAge().count()));
     this->usesForOtherGroups.appendTo(*summary.mutable_uses());
     this->dependencies.holders.appendTo(*summary.mutable_uses());
-    this->crashesForOtherGroups.appendTo(*summary.mutable_crashes());
-    this->dependencies.crashes.appendTo(*summary.mutable_crashes());
+    if (!this->dependencies.crashes.isEmpty())
+        this->dependencies.crashes.appendTo(*summary.mutable_crash_report(), CrashQuarantine::Scope::All);
     const auto bytes = message.SerializeAsString();
     std::size_t sent = 0;
     for (const auto& domain : groups) {
@@ -169,12 +166,9 @@
 void FleetExchange::handleDigest(wire::Digest digest)
 {
     const auto uses = this->dependencies.holders.merge(digest.uses());
-    const auto crashes = this->dependencies.crashes.merge(digest.crashes());
-    this->logCrashes(crashes, digest.host());
-    if (this->isDelegate && !digest.is_delegate()) {
+    this->dependencies.crashes.merge(digest.crash_report(), digest.host());
+    if (this->isDelegate && !digest.is_delegate())
         this->usesForOtherGroups.push(uses);
-        this->crashesForOtherGroups.push(crashes);
-    }
     const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
     if (digest.reaches_store()) {
         for (const auto& news : digest.news())
@@ -185,15 +179,6 @@
         this->dependencies.holders.repeatAnnouncements();
 }
 
-void FleetExchange::logCrashes(const std::vector<EndpointNote>& crashes, std::string_view sender)
-{
-    for (const auto& crash : crashes) {
-        LogLine line { LogEvent::CrashLearned };
-        line.add("subject", fmt::format("{:016x}", crash.subject)).add("endpoint", std::int64_t { crash.endpoint });
-        this->dependencies.log.write(line.add("from", sender));
-    }
-}
-
 StoreFeed* FleetExchange::findFeed(std::uint32_t kind) const
 {
     const auto found = std::find_if(this->dependencies.feeds.begin(), this->dependencies.feeds.end(),
@@ -226,9 +211,7 @@
 {
     this->summarySenders.insert_or_assign(summary.host(), this->dependencies.clock.now());
     this->usesForOwnGroup.push(this->dependencies.holders.merge(summary.uses()));
-    const auto crashes = this->dependencies.crashes.merge(summary.crashes());
-    this->logCrashes(crashes, summary.host());
-    this->crashesForOwnGroup.push(crashes);
+    this->dependencies.crashes.merge(summary.crash_report(), summary.host());
     this->dependencies.fleet.applySummary(summary);
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -58,8 +58,6 @@
     void handleNewsRequests(const HostEntry& sender, const wire::Digest& digest);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
     void logRoleChange(const wire::Digest& digest);
-    /** Logs crashes that another host has reported. */
-    void logCrashes(const std::vector<EndpointNote>& crashes, std::string_view sender);
 
 public:
     /** @brief Creates an exchange; run() starts it. @param exchangeDependencies Components of the host. */
@@ -77,9 +75,6 @@
     AnnouncementQueue usesForOtherGroups;
     /** Prompt uses of other groups, to be sent to the hosts of this host's group. */
     AnnouncementQueue usesForOwnGroup;
-    /** Requests whose connection to an endpoint broke, relayed between groups in the same way. */
-    AnnouncementQueue crashesForOtherGroups;
-    AnnouncementQueue crashesForOwnGroup;
     /** Time of the last summary from each host, by name. */
     std::map<std::string, TimePoint, std::less<>> summarySenders;
     TimePoint summariesSentAt {};
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t kMaxEventBytes = 256 * 1024;
 /** Time for reading the body of a rejection, so that its connection can be used again. */
 constexpr Duration kRejectionTimeout { 200 };
+/** Parts of an answer after which the request did not crash the endpoint; a crash may come with the first one. */
+constexpr unsigned kClearingParts = 2;
 /** Time after the deadline for the endpoint's own response that the deadline has passed. */
 constexpr Duration kDeadlineTolerance { 40 };
 /**
@@ -145,6 +147,8 @@
     /** Whether this host aborted the call because the endpoint was silent, so that the request is not to blame. */
     bool isAbortedByHost = false;
     EventSplitter events {};
+    /** What may be the cause of a crash; empty until it is needed. */
+    std::vector<CrashSuspect> suspects {};
     /** Reason for which the last attempt failed. */
     Refusal failureReason = Refusal::NoEndpoint;
 };
@@ -196,10 +200,13 @@
     return std::nullopt;
 }
 
-std::uint64_t Forwarder::fingerprintOf(const RequestContext& context)
+const std::vector<CrashSuspect>& Forwarder::suspectsOf(RequestContext& context)
 {
-    const auto workspace = context.holder == nullptr ? std::string_view {} : context.holder->workspace;
-    return CrashQuarantine::fingerprintOf(workspace, context.request.target, context.request.body);
+    if (context.suspects.empty()) {
+        const auto workspace = context.holder == nullptr ? std::string_view {} : context.holder->workspace;
+        context.suspects = listSuspects(workspace, context.request);
+    }
+    return context.suspects;
 }
 
 PlacementRequest Forwarder::placementRequestOf(const RequestContext& context)
@@ -209,11 +216,11 @@
     return { context.service, key, context.sharedTokens, isSticky, context.tried, context.requestHash };
 }
 
-Outcome Forwarder::failureOf(const RequestContext& context, Refusal reason) const
+Outcome Forwarder::failureOf(const RequestContext& context, Refusal reason, Duration delay) const
 {
     if (context.executions > 0)
         return OutcomeUnknown { reason };
-    return NotRun { reason, retryAfterOf(context.requestHash) };
+    return NotRun { reason, std::max(delay, retryAfterOf(context.requestHash)) };
 }
 
 std::optional<Outcome> Forwarder::chooseEndpoint(RequestContext& context, GatewayEndpointPtr& endpoint)
@@ -225,9 +232,10 @@
     if (!this->isAuthorized(context))
         return this->failureOf(context, Refusal::ConfigurationStale);
     // Hashing bodies is avoided as long as no crash is recorded.
-    if (!this->dependencies.crashQuarantine.isEmpty()
-        && this->dependencies.crashQuarantine.isQuarantined(fingerprintOf(context)))
-        return this->failureOf(context, Refusal::Quarantined);
+    if (!this->dependencies.crashQuarantine.isEmpty()) {
+        if (const auto delay = this->dependencies.crashQuarantine.findRefusal(suspectsOf(context)))
+            return this->failureOf(context, Refusal::Quarantined, *delay);
+    }
     endpoint = this->dependencies.placement.choose(placementRequestOf(context), context.traits);
     if (!endpoint)
         return this->failureOf(context, context.failureReason);
@@ -356,8 +364,10 @@
         if (this->dependencies.clock.now() >= context.deadline)
             co_return AttemptResult::TimedOut;
         this->recordFault(*endpoint, error, EndpointResult::Failed);
-        if (error.fault() == EndpointFault::Broken && !std::exchange(context.isAbortedByHost, false))
-            this->dependencies.crashQuarantine.recordCrash(fingerprintOf(context), endpoint->hash);
+        // An answer past its beginning has cleared the request, which broke because another one crashed the endpoint.
+        if (error.fault() == EndpointFault::Broken && !std::exchange(context.isAbortedByHost, false)
+            && context.relayedParts < kClearingParts)
+            this->dependencies.crashQuarantine.recordCrash(suspectsOf(context), endpoint->processHash);
         context.failureReason = context.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
         LogLine line { LogEvent::RequestBroken };
         line.add("endpoint", endpoint->record.id).add("error", error.what());
@@ -430,8 +440,8 @@
     if (result != AttemptResult::Completed) {
         ++context.executions;
         context.failureReason = Refusal::EndpointBroken;
-    } else if (!this->dependencies.crashQuarantine.isEmpty()) {
-        this->dependencies.crashQuarantine.clear(fingerprintOf(context));
+    } else if (context.relayedParts < kClearingParts) {
+        this->recordAnswer(context, head);
     }
     this->recordResult(endpoint, head.status >= kFirstServerError ? EndpointResult::Failed : EndpointResult::Success);
     co_return result;
@@ -461,6 +471,20 @@
     co_await context.writer.head(head);
 }
 
+void Forwarder::recordAnswer(RequestContext& context, const ResponseHead& head)
+{
+    if (isSuccess(head.status) && !this->dependencies.crashQuarantine.isEmpty())
+        this->dependencies.crashQuarantine.recordAnswer(suspectsOf(context));
+}
+
+Task<void> Forwarder::relayPart(RequestContext& context, const ResponseHead& head, std::string_view part)
+{
+    co_await this->writeHead(context, head);
+    co_await context.writer.body(part);
+    if (++context.relayedParts == kClearingParts)
+        this->recordAnswer(context, head);
+}
+
 Task<Forwarder::AttemptResult> Forwarder::relayResponse(
     RequestContext& context, const ResponseHead& head, EndpointSession& session, RetryableCall& call)
 {
@@ -481,9 +505,7 @@
                 throw EndpointError { EndpointFault::Broken, "an event of the stream does not end" };
             if (events.empty())
                 continue;
-            co_await this->writeHead(context, head);
-            co_await context.writer.body(events);
-            ++context.relayedParts;
+            co_await this->relayPart(context, head, events);
             continue;
         }
         buffered += *bytes;
@@ -491,8 +513,7 @@
             continue;
         if (!isPassedOn)
             throw EndpointError { EndpointFault::Broken, "the body of a failure does not end" };
-        co_await this->writeHead(context, head);
-        co_await context.writer.body(buffered);
+        co_await this->relayPart(context, head, buffered);
         buffered.clear();
     }
     if (!context.events.incompleteEvent().empty())
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -68,8 +68,11 @@
     [[nodiscard]] std::optional<NotRun> prepare(RequestContext& context) const;
     /** Chooses an endpoint for the next attempt. @return Outcome of the request if there is to be no such attempt. */
     [[nodiscard]] std::optional<Outcome> chooseEndpoint(RequestContext& context, GatewayEndpointPtr& endpoint);
-    /** Returns the outcome of a request that is not retried; it depends on whether an endpoint may have executed it. */
-    [[nodiscard]] Outcome failureOf(const RequestContext& context, Refusal reason) const;
+    /**
+     * Returns the outcome of a request that is not retried; it depends on whether an endpoint may have executed it. The
+     * delay is the shortest after which a request that was not executed may be sent again.
+     */
+    [[nodiscard]] Outcome failureOf(const RequestContext& context, Refusal reason, Duration delay = {}) const;
     [[nodiscard]] bool canRetry(RequestContext& context, AttemptResult result);
     [[nodiscard]] Task<AttemptResult> attempt(RequestContext& context, GatewayEndpointPtr endpoint);
     /** Sends the request and handles the response. */
@@ -87,7 +90,12 @@
         const RequestContext& context, const GatewayEndpoint& endpoint, const GatewayEndpointPtr& cacheSource) const;
     /** Checks if the key of the request is known to be valid; a plan whose lease has run out does not prove it. */
     [[nodiscard]] bool isAuthorized(const RequestContext& context) const;
-    [[nodiscard]] static std::uint64_t fingerprintOf(const RequestContext& context);
+    /** Lists what may be the cause if the request crashes an endpoint. */
+    [[nodiscard]] static const std::vector<CrashSuspect>& suspectsOf(RequestContext& context);
+    /** Passes a part of the answer on to the caller. */
+    [[nodiscard]] Task<void> relayPart(RequestContext& context, const ResponseHead& head, std::string_view part);
+    /** Clears the request of crashing endpoints, since one has answered it. */
+    void recordAnswer(RequestContext& context, const ResponseHead& head);
     [[nodiscard]] Task<void> writeHead(RequestContext& context, const ResponseHead& head);
     void recordResult(GatewayEndpoint& endpoint, EndpointResult result);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result);
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 class AnnouncementQueue;
 class ColdRateLimit;
+class CrashEvidence;
 class CrashQuarantine;
 class IsolationDetector;
 class EndpointDirectory;
@@ -23,6 +24,7 @@
 class RoutingPlan;
 class StoreFeed;
 class UnseenRequests;
+struct CrashSuspect;
 struct EndpointNote;
 struct EndpointRecord;
 struct EndpointSession;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -70,7 +70,7 @@
     , isolationDetector { this->directory, this->roster, this->fleet, gatewaySettings.domain }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , holders { hostClock }
-    , crashes { hostClock }
+    , crashes { hostClock, this->log, [this](std::uint64_t subject) { return this->roster.isFirstFor(subject); } }
     , unseenRequests { hostClock, [this] { return this->roster.names().size(); },
         [this] { return this->fleet.loadAge(); } }
     , placement { hostClock, this->directory, this->coldLimit, this->holders, this->unseenRequests,
@@ -401,7 +401,7 @@
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
-        this->crashes.removeExpired();
+        this->crashes.update();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
     }
--- a/src/berylwing/gateway/host_roster.cpp
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -51,6 +51,13 @@
     this->updateNames();
 }
 
+bool HostRoster::isFirstFor(std::uint64_t key) const
+{
+    const auto ownScore = rendezvousScore(key, this->own.name);
+    return std::none_of(this->hosts.begin(), this->hosts.end(),
+        [&](const auto& host) { return rendezvousScore(key, host.first) > ownScore; });
+}
+
 std::vector<HostEntry> HostRoster::groupMembers() const
 {
     std::vector<HostEntry> members;
--- a/src/berylwing/gateway/host_roster.hpp
+++ b/src/berylwing/gateway/host_roster.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/config/settings.hpp"
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -43,6 +44,9 @@
     /** @brief Returns the names of all hosts. @return Names, including this host. */
     [[nodiscard]] const std::vector<std::string>& names() const noexcept { return this->allNames; }
 
+    /** @brief Checks if this host comes first in the rendezvous order of a key. @param key Key. @return True if so. */
+    [[nodiscard]] bool isFirstFor(std::uint64_t key) const;
+
     /** @brief Returns the other hosts of this host's group. @return Entries with an address. */
     [[nodiscard]] std::vector<HostEntry> groupMembers() const;
 
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -40,11 +40,13 @@
     RequestBroken,
     CallerLeft,
     CrashLearned,
+    Quarantined,
+    QuarantineLifted,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 30> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 32> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -74,6 +76,8 @@
     "request_broken",
     "caller_left",
     "crash_learned",
+    "quarantined",
+    "quarantine_lifted",
     "lines_dropped",
 } };
 
--- a/test/support/placement_fleet.cpp
+++ b/test/support/placement_fleet.cpp
@@ -46,7 +46,7 @@
     , roster { this->entry }
     , view { fleet.clock, this->directory, this->entry.name, fleet.nextIncarnation++ }
     , promptCache { fleet.clock }
-    , crashes { fleet.clock }
+    , crashes { fleet.clock, this->log, [](std::uint64_t) { return false; } }
     , coldRateLimit { this->entry.name, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , unseenRequests { fleet.clock, [this] { return this->roster.names().size(); },
         [this] { return this->view.loadAge(); } }
