Repeat quarantined requests to the other hosts of a failure domain

What callers saw, in a test: a request that had crashed two endpoints crashed two more after the hosts had been restarted one by one (4 of 2 allowed).

Cause, the same as in the gateway's quarantine: CrashRegister sent a count once, so that hosts that started, returned or lost the message never learned of it.

An answer is kept with its time, so that a host that has missed it does not bring the crashes up again.

Ruled out: repetition without ages, which would never let a count expire. The interface of the fleet's own callers names no parts of prompts, so that this register still knows whole requests only.

--- a/src/berylwing/limits/crash_register.hpp
+++ b/src/berylwing/limits/crash_register.hpp
@@ -4,6 +4,8 @@
 #include "berylwing/link/link.hpp"
 #include "berylwing/membership/failure_domain.hpp"
 #include <cstdint>
+#include <map>
+#include <string>
 #include <unordered_map>
 
 namespace berylwing {
@@ -14,18 +16,34 @@
  * @brief Tracks requests that were running when an endpoint crashed, and quarantines them after the second crash.
  *
  * The hosts of a failure domain share the counts, so a resend through another host is quarantined as well. A complete
- * response clears a request.
+ * response clears a request. Hosts repeat what they know, because messages are lost and hosts start or return at any
+ * time.
  */
 class CrashRegister {
     struct Suspect {
+        /** Crashes since the last answer. */
         std::uint32_t crashes = 0;
-        TimePoint until;
+        /** Time of the last crash or answer. */
+        TimePoint changedAt;
     };
 
+    /** Last repetition to a peer. */
+    struct Repetition {
+        TimePoint at {};
+        /** Fingerprint of the last suspect in it; the next repetition goes on behind it. */
+        std::uint64_t last = 0;
+    };
+
+    using Suspects = std::unordered_map<std::uint64_t, Suspect>;
+
+    [[nodiscard]] bool isExpired(const Suspect& suspect) const;
     /** Removes expired entries once the register is full, and an arbitrary one if none has expired. */
     void evictExpired();
-    void broadcast(std::uint64_t fingerprint, std::uint32_t crashes);
-    void update(std::uint64_t fingerprint, std::uint32_t crashes);
+    void broadcast(const Suspects::value_type& suspect);
+    void send(const std::string& host, const Suspects::value_type& suspect);
+    void merge(const wire::Envelope& envelope);
+    /** Repeats some of the suspects to a peer, from time to time. */
+    void repeatTo(const Peer& peer);
 
 public:
     /**
@@ -57,7 +75,9 @@
     Link& link;
     FailureDomain& domain;
     Metrics& metrics;
-    std::unordered_map<std::uint64_t, Suspect> suspects;
+    Suspects suspects;
+    /** Repetitions by host. */
+    std::map<std::string, Repetition, std::less<>> repetitions;
 };
 
 } // namespace berylwing
--- a/test/berylwing/limits/overload_test.cpp
+++ b/test/berylwing/limits/overload_test.cpp
@@ -195,6 +195,33 @@
     CHECK(static_cast<double>(attempts) <= static_cast<double>(requests) * 1.1);
 }
 
+TEST_CASE("Hosts that started after the crashes refuse a request that crashes endpoints", "[limits][quarantine]")
+{
+    TestFleet fleet;
+    FleetPlan plan;
+    plan.enginesPerDomain = 4;
+    startFleet(fleet, plan);
+    auto crashing = chatRequest("deadly", "deadly");
+    crashing.body = R"({"model":"m","prompt":"crash-the-engine"})";
+    const auto sendToAll = [&](const std::string& name) {
+        for (const auto& host : fleet.hosts()) {
+            crashing.requestId = name + host;
+            static_cast<void>(fleet.request(host, crashing));
+            fleet.advance(Duration { 2000 });
+        }
+    };
+    sendToAll("first-");
+    sendToAll("second-");
+    // One after the other, so that at the end no process is left that has seen a crash.
+    for (const auto& host : fleet.hosts()) {
+        fleet.start(host, host.substr(0, host.find('-')));
+        fleet.advance(Duration { 8000 });
+    }
+    sendToAll("third-");
+    CHECK(fleet.endpoints.crashes["knox"] <= 2);
+    CHECK(fleet.endpoints.crashes["chatt"] <= 2);
+}
+
 TEST_CASE("A request that crashes endpoints crashes at most two in each failure domain", "[limits][quarantine]")
 {
     TestFleet fleet;
