Do not blame a segment that broke once with each of several causes

Cause: a repeated, more specific segment counted once for the sound one, as if the sound one were above it in the same prompts.

Change: it counts only if it broke in no crash without the other one; else it explains the crash. The new test failed before.

--- a/src/berylwing/gateway/crash_evidence.cpp
+++ b/src/berylwing/gateway/crash_evidence.cpp
@@ -41,6 +41,15 @@
         [moment](TimePoint time) { return time > moment - kMomentLength && time < moment + kMomentLength; });
 }
 
+/** Checks if all requests with a segment seem to have another, less specific one too. */
+bool isBelow(const CrashEvidence::Record& segment, const CrashEvidence::Record& other)
+{
+    return std::all_of(segment.crashes.begin(), segment.crashes.end(), [&other](const CrashEvidence::Crash& crash) {
+        return std::any_of(other.crashes.begin(), other.crashes.end(),
+            [&crash](const CrashEvidence::Crash& known) { return known.endpoint == crash.endpoint; });
+    });
+}
+
 TimePoint lastCrashOf(const CrashEvidence::Record& record)
 {
     auto last = TimePoint::min();
@@ -192,8 +201,9 @@
             const auto* other = candidate->second;
             if (other->first == subject)
                 continue;
-            if (other->second.specificity <= record.specificity)
-                isExplainedAway = isExplainedAway || other->second.isCause;
+            const bool isMoreSpecific = other->second.specificity > record.specificity;
+            if (!isMoreSpecific || !isBelow(other->second, record))
+                isExplainedAway = isExplainedAway || isMoreSpecific || other->second.isCause;
             else if (best == nullptr || other->second.specificity > best->second.specificity)
                 best = other;
         }
--- a/test/berylwing/gateway/crash_quarantine_test.cpp
+++ b/test/berylwing/gateway/crash_quarantine_test.cpp
@@ -199,6 +199,20 @@
     CHECK_FALSE(fixture.isRefused(fixture.here, kSound));
 }
 
+TEST_CASE("CrashQuarantine does not blame a segment that broke once with each of several causes", "[gateway][crash]")
+{
+    QuarantineFixture fixture;
+    constexpr CrashSuspect kSound { 3, 1 };
+    for (int round = 0; round < 2; ++round) {
+        for (std::uint64_t cause = 10; cause < 13; ++cause) {
+            if (round > 0)
+                fixture.here.quarantine.recordCrash({ kSound }, fixture.crashes + 1);
+            fixture.crash(fixture.here, { { cause + 100, 1 }, { cause, 2 } });
+        }
+    }
+    CHECK_FALSE(fixture.isRefused(fixture.here, kSound));
+}
+
 TEST_CASE("CrashQuarantine combines the crashes of several hosts", "[gateway][crash]")
 {
     QuarantineFixture fixture;
