Do not take a response that names no request for the answer on a reused connection

Report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. Copies that carry an attempt id were skipped already; one without was taken for the answer, so that a request could be refused, or sent to a second engine, while the first one ran it.

On a reused connection a final response without an attempt id now breaks the call and closes the connection.

--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -80,7 +80,8 @@
         const auto maxIdleTime = use == ConnectionReuse::AnyIdle ? Duration::max() : kMaxSafeIdleTime;
         if (use != ConnectionReuse::None)
             this->reader.connection = this->context->pool.acquire(this->address, maxIdleTime);
-        if (this->reader.connection)
+        this->isReused = this->reader.connection != nullptr;
+        if (this->isReused)
             co_return;
         co_await this->reader.connect(this->address, kConnectTimeout);
         enableLostPeerDetection(this->reader.connection->socket, kUnackedTimeout);
@@ -114,6 +115,9 @@
             const auto status = response.result_int();
             this->facts = this->context->protocol.readAnswer(response);
             const bool isStale = !this->facts.attemptId.empty() && this->facts.attemptId != this->attemptId;
+            // It may be a copy of an earlier response on the connection, such as a rejection.
+            if (status >= kFirstFinalStatus && this->facts.attemptId.empty() && this->isReused)
+                this->fail("a response on a reused connection names no request");
             if (status >= kFirstFinalStatus && !isStale)
                 break;
             if (isStale && ++staleCount > kMaxStaleResponses)
@@ -191,6 +195,7 @@
     ResponseReader reader;
     ResponseMetadata facts;
     std::string attemptId;
+    bool isReused = false;
     bool isHeadRequest = false;
     bool isRequestWritten = false;
 };
--- /dev/null
+++ b/test/berylwing/http/endpoint_session_test.cpp
@@ -0,0 +1,189 @@
+#include "berylwing/http/endpoint_session.hpp"
+
+#include "support/runtime_context.hpp"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace berylwing;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr Duration kDeadline { 5000 };
+
+/** Lists how an endpoint ends its connection. */
+enum class End {
+    KeepOpen,
+    Close,
+    Reset,
+};
+
+/** Endpoint that sends given bytes for each request on one connection. */
+class ScriptedEndpoint {
+public:
+    /** Result of a call. */
+    struct Result {
+        unsigned status = 0;
+        bool isNotRun = false;
+        std::string body;
+        bool isComplete = false;
+        std::optional<EndpointFault> fault;
+    };
+
+    ScriptedEndpoint()
+    {
+        this->protocol.readAnswer = [](const HeaderFields& fields) {
+            ResponseMetadata metadata;
+            metadata.attemptId = std::string { fields["attempt"] };
+            metadata.isNotRun = fields.count("not-run") > 0;
+            metadata.idleTimeout = Duration { 5000 };
+            return metadata;
+        };
+    }
+
+    ~ScriptedEndpoint() { this->context.destroyPending(); }
+
+    Task<void> serve(std::vector<std::string> answers, End end)
+    {
+        auto socket = co_await this->acceptor.async_accept(asio::use_awaitable);
+        boost::system::error_code error;
+        for (const auto& answer : answers) {
+            std::string received(4096, '\0');
+            co_await socket.async_read_some(asio::buffer(received), asio::redirect_error(asio::use_awaitable, error));
+            co_await asio::async_write(socket, asio::buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (end == End::KeepOpen)
+            co_await socket.async_wait(Tcp::socket::wait_error, asio::redirect_error(asio::use_awaitable, error));
+        // The answer has to arrive before a reset, which discards what was not received yet.
+        while (end == End::Reset && !this->hasHead)
+            co_await asio::post(this->context, asio::use_awaitable);
+        if (end == End::Reset)
+            socket.set_option(asio::socket_base::linger { true, 0 });
+        socket.close(error);
+    }
+
+    Task<void> call(std::vector<std::string> attempts)
+    {
+        for (const auto& attempt : attempts) {
+            auto& result = this->results.emplace_back();
+            const auto session = co_await this->open(this->endpoint, ConnectionReuse::AnyIdle);
+            const auto deadline = this->clock.now() + kDeadline;
+            const std::string body;
+            const EndpointRequest request { "POST", "/", {}, body, attempt };
+            try {
+                co_await session->send(request);
+                const auto head = co_await session->readHead(deadline);
+                this->hasHead = true;
+                result.status = head.status;
+                result.isNotRun = head.metadata.isNotRun;
+                while (const auto bytes = co_await session->readBody(deadline))
+                    result.body += *bytes;
+                result.isComplete = true;
+            } catch (const EndpointError& error) {
+                result.fault = error.fault();
+            }
+        }
+        this->isDone = true;
+    }
+
+    /** Sends the requests one after the other; each gets the answer at its position. */
+    std::vector<Result> run(
+        const std::vector<std::string>& attempts, const std::vector<std::string>& answers, End end = End::KeepOpen)
+    {
+        spawn(this->context.get_executor(), "endpoint", this->serve(answers, end));
+        spawn(this->context.get_executor(), "calls", this->call(attempts));
+        for (int count = 0; count < 100'000 && !this->isDone; ++count) {
+            this->context.restart();
+            this->context.run_one_for(std::chrono::milliseconds { 20 });
+        }
+        REQUIRE(this->isDone);
+        return this->results;
+    }
+
+    [[nodiscard]] EndpointRecord makeRecord()
+    {
+        EndpointRecord record;
+        record.id = "engine";
+        record.address = { "127.0.0.1", this->acceptor.local_endpoint().port() };
+        return record;
+    }
+
+    berylwing::test::RuntimeContext context;
+    TimePoint time { Duration { 1'000'000 } };
+    Clock clock { this->context.get_executor(), [this] { return this->time; } };
+    GatewayProtocol protocol;
+    Tcp::acceptor acceptor { this->context, { asio::ip::make_address("127.0.0.1"), 0 } };
+    SessionFactory open = makeSessionFactory(this->clock, this->protocol);
+    GatewayEndpoint endpoint { this->makeRecord() };
+    std::vector<Result> results;
+    bool hasHead = false;
+    bool isDone = false;
+};
+
+const std::string kAnswer = "HTTP/1.1 200 OK\r\nattempt: two\r\nContent-Length: 4\r\n\r\nmilk";
+
+std::string refusal(const std::string& attempt)
+{
+    const auto field = attempt.empty() ? std::string {} : "attempt: " + attempt + "\r\n";
+    return "HTTP/1.1 503 Busy\r\n" + field + "not-run: 1\r\nContent-Length: 4\r\n\r\nbusy";
+}
+
+} // namespace
+
+TEST_CASE("A refusal that is sent again on a kept connection does not refuse the next request", "[http][session]")
+{
+    ScriptedEndpoint endpoint;
+    const auto results = endpoint.run({ "one", "two" }, { refusal("one"), refusal("one") + kAnswer });
+    REQUIRE(results.size() == 2);
+    CHECK(results[0].isNotRun);
+    CHECK_FALSE(results[1].isNotRun);
+    CHECK(results[1].status == 200);
+    CHECK(results[1].body == "milk");
+}
+
+TEST_CASE("A refusal that names no request proves nothing on a kept connection", "[http][session]")
+{
+    ScriptedEndpoint endpoint;
+    const auto results = endpoint.run({ "one", "two" }, { refusal(""), refusal("") + kAnswer });
+    REQUIRE(results.size() == 2);
+    // On a new connection it can only belong to the first request.
+    CHECK(results[0].isNotRun);
+    CHECK_FALSE(results[1].isNotRun);
+    CHECK(results[1].fault == EndpointFault::Broken);
+}
+
+TEST_CASE("A response whose head ends with the connection is broken", "[http][session]")
+{
+    for (const std::string head : { "H", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nattempt: one",
+             "HTTP/1.1 200 OK\r\nattempt: one\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r" }) {
+        CAPTURE(head);
+        ScriptedEndpoint fresh;
+        const auto first = fresh.run({ "one" }, { head }, End::Close);
+        CHECK(first.back().fault == EndpointFault::Broken);
+        CHECK(first.back().status == 0);
+        ScriptedEndpoint kept;
+        const auto second = kept.run({ "two", "one" }, { kAnswer, head }, End::Close);
+        CHECK(second.back().fault == EndpointFault::Broken);
+        CHECK(second.back().status == 0);
+    }
+}
+
+TEST_CASE("A response without a length ends with its connection, but not with a reset", "[http][session]")
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\nattempt: one\r\n\r\nmilk";
+    ScriptedEndpoint closing;
+    const auto whole = closing.run({ "one" }, { answer }, End::Close);
+    CHECK(whole.back().isComplete);
+    CHECK(whole.back().body == "milk");
+    ScriptedEndpoint resetting;
+    const auto broken = resetting.run({ "one" }, { answer }, End::Reset);
+    CHECK_FALSE(broken.back().isComplete);
+    CHECK(broken.back().fault == EndpointFault::Broken);
+}
