Continue a stream only with events of a stream

What could still get into a stream: a success that is no event stream (a document, or an empty 204, which ended it as complete); and a document of more than 64 KB that broke off on a resumable route was continued with the next endpoint's answer.

A begun stream is now continued with an event stream only, and only a stream is continued. A stream that may be continued is passed on without the length that its first endpoint announced, which would otherwise not fit.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -75,6 +75,12 @@
 
 bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
+bool isEventStream(const ResponseHead& head)
+{
+    const auto type = head.fields["Content-Type"];
+    return isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStreamType);
+}
+
 /** Counts a request among those in flight at an endpoint, for the lifetime of this object. */
 class InFlightCounter {
 public:
@@ -142,6 +148,8 @@
     /** Attempts in which the endpoint may have executed the request. */
     unsigned executions = 0;
     bool isHeadWritten = false;
+    /** Whether the head that was written is that of an event stream. */
+    bool isStreamBegun = false;
     /** Parts of the answer to the last attempt that were passed on, each with one or more events. */
     unsigned relayedParts = 0;
     /** Whether this host aborted the call because the endpoint was silent, so that the request is not to blame. */
@@ -254,7 +262,7 @@
         return false;
     if (result == AttemptResult::NotRun)
         return true;
-    const bool canContinue = !context.isHeadWritten || context.route->isResumable;
+    const bool canContinue = !context.isHeadWritten || (context.route->isResumable && context.isStreamBegun);
     return result == AttemptResult::MayHaveRun && canContinue && context.route->isRetryable()
         && context.executions < context.route->maxAttempts;
 }
@@ -434,7 +442,7 @@
     }
     if (isSuccess(head.status) && (!head.metadata.isSigned || head.metadata.isEncoded))
         throw EndpointError { EndpointFault::Broken, "the answer is not the endpoint's own" };
-    if (context.isHeadWritten && !isSuccess(head.status))
+    if (context.isHeadWritten && !isEventStream(head))
         throw EndpointError { EndpointFault::Broken, "the endpoint does not go on with the stream" };
     const auto result = co_await this->relayResponse(context, head, session, call);
     if (result != AttemptResult::Completed) {
@@ -468,7 +476,12 @@
     if (std::exchange(context.isHeadWritten, true))
         co_return;
     context.request.firstByteAt = this->dependencies.clock.now();
-    co_await context.writer.head(head);
+    context.isStreamBegun = isEventStream(head);
+    auto written = head;
+    // Another endpoint may continue the stream, so that its length is not known.
+    if (context.isStreamBegun && context.route->isResumable)
+        written.length.reset();
+    co_await context.writer.head(written);
 }
 
 void Forwarder::recordAnswer(RequestContext& context, const ResponseHead& head)
@@ -488,9 +501,7 @@
 Task<Forwarder::AttemptResult> Forwarder::relayResponse(
     RequestContext& context, const ResponseHead& head, EndpointSession& session, RetryableCall& call)
 {
-    const auto type = head.fields["Content-Type"];
-    const bool isEventStream
-        = isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStreamType);
+    const bool isStream = isEventStream(head);
     const auto deadline = context.deadline + kDeadlineTolerance;
     // A server error of the endpoint is passed on only if the request cannot be retried at another endpoint.
     const bool isRetriedFailure = head.status >= kFirstServerError && !context.isHeadWritten
@@ -499,7 +510,7 @@
     std::string buffered;
     while (const auto bytes = co_await session.readBody(deadline)) {
         call.lastActivityAt = this->dependencies.clock.now();
-        if (isEventStream) {
+        if (isStream) {
             const auto events = context.events.append(*bytes);
             if (context.events.incompleteEvent().size() > kMaxEventBytes)
                 throw EndpointError { EndpointFault::Broken, "an event of the stream does not end" };
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -16,6 +16,9 @@
 constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kInternalServerError = 500;
+constexpr std::uint64_t kStreamBytes = 45;
+constexpr const char* kDocument = "{}";
+constexpr std::size_t kLongDocumentBytes = 100 * 1024;
 constexpr std::size_t kEndlessChunkBytes = 16 * 1024;
 /** Bytes after which an endless body stops without its end. */
 constexpr std::size_t kMaxEndlessBytes = 64 * 1024 * 1024;
@@ -194,6 +197,7 @@
     const auto answer = caller->answer;
     caller->sink.head = [answer](const ResponseHead& head) -> Task<void> {
         answer->status = head.status;
+        answer->length = head.length;
         co_return;
     };
     caller->sink.body = [answer](std::string_view bytes) -> Task<void> {
@@ -280,7 +284,11 @@
         const auto source = request.fields["copy-from"];
         this->receivedRequests.push_back(
             { endpoint, request.attemptId, after, std::string { source.data(), source.size() }, this->time });
-        if (behavior == EndpointBehavior::BreakInStream)
+        if (behavior == EndpointBehavior::Document)
+            *chunks = { kDocument };
+        else if (behavior == EndpointBehavior::BreakInDocument)
+            *chunks = { std::string(kLongDocumentBytes, 'x') };
+        else if (behavior == EndpointBehavior::BreakInStream || behavior == EndpointBehavior::EndInEvent)
             *chunks = { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 3\nda" };
         else
             *chunks = after == "2"
@@ -307,8 +315,11 @@
         if (behavior == EndpointBehavior::Fail || behavior == EndpointBehavior::EndlessFailure
             || behavior == EndpointBehavior::EndlessUnsignedFailure)
             head.status = kInternalServerError;
+        const bool isDocument = behavior == EndpointBehavior::Document || behavior == EndpointBehavior::BreakInDocument;
+        if (behavior == EndpointBehavior::BreakInStream)
+            head.length = kStreamBytes;
         if (head.status == kOk)
-            head.fields.set("Content-Type", "text/event-stream");
+            head.fields.set("Content-Type", isDocument ? "application/json" : "text/event-stream");
         co_return head;
     };
     session->readBody = [this, chunks, behavior, aborted, isAborted, requestIndex](
@@ -322,7 +333,8 @@
             bytesRead += kEndlessChunkBytes;
             co_return std::string(kEndlessChunkBytes, 'x');
         }
-        if (chunks->empty() && behavior == EndpointBehavior::BreakInStream)
+        if (chunks->empty()
+            && (behavior == EndpointBehavior::BreakInStream || behavior == EndpointBehavior::BreakInDocument))
             throw EndpointError { EndpointFault::Broken, "reset" };
         if (chunks->empty())
             co_return std::nullopt;
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -26,6 +26,12 @@
     Break,
     /** Sends some events and a part of the next one, then resets the connection. */
     BreakInStream,
+    /** Sends some events and a part of the next one, then ends the answer with its connection. */
+    EndInEvent,
+    /** Answers with a document in place of a stream. */
+    Document,
+    /** Sends so much of a document that the host passes it on, then resets the connection. */
+    BreakInDocument,
     /** Answers without a signature. */
     Unsigned,
     /** Answers with an event that does not end. */
@@ -65,6 +71,7 @@
     struct Answer {
         std::optional<Outcome> outcome;
         unsigned status = 0;
+        std::optional<std::uint64_t> length;
         std::string body;
         bool isCallerGone = false;
         TimePoint endedAt;
