--- a/src/berylwing/client/request_timeline.cpp
+++ b/src/berylwing/client/request_timeline.cpp
@@ -45,7 +45,8 @@
         return "compare waited_ms of the last request_sent with took_ms to tell time in the host from time at the "
                "endpoint";
     case Refusal::Quarantined:
-        return "the same request failed at several endpoints; search for request_broken with the same target";
+        return "the request, or a segment of its prompt, crashed several endpoints; see the quarantined lines of all "
+               "hosts, and request_broken with the same target or segments";
     case Refusal::HostLeaving:
         return "the host was stopping";
     default:
