Read the request limits of endpoints and log what a host believes of them

limit_learned has the limit that an answer named, request_sent the limit that the host had been told of and how long ago. They tell apart whether hosts send regardless of a limit that they know, keep to it each by itself, or were not told.

--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,6 +42,14 @@
     std::function<void()> abort;
 };
 
+/** @brief Limit of the requests that an endpoint takes from all hosts together, as told by its answers. */
+struct RequestLimit {
+    /** Requests per second; empty if the endpoint names no limit. */
+    std::optional<double> perSecond;
+    /** Time of the answer that told it. */
+    TimePoint toldAt = TimePoint::min();
+};
+
 /** @brief Endpoint with the state that this host tracks; requests in flight keep it alive after its removal. */
 class GatewayEndpoint : public boost::intrusive_ref_counter<GatewayEndpoint, boost::thread_unsafe_counter> {
 public:
@@ -76,6 +85,7 @@
     TimePoint coldUntil {};
     /** Time of the last request that was sent while the endpoint was cold. */
     TimePoint lastColdSendAt {};
+    RequestLimit limit;
     /** Unfinished requests of this host. */
     std::uint32_t inFlight = 0;
     /** Unfinished requests of other hosts, by their last digests. */
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -316,6 +316,16 @@
         context.request.metadata.attemptId };
 }
 
+void Forwarder::recordLimit(GatewayEndpoint& endpoint, const ResponseMetadata& answer)
+{
+    const auto before = std::exchange(endpoint.limit, { answer.requestLimit, this->dependencies.clock.now() });
+    if (before.perSecond == answer.requestLimit)
+        return;
+    LogLine line { LogEvent::LimitLearned };
+    line.add("endpoint", endpoint.record.id).add("per_second", answer.requestLimit.value_or(-1)).add("from", "");
+    this->dependencies.log.write(line);
+}
+
 void Forwarder::recordResult(GatewayEndpoint& endpoint, EndpointResult result)
 {
     const auto now = this->dependencies.clock.now();
@@ -415,6 +425,10 @@
     line.add("load_own", std::int64_t { context.load.own }).add("load_others", std::int64_t { context.load.others });
     line.add("load_mean", context.load.mean).add("load_limit", context.load.limit).add("load_age_ms", context.loadAge);
     line.add("load_unseen", context.load.unseen);
+    if (endpoint.limit.perSecond) {
+        line.add("limit_per_second", *endpoint.limit.perSecond);
+        line.add("limit_age_ms", this->dependencies.clock.now() - endpoint.limit.toldAt);
+    }
     line.add("waited_ms", this->dependencies.clock.now() - context.request.arrivedAt);
     const auto unreadTokens = this->recordPrompt(context, endpoint, cacheSource, line);
     this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
@@ -430,6 +444,7 @@
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(context.deadline + kDeadlineTolerance);
     reservation.release();
+    this->recordLimit(endpoint, head.metadata);
     if (head.metadata.isNotRun || head.status == kMisdirectedRequest) {
         // Status 421 tells that another process has the address; the record is outdated until the store has a newer
         // one.
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -97,6 +97,8 @@
     /** Clears the request of crashing endpoints, since one has answered it. */
     void recordAnswer(RequestContext& context, const ResponseHead& head);
     [[nodiscard]] Task<void> writeHead(RequestContext& context, const ResponseHead& head);
+    /** Records the limit that an answer of the endpoint names, or that it names none any more. */
+    void recordLimit(GatewayEndpoint& endpoint, const ResponseMetadata& answer);
     void recordResult(GatewayEndpoint& endpoint, EndpointResult result);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result);
 
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -82,6 +82,8 @@
     bool isConnectionClosing = false;
     /** Time for which the endpoint keeps an idle connection open; empty if it does not say. */
     std::optional<Duration> idleTimeout;
+    /** Requests per second that the endpoint takes from all hosts together; empty if it names no limit. */
+    std::optional<double> requestLimit;
 };
 
 /** @brief Status line and headers of an endpoint's response. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -42,11 +42,12 @@
     CrashLearned,
     Quarantined,
     QuarantineLifted,
+    LimitLearned,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 32> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 33> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -78,6 +79,7 @@
     "crash_learned",
     "quarantined",
     "quarantine_lifted",
+    "limit_learned",
     "lines_dropped",
 } };
 
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -85,4 +85,18 @@
     CHECK_FALSE(facts.isSigned);
     CHECK(facts.isConnectionClosing);
     CHECK(facts.idleTimeout == Duration { 7000 });
+    CHECK_FALSE(facts.requestLimit);
+}
+
+TEST_CASE("readResponseHeaders reads the request limit of an endpoint", "[platform]")
+{
+    const auto read = [](const std::string& text) {
+        HeaderFields fields;
+        fields.set("Server-Limit", text);
+        return platform::readResponseHeaders(fields).requestLimit;
+    };
+    CHECK(read("2.5") == 2.5);
+    CHECK(read("0") == 0.0);
+    for (const auto* text : { "", "many", "2.5/s", "-1", "nan", "inf" })
+        CHECK_FALSE(read(text));
 }
