--- a/test/support/engine_fleet.cpp
+++ b/test/support/engine_fleet.cpp
@@ -1,6 +1,8 @@
 #include "support/engine_fleet.hpp"
 
 #include <algorithm>
+#include <deque>
+#include <limits>
 #include <sstream>
 #include <utility>
 
@@ -146,6 +148,8 @@
 void EngineFleet::restart(std::size_t host)
 {
     auto& restarted = *this->allHosts.at(host);
+    for (auto& engine : this->engines)
+        engine.knownSince.erase(host);
     this->formerProcesses.push_back(std::move(restarted.gateway));
     this->startProcess(restarted);
 }
@@ -192,6 +196,38 @@
     });
 }
 
+void EngineFleet::setLimit(std::size_t engine, std::optional<double> perSecond)
+{
+    auto& limited = this->engines.at(engine);
+    limited.limit = perSecond;
+    limited.firstNamedAt = TimePoint::max();
+    limited.knownSince.clear();
+}
+
+double EngineFleet::maxExcess(Duration contactTime) const
+{
+    constexpr Duration kWindow { 4000 };
+    constexpr Duration kLearningTime { 500 };
+    constexpr double kFactor = 1.5;
+    constexpr double kTolerance = 5;
+    std::vector<std::deque<TimePoint>> windows(this->engines.size());
+    auto excess = std::numeric_limits<double>::lowest();
+    for (const auto& arrival : this->arrivals) {
+        const auto& engine = this->engines[arrival.engine];
+        const auto known = engine.knownSince.find(arrival.host);
+        if (!engine.limit || engine.firstNamedAt == TimePoint::max() || arrival.at < engine.firstNamedAt + contactTime
+            || known == engine.knownSince.end() || arrival.at < known->second + kLearningTime)
+            continue;
+        auto& window = windows[arrival.engine];
+        window.push_back(arrival.at);
+        while (window.front() <= arrival.at - kWindow)
+            window.pop_front();
+        const auto allowed = *engine.limit * static_cast<double>(kWindow.count()) / 1000;
+        excess = std::max(excess, static_cast<double>(window.size()) - kFactor * allowed - kTolerance);
+    }
+    return excess;
+}
+
 Task<ResponseHead> EngineFleet::beginAnswer(std::size_t engine, unsigned incarnation, std::size_t arrival)
 {
     std::uniform_int_distribution<int> prefill { kMinPrefillMs, kMaxPrefillMs };
@@ -211,6 +247,12 @@
     head.status = kOk;
     head.metadata.isSigned = true;
     head.fields.set("Content-Type", "text/event-stream");
+    auto& answering = this->engines[engine];
+    head.metadata.requestLimit = answering.limit;
+    if (answering.limit) {
+        answering.firstNamedAt = std::min(answering.firstNamedAt, this->time);
+        answering.knownSince.emplace(this->arrivals[arrival].host, this->time);
+    }
     co_return head;
 }
 
--- a/test/support/engine_fleet.hpp
+++ b/test/support/engine_fleet.hpp
@@ -102,6 +102,18 @@
     /** @brief Crashes an engine for no reason in a request. @param engine Engine. */
     void crash(std::size_t engine);
 
+    /** @brief Sets the limit that the answers of an engine name. @param engine Engine. @param perSecond Limit. */
+    void setLimit(std::size_t engine, std::optional<double> perSecond);
+
+    /**
+     * @brief Compares the requests that engines got in any four seconds with the limits that they named.
+     *
+     * Counted are requests of hosts that have passed on such an answer half a second before or earlier.
+     * @param contactTime Time after the first answer with a limit in which hosts may still learn of it.
+     * @return Largest number of requests beyond one and a half times what a limit allows, and five; negative below it.
+     */
+    [[nodiscard]] double maxExcess(Duration contactTime) const;
+
     /** @brief Returns the hosts. @return Hosts, domain by domain. */
     [[nodiscard]] std::vector<std::unique_ptr<Host>>& hosts() noexcept { return this->allHosts; }
 
@@ -132,6 +144,10 @@
         /** Number of the process; a connection to an earlier one is broken. */
         unsigned incarnation = 0;
         bool isUp = true;
+        std::optional<double> limit {};
+        /** Time of the first answer with the limit, and of the first such answer that each host passed on. */
+        TimePoint firstNamedAt = TimePoint::max();
+        std::map<std::size_t, TimePoint> knownSince {};
         /** Wakes the connections when the process has crashed. */
         std::unique_ptr<Event> broke {};
     };
