Compute ranks in rendezvous orders in one place

ColdRateLimit and HostRoster counted the nodes with a higher score each by itself; the limits that endpoints name need the same. No change of behaviour.

--- a/src/berylwing/core/hash.cpp
+++ b/src/berylwing/core/hash.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/core/hash.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <xxhash.h>
 
@@ -20,4 +21,12 @@
     return -weight / std::log(uniform);
 }
 
+std::size_t rendezvousRank(std::uint64_t key, std::string_view node, const std::vector<std::string>& nodes) noexcept
+{
+    const auto score = rendezvousScore(key, node);
+    const auto higher = std::count_if(nodes.begin(), nodes.end(),
+        [&](const std::string& other) { return other != node && rendezvousScore(key, other) > score; });
+    return static_cast<std::size_t>(higher);
+}
+
 } // namespace berylwing
--- a/src/berylwing/core/hash.hpp
+++ b/src/berylwing/core/hash.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace berylwing {
 
@@ -22,4 +25,14 @@
  */
 [[nodiscard]] double rendezvousScore(std::uint64_t key, std::string_view node, double weight = 1.0) noexcept;
 
+/**
+ * @brief Computes the position of a node in the rendezvous order of a key.
+ * @param key Hash of the key.
+ * @param node Name of the node.
+ * @param nodes Names of all nodes.
+ * @return Number of other nodes with a higher score.
+ */
+[[nodiscard]] std::size_t rendezvousRank(
+    std::uint64_t key, std::string_view node, const std::vector<std::string>& nodes) noexcept;
+
 } // namespace berylwing
--- a/src/berylwing/gateway/cold_rate_limit.cpp
+++ b/src/berylwing/gateway/cold_rate_limit.cpp
@@ -29,11 +29,7 @@
     const auto& names = this->hostNames();
     if (names.size() <= senderCount)
         return true;
-    const auto key = hashText(endpoint.record.id);
-    const auto ownScore = rendezvousScore(key, this->ownName);
-    const auto preferred = std::count_if(names.begin(), names.end(),
-        [&](const std::string& name) { return name != this->ownName && rendezvousScore(key, name) > ownScore; });
-    return static_cast<std::size_t>(preferred) < senderCount;
+    return rendezvousRank(hashText(endpoint.record.id), this->ownName, names) < senderCount;
 }
 
 bool ColdRateLimit::canSend(const GatewayEndpoint& endpoint, const ServiceTraits& service, TimePoint now) const
--- a/src/berylwing/gateway/host_roster.cpp
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -53,9 +53,7 @@
 
 bool HostRoster::isFirstFor(std::uint64_t key) const
 {
-    const auto ownScore = rendezvousScore(key, this->own.name);
-    return std::none_of(this->hosts.begin(), this->hosts.end(),
-        [&](const auto& host) { return rendezvousScore(key, host.first) > ownScore; });
+    return rendezvousRank(key, this->own.name, this->allNames) == 0;
 }
 
 std::vector<HostEntry> HostRoster::groupMembers() const
