Keep prompts at endpoints without a limit

Cause: a prompt without a copy at an endpoint that may receive it went to the first one in its rendezvous order, which with limits is another one at each moment, so that prompts wandered. Besides, the mean load included endpoints that may hardly receive anything, so that the others counted as overloaded and were passed over.

A prompt that is cached nowhere prefers endpoints without a limit, where it can stay; endpoints with one relieve them when they are far behind. The mean is that of the endpoints without a limit. The new test failed before (12 checks).

--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -37,13 +37,18 @@
     /** Position in the rendezvous order of the prompt; the highest score comes first. */
     double score = 0;
     bool isCached = false;
+    /** Whether the endpoint names a limit, so that most of the requests with the prompt go elsewhere. */
+    bool isLimited = false;
     /** Estimated tokens that the endpoint has to process before it responds. */
     std::uint64_t pendingTokens = 0;
     /** Whether no other endpoint responds much sooner. */
     bool isResponsive = false;
 };
 
-/** Load of all endpoints of a service, including those that receive no requests, which lower the mean. */
+/**
+ * Load of the endpoints of a service, including those that receive no requests, which lower the mean. Endpoints that
+ * name a limit do not count: the others have to take what does not fit.
+ */
 struct ServiceLoad {
     [[nodiscard]] double mean() const { return this->total / std::max(this->count, 1.0); }
 
@@ -61,13 +66,15 @@
 ServiceLoad loadOf(const EndpointDirectory& directory, std::string_view service)
 {
     ServiceLoad load;
+    ServiceLoad limited;
     for (const auto& [id, endpoint] : directory.all()) {
         if (endpoint->record.service != service)
             continue;
-        ++load.count;
-        load.total += endpoint->load();
+        auto& counted = endpoint->limit.perSecond ? limited : load;
+        ++counted.count;
+        counted.total += endpoint->load();
     }
-    return load;
+    return load.count > 0 ? load : limited;
 }
 
 /** Returns the common load of the least loaded endpoints after a number of requests were spread evenly over them. */
@@ -115,7 +122,10 @@
     double bestScore = 0;
 };
 
-/** Sorts the candidates for a prompt: responsive ones first, then those that cache it, then by rendezvous order. */
+/**
+ * Sorts the candidates for a prompt: responsive ones first, then those that cache it, then those without a limit, where
+ * the prompt can stay, then by rendezvous order.
+ */
 void sortByPreference(std::vector<Candidate>& candidates)
 {
     const auto shortest = std::min_element(candidates.begin(), candidates.end(),
@@ -126,7 +136,11 @@
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
         if (left.isResponsive != right.isResponsive)
             return left.isResponsive;
-        return left.isCached != right.isCached ? left.isCached : left.score > right.score;
+        if (left.isCached != right.isCached)
+            return left.isCached;
+        if (!left.isCached && left.isLimited != right.isLimited)
+            return right.isLimited;
+        return left.score > right.score;
     });
 }
 
@@ -205,7 +219,9 @@
             continue;
         }
         const auto pendingTokens = endpoint->backlog() + (isCached ? 0 : request.sharedTokens + kUncachedPenalty);
-        candidates.push_back({ endpoint, rendezvousScore(request.key, endpoint->record.id), isCached, pendingTokens });
+        const auto score = rendezvousScore(request.key, endpoint->record.id);
+        const bool isLimited = endpoint->limit.perSecond.has_value();
+        candidates.push_back({ endpoint, score, isCached, isLimited, pendingTokens });
     }
     if (candidates.empty())
         return nullptr;
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -348,3 +348,39 @@
     load.promptCache.recordUse({ key, target.hash });
     CHECK_FALSE(load.placement.findCacheSource(request, target));
 }
+
+TEST_CASE("Placement does not move prompts between endpoints that name limits", "[gateway][placement][limit]")
+{
+    LoadSimulation load;
+    std::set<std::string> limited;
+    for (const auto& [id, endpoint] : load.directory.all()) {
+        if (limited.size() * 3 < load.directory.all().size() * 2 && limited.insert(id).second)
+            load.rateLimits.recordAnswer(*endpoint, 2);
+    }
+    std::map<std::uint64_t, std::set<std::string>> homes;
+    std::map<std::string, int> checks;
+    for (std::uint64_t request = 0; request < 4000; ++request) {
+        load.time += Duration { 10 };
+        const auto key = hashText(std::to_string(load.random() % 100));
+        const auto endpoint = load.placement.choose({ "engines", key, 3000, true, load.none, request }, load.service);
+        if (limited.contains(endpoint->record.id)) {
+            load.rateLimits.recordSend(*endpoint);
+            load.rateLimits.recordAnswer(*endpoint, 2);
+            ++checks[endpoint->record.id];
+        } else {
+            load.promptCache.recordUse({ key, endpoint->hash });
+            homes[key].insert(endpoint->record.id);
+        }
+    }
+    for (const auto& [key, ids] : homes)
+        CHECK(ids.size() == 1);
+    // In 40 s, one request every two seconds finds out whether a limit still holds.
+    CHECK(checks.size() == limited.size());
+    for (const auto& [id, count] : checks)
+        CHECK(count <= 20);
+    // Endpoints without a limit that are far behind are relieved by the others.
+    for (const auto& [id, endpoint] : load.directory.all())
+        endpoint->unreadTokens = limited.contains(id) ? 0 : 200'000;
+    const auto relief = load.placement.choose({ "engines", hashText("new"), 3000, true, load.none }, load.service);
+    CHECK(limited.contains(relief->record.id));
+}
