Do not let what hosts repeat about crashes look newer at each hop

Nothing that callers saw, on networks with transits of a millisecond; with transits of 100 to 400 ms a cause was never tried again (CrashQuarantine) and a quarantine of an hour never ended (CrashRegister, on the fleet's own interface). An answer from before the crashes, which was repeated and grew newer in the same way, would have ended a quarantine as soon as the crashes no longer did.

Reports that agree with what a host knows count as newer only by more than a message may be late, a report ends a quarantine only by as much, and an answer that changes nothing is not repeated.

--- a/src/berylwing/gateway/crash_evidence.cpp
+++ b/src/berylwing/gateway/crash_evidence.cpp
@@ -99,7 +99,6 @@
     if (found == this->records.end())
         return false;
     auto& record = found->second;
-    const bool isNewer = at > record.clearedAt;
     record.clearedAt = std::max(record.clearedAt, at);
     bool isChanged = false;
     for (auto& crash : record.crashes) {
@@ -108,7 +107,7 @@
         crash.isCleared = true;
         isChanged = true;
     }
-    return isChanged || (isNewer && record.isCause);
+    return isChanged;
 }
 
 void CrashEvidence::setCause(const CrashSuspect& suspect, bool isCause)
--- a/src/berylwing/gateway/crash_quarantine.cpp
+++ b/src/berylwing/gateway/crash_quarantine.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/crash_quarantine.hpp"
 
+#include "berylwing/core/message_age.hpp"
 #include <algorithm>
 #include <fmt/format.h>
 #include <utility>
@@ -29,13 +30,6 @@
 
 std::string toHex(std::uint64_t subject) { return fmt::format("{:016x}", subject); }
 
-std::uint32_t toAge(TimePoint now, TimePoint at)
-{
-    return static_cast<std::uint32_t>(std::max(now - at, Duration {}).count());
-}
-
-TimePoint fromAge(TimePoint now, std::uint32_t age) { return now - Duration { age }; }
-
 /** Moves the elements that were reported longest ago to the front, and removes those over the limit. */
 template <typename Entry> void selectLeastReported(std::vector<Entry>& entries, std::size_t limit)
 {
@@ -87,7 +81,8 @@
 {
     const bool isChanged = this->evidence.clear(subject, at);
     const auto found = this->quarantined.find(subject);
-    const bool isLifted = found != this->quarantined.end() && at > found->second.lastCrashAt;
+    const auto delay = sender.empty() ? Duration {} : kMaxMessageDelay;
+    const bool isLifted = found != this->quarantined.end() && at > found->second.lastCrashAt + delay;
     if (isChanged || isLifted) {
         auto& clearance = this->clearances[subject];
         clearance.at = std::max(clearance.at, at);
@@ -137,7 +132,8 @@
 {
     const auto [found, isNew] = this->quarantined.try_emplace(cause.subject, state);
     if (!isNew) {
-        found->second.lastCrashAt = std::max(found->second.lastCrashAt, state.lastCrashAt);
+        if (state.lastCrashAt > found->second.lastCrashAt + kMaxMessageDelay)
+            found->second.lastCrashAt = state.lastCrashAt;
         found->second.trials = std::max(found->second.trials, state.trials);
         return;
     }
@@ -213,7 +209,7 @@
         report.add_suspects(suspect.subject);
         report.add_specificities(suspect.specificity);
         report.add_endpoints(crash->endpoint);
-        report.add_crash_ages(toAge(now, crash->at));
+        report.add_crash_ages(toMessageAge(now, crash->at));
         crash->reportedAt = now;
     }
 }
@@ -229,7 +225,7 @@
     selectLeastReported(entries, limit);
     for (const auto& [subject, clearance] : entries) {
         report.add_cleared(subject);
-        report.add_cleared_ages(toAge(now, clearance->at));
+        report.add_cleared_ages(toMessageAge(now, clearance->at));
         clearance->reportedAt = now;
     }
 }
@@ -244,7 +240,7 @@
     for (const auto& [subject, quarantine] : entries) {
         report.add_causes(subject);
         report.add_cause_specificities(quarantine->specificity);
-        report.add_cause_ages(toAge(now, quarantine->lastCrashAt));
+        report.add_cause_ages(toMessageAge(now, quarantine->lastCrashAt));
         report.add_cause_trials(quarantine->trials);
         quarantine->reportedAt = now;
     }
@@ -259,7 +255,7 @@
         const CrashSuspect cause { report.causes(index), report.cause_specificities(index) };
         Quarantine state;
         state.specificity = cause.specificity;
-        state.lastCrashAt = fromAge(now, report.cause_ages(index));
+        state.lastCrashAt = fromMessageAge(now, report.cause_ages(index));
         state.trials = report.cause_trials(index);
         const auto* record = this->evidence.find(cause.subject);
         if (record != nullptr && record->clearedAt >= state.lastCrashAt) {
@@ -282,11 +278,11 @@
     for (int index = 0; index < crashes; ++index) {
         CrashEvidence::Crash crash;
         crash.endpoint = report.endpoints(index);
-        crash.at = fromAge(now, report.crash_ages(index));
+        crash.at = fromMessageAge(now, report.crash_ages(index));
         this->add({ report.suspects(index), report.specificities(index) }, crash, sender);
     }
     for (int index = 0; index < std::min(report.cleared_size(), report.cleared_ages_size()); ++index)
-        this->clear(report.cleared(index), fromAge(now, report.cleared_ages(index)), sender);
+        this->clear(report.cleared(index), fromMessageAge(now, report.cleared_ages(index)), sender);
     this->mergeCauses(report, sender);
 }
 
--- a/src/berylwing/limits/crash_register.cpp
+++ b/src/berylwing/limits/crash_register.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/limits/crash_register.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/core/message_age.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
 
@@ -89,7 +90,9 @@
         return;
     }
     suspect.crashes = isAnswered ? 0 : std::max(suspect.crashes, report.crashes());
-    suspect.changedAt = isNew ? changedAt : std::max(suspect.changedAt, changedAt);
+    const auto delay = isAnswered == wasAnswered ? kMaxMessageDelay : Duration {};
+    if (isNew || changedAt > suspect.changedAt + delay)
+        suspect.changedAt = changedAt;
 }
 
 void CrashRegister::evictExpired()
--- a/test/berylwing/gateway/crash_quarantine_test.cpp
+++ b/test/berylwing/gateway/crash_quarantine_test.cpp
@@ -58,6 +58,21 @@
         to.quarantine.merge(report, "other");
     }
 
+    /** Lets two hosts report to each other for some time, in messages that take long. */
+    void exchangeLateReports(Duration length)
+    {
+        constexpr Duration kMinTransit { 100 };
+        int messages = 0;
+        for (const auto until = this->time + length; this->time < until;) {
+            for (const bool isReply : { false, true }) {
+                wire::CrashReport report;
+                (isReply ? this->there : this->here).quarantine.appendTo(report, CrashQuarantine::Scope::All);
+                this->advance(kMinTransit * (1 + ++messages % 4));
+                (isReply ? this->here : this->there).quarantine.merge(report, "other");
+            }
+        }
+    }
+
     [[nodiscard]] bool isRefused(QuarantineHost& host, const CrashSuspect& suspect)
     {
         this->advance(kDecisionTime);
@@ -213,6 +228,29 @@
     CHECK_FALSE(fixture.isRefused(fixture.here, kSound));
 }
 
+TEST_CASE("A cause is tried again in time although hosts repeat it in late messages", "[gateway][crash]")
+{
+    QuarantineFixture fixture;
+    for (int count = 0; count < 3; ++count)
+        fixture.crash(fixture.here, { kRequest });
+    CHECK(fixture.isRefused(fixture.here, kRequest));
+    fixture.exchangeLateReports(std::chrono::minutes { 11 });
+    CHECK_FALSE(fixture.isRefused(fixture.here, kRequest));
+}
+
+TEST_CASE("An answer from before the crashes does not end a quarantine although hosts repeat it", "[gateway][crash]")
+{
+    QuarantineFixture fixture;
+    fixture.crash(fixture.here, { kRequest });
+    fixture.here.quarantine.recordAnswer({ kRequest });
+    for (int count = 0; count < 4; ++count)
+        fixture.crash(fixture.here, { kRequest });
+    CHECK(fixture.isRefused(fixture.here, kRequest));
+    fixture.exchangeLateReports(std::chrono::minutes { 1 });
+    CHECK(fixture.isRefused(fixture.here, kRequest));
+    CHECK(fixture.isRefused(fixture.there, kRequest));
+}
+
 TEST_CASE("CrashQuarantine combines the crashes of several hosts", "[gateway][crash]")
 {
     QuarantineFixture fixture;
