--- a/src/berylwing/gateway/endpoint_rate_limits.cpp
+++ b/src/berylwing/gateway/endpoint_rate_limits.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/gateway/endpoint_rate_limits.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/core/message_age.hpp"
 #include <algorithm>
 #include <cmath>
 #include <unordered_map>
@@ -23,8 +24,6 @@
 constexpr Duration kCheckStagger { 500 };
 /** Time for which an answer is reported. Some digests may be lost, and hosts are cut off for seconds. */
 constexpr Duration kReportTime { 6000 };
-/** Time that a message may be late, which its ages do not include. */
-constexpr Duration kMaxTransit { 1000 };
 /** Interval at which a limit is repeated; by it, hosts that have missed its end are told of it. */
 constexpr Duration kRepeatInterval { 5000 };
 /** The same for a delegate, which hosts that start or return rely on. */
@@ -153,14 +152,14 @@
         if (found == endpoints.end())
             continue;
         auto& endpoint = *found->second;
-        const auto toldAt = now - Duration { report.ages(index) };
+        const auto toldAt = fromMessageAge(now, report.ages(index));
         std::optional<double> perSecond;
         if (report.limits(index) != kNoLimit)
             perSecond = fromWire(report.limits(index));
         const bool isNewLimit = perSecond && !endpoint.limit.perSecond;
         // A late report must not bring back a limit that has ended, nor make old knowledge look newer at each hop.
         const bool mayBeLate = isNewLimit || perSecond == endpoint.limit.perSecond;
-        if (toldAt > endpoint.limit.toldAt + (mayBeLate ? kMaxTransit : Duration {}))
+        if (toldAt > endpoint.limit.toldAt + (mayBeLate ? kMaxMessageDelay : Duration {}))
             this->update(endpoint, { perSecond, toldAt }, sender);
         else if (isNewLimit)
             // The sender has missed the answer that ended the limit.
@@ -186,7 +185,7 @@
         report.add_endpoints(endpoint->processHash);
         const auto perSecond = endpoint->limit.perSecond;
         report.add_limits(perSecond ? toWire(*perSecond) : kNoLimit);
-        report.add_ages(static_cast<std::uint32_t>((now - endpoint->limit.toldAt).count()));
+        report.add_ages(toMessageAge(now, endpoint->limit.toldAt));
     }
 }
 
