--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -1,7 +1,9 @@
 #include "berylwing/gateway/forwarder.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/endpoint_load.hpp"
 #include "berylwing/gateway/event_splitter.hpp"
+#include "berylwing/gateway/prompt_segments.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
@@ -40,32 +42,6 @@
 /** Jitter of the retry delay, so that refused callers do not retry at the same time. */
 constexpr std::uint64_t kRetryJitterMs = 300;
 
-/** Returns the last shared segment of a prompt; of several segments, the last one is specific to the request. */
-const PromptSegment* findSharedSegment(const std::vector<PromptSegment>& segments)
-{
-    if (segments.empty())
-        return nullptr;
-    return segments.size() > 1 ? &segments[segments.size() - 2] : &segments.back();
-}
-
-/** Counts the tokens of all segments but the last one. */
-std::uint32_t sharedTokensOf(const std::vector<PromptSegment>& segments)
-{
-    std::uint32_t tokens = 0;
-    for (std::size_t index = 0; index + 1 < segments.size(); ++index)
-        tokens += segments[index].tokens;
-    return tokens;
-}
-
-/** Lists the ids of the segments of a prompt. */
-std::string describeSegments(const std::vector<PromptSegment>& segments)
-{
-    std::string text;
-    for (const auto& segment : segments)
-        text.append(text.empty() ? "" : ",").append(segment.id);
-    return text;
-}
-
 Duration retryAfterOf(std::uint64_t requestHash)
 {
     return kMinRetryAfter + Duration { static_cast<Duration::rep>(requestHash % kRetryJitterMs) };
@@ -81,44 +57,6 @@
     return isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStreamType);
 }
 
-/** Counts a request among those in flight at an endpoint, for the lifetime of this object. */
-class InFlightCounter {
-public:
-    explicit InFlightCounter(GatewayEndpointPtr servingEndpoint)
-        : endpoint { std::move(servingEndpoint) }
-    {
-        ++this->endpoint->inFlight;
-    }
-
-    ~InFlightCounter() { --this->endpoint->inFlight; }
-    InFlightCounter(const InFlightCounter&) = delete;
-    InFlightCounter& operator=(const InFlightCounter&) = delete;
-
-private:
-    GatewayEndpointPtr endpoint;
-};
-
-/** Adds a prompt to the backlog of an endpoint until the endpoint starts to respond. */
-class BacklogReservation {
-public:
-    BacklogReservation(GatewayEndpointPtr loadedEndpoint, std::uint32_t promptTokens)
-        : endpoint { std::move(loadedEndpoint) }
-        , tokens { promptTokens }
-    {
-        this->endpoint->unreadTokens += this->tokens;
-    }
-
-    ~BacklogReservation() { this->release(); }
-    BacklogReservation(const BacklogReservation&) = delete;
-    BacklogReservation& operator=(const BacklogReservation&) = delete;
-
-    void release() { this->endpoint->unreadTokens -= std::exchange(this->tokens, 0); }
-
-private:
-    GatewayEndpointPtr endpoint;
-    std::uint32_t tokens;
-};
-
 } // namespace
 
 /** State of a request while it is forwarded. */
