Do not end a named limit by a rejection that does not repeat it

Found by reading: each answer without the limit ended it, also a rejection, in which an endpoint need not repeat it, and one of status 421, which comes from another process at the address. The host then sent as before until the next answer.

A rejection only brings a limit, and a 421 tells nothing of the endpoint.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -377,11 +377,12 @@
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(context.deadline + kDeadlineTolerance);
     reservation.release();
-    this->dependencies.rateLimits.recordAnswer(endpoint, head.metadata.requestLimit);
-    if (head.metadata.isNotRun || head.status == kMisdirectedRequest) {
-        // Status 421 tells that another process has the address; the record is outdated until the store has a newer
-        // one.
-        const bool isMisdirected = head.status == kMisdirectedRequest;
+    // Status 421 tells that another process has the address; the record is outdated until the store has a newer one.
+    const bool isMisdirected = head.status == kMisdirectedRequest;
+    // A rejection that names no limit does not prove that there is none.
+    if (!isMisdirected && (head.metadata.requestLimit || !head.metadata.isNotRun))
+        this->dependencies.rateLimits.recordAnswer(endpoint, head.metadata.requestLimit);
+    if (head.metadata.isNotRun || isMisdirected) {
         this->recordResult(endpoint, isMisdirected ? EndpointResult::Unreachable : EndpointResult::Shed);
         context.failureReason = isMisdirected ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
         const auto rejectionDeadline = this->dependencies.clock.now() + kRejectionTimeout;
--- a/test/berylwing/gateway/request_limit_test.cpp
+++ b/test/berylwing/gateway/request_limit_test.cpp
@@ -1,4 +1,5 @@
 #include "support/engine_fleet.hpp"
+#include "support/gateway_harness.hpp"
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -106,3 +107,26 @@
         arrivals += countAt(fleet, engine, since);
     CHECK(static_cast<double>(arrivals) >= 0.6 * 4 * kLimit * static_cast<double>(kLength.count()) / 1000);
 }
+
+TEST_CASE("A rejection that names no limit does not end the limit of an endpoint", "[gateway][limit]")
+{
+    for (const auto rejection : { EndpointBehavior::Shed, EndpointBehavior::Misdirected }) {
+        CAPTURE(static_cast<int>(rejection));
+        GatewayHarness harness;
+        harness.putPlan(GatewayHarness::makePlan(1));
+        harness.putEndpoint("a", "knox-a");
+        harness.requestLimit = 0.5;
+        harness.advance(Duration { 300 });
+        CHECK(harness.sendAndWait("named")->outcome->isComplete());
+        harness.advance(Duration { 4000 });
+        harness.behaviors["a"] = rejection;
+        CHECK_FALSE(harness.sendAndWait("rejected")->outcome->isComplete());
+        harness.behaviors["a"] = EndpointBehavior::Answer;
+        const auto received = harness.receivedRequests.size();
+        const auto answer = harness.sendAndWait("next");
+        CHECK(answer->outcome->reason == Refusal::EndpointAtBound);
+        CHECK(answer->outcome->execution == Execution::NotRun);
+        CHECK(answer->outcome->retryAfter > Duration { 1000 });
+        CHECK(harness.receivedRequests.size() == received);
+    }
+}
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -310,6 +310,8 @@
         head.metadata.isNotRun = behavior == EndpointBehavior::Shed || behavior == EndpointBehavior::EndlessRejection;
         if (head.metadata.isNotRun)
             head.status = kServiceUnavailable;
+        if (behavior == EndpointBehavior::Answer)
+            head.metadata.requestLimit = this->requestLimit;
         if (behavior == EndpointBehavior::Misdirected)
             head.status = kMisdirectedRequest;
         if (behavior == EndpointBehavior::Fail || behavior == EndpointBehavior::EndlessFailure
