Do not tell callers to wait forever beside an endpoint without a limit

Found by reading the change: the time until the next share was computed as the distance from now to the earliest representable time if an endpoint without a limit was available but could not take the request (tried before, or cold). It overflowed, and the rejected caller got a Retry-After of many years. The time is zero now.

--- a/src/berylwing/gateway/endpoint_rate_limits.cpp
+++ b/src/berylwing/gateway/endpoint_rate_limits.cpp
@@ -135,7 +135,7 @@
     if (!isLimited)
         return std::nullopt;
     const auto now = this->clock.now();
-    return earliest == TimePoint::max() ? Duration {} : std::max(earliest - now, Duration {});
+    return earliest <= now || earliest == TimePoint::max() ? Duration {} : earliest - now;
 }
 
 void EndpointRateLimits::merge(const wire::LimitReport& report, std::string_view sender)
--- a/test/berylwing/gateway/endpoint_rate_limits_test.cpp
+++ b/test/berylwing/gateway/endpoint_rate_limits_test.cpp
@@ -200,3 +200,17 @@
     }
     CHECK(reported.size() == kEndpoints);
 }
+
+TEST_CASE("Requests wait for the next share only if no endpoint may receive them now", "[gateway][limit]")
+{
+    LimitedFleet fleet { 1 };
+    auto& host = *fleet.hosts.front();
+    CHECK_FALSE(host.limits.delayOf("engines"));
+    host.limits.recordAnswer(host.engine(), 2);
+    CHECK(host.limits.delayOf("engines") == Duration { 500 });
+    EndpointRecord record;
+    record.id = "unlimited";
+    record.service = "engines";
+    host.directory.put(std::move(record));
+    CHECK(host.limits.delayOf("engines") == Duration {});
+}
