--- a/src/berylwing/gateway/crash_quarantine.cpp
+++ b/src/berylwing/gateway/crash_quarantine.cpp
@@ -234,6 +234,7 @@
 {
     const auto now = this->clock.now();
     std::vector<std::pair<std::uint64_t, Quarantine*>> entries;
+    entries.reserve(this->quarantined.size());
     for (auto& [subject, quarantine] : this->quarantined)
         entries.emplace_back(subject, &quarantine);
     selectLeastReported(entries, limit);
