Test that all hosts lift a quarantine whose first answer came early

Found by reading: a report ends a quarantine only if its answer is a second newer than the last crash, so that an answer in the first second lifts it at its own host alone. The other hosts bring up the cause, are told of that host's latest answer, and lift it too; the new test shows that, and passed at once. No change of behaviour.

--- a/test/berylwing/gateway/crash_quarantine_test.cpp
+++ b/test/berylwing/gateway/crash_quarantine_test.cpp
@@ -251,6 +251,24 @@
     CHECK(fixture.isRefused(fixture.there, kRequest));
 }
 
+TEST_CASE("All hosts lift a quarantine although the first answer came right after the last crash", "[gateway][crash]")
+{
+    QuarantineFixture fixture;
+    for (int count = 0; count < 3; ++count)
+        fixture.crash(fixture.here, { kRequest });
+    fixture.report(fixture.here, fixture.there);
+    CHECK(fixture.isRefused(fixture.here, kRequest));
+    CHECK(fixture.isRefused(fixture.there, kRequest));
+    fixture.here.quarantine.recordAnswer({ kRequest });
+    CHECK_FALSE(fixture.isRefused(fixture.here, kRequest));
+    fixture.advance(Duration { 1000 });
+    fixture.here.quarantine.recordAnswer({ kRequest });
+    fixture.report(fixture.there, fixture.here);
+    fixture.report(fixture.here, fixture.there);
+    CHECK_FALSE(fixture.isRefused(fixture.here, kRequest));
+    CHECK_FALSE(fixture.isRefused(fixture.there, kRequest));
+}
+
 TEST_CASE("CrashQuarantine combines the crashes of several hosts", "[gateway][crash]")
 {
     QuarantineFixture fixture;
