--- a/src/berylwing/gateway/endpoint_rate_limits.cpp
+++ b/src/berylwing/gateway/endpoint_rate_limits.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-/** Senders for each request per second, and besides; an endpoint tolerates half of its limit more and 5 requests. */
+/** Hosts that share a limit: a number for each request per second, and a minimum. */
 constexpr double kSendersPerRate = 1.5;
 constexpr double kMinSenders = 3;
 /** Lowest rate of requests, of all hosts, by which the end of a limit shows. */
