--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -2,7 +2,7 @@
 
 #include "berylwing/core/hash.hpp"
 #include "berylwing/gateway/endpoint_load.hpp"
-#include "berylwing/gateway/event_splitter.hpp"
+#include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/gateway/prompt_segments.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/telemetry/metrics.hpp"
@@ -59,46 +59,6 @@
 
 } // namespace
 
-/** State of a request while it is forwarded. */
-struct Forwarder::RequestContext {
-    GatewayRequest& request;
-    const ResponseWriter& writer;
-    std::shared_ptr<const RoutingPlan> plan;
-    const Route* route = nullptr;
-    /** Workspace of the request's key; a null pointer if the route or the plan requires no key. */
-    const KeyHolder* holder = nullptr;
-    std::string service {};
-    ServiceTraits traits {};
-    /** Hash of the attempt id. */
-    std::uint64_t requestHash = 0;
-    /** Segment of the prompt that determines the endpoint; a null pointer without segments or a sticky route. */
-    const PromptSegment* sharedSegment = nullptr;
-    /** Hash of that segment's id. */
-    std::uint64_t promptKey = 0;
-    std::uint32_t sharedTokens = 0;
-    TimePoint deadline {};
-    /** Endpoints of earlier attempts, which are not chosen again. */
-    std::vector<GatewayEndpointPtr> tried {};
-    /** Load on which the last choice of an endpoint was based. */
-    LoadBelief load {};
-    Duration loadAge {};
-    unsigned attempts = 0;
-    /** Attempts in which the endpoint may have executed the request. */
-    unsigned executions = 0;
-    bool isHeadWritten = false;
-    /** Whether the head that was written is that of an event stream. */
-    bool isStreamBegun = false;
-    /** Parts of the answer to the last attempt that were passed on, each with one or more events. */
-    unsigned relayedParts = 0;
-    /** Whether this host aborted the call because the endpoint was silent, so that the request is not to blame. */
-    bool isAbortedByHost = false;
-    EventSplitter events {};
-    /** What may be the cause of a crash; empty until it is needed. */
-    std::vector<CrashSuspect> suspects {};
-    /** Reason for which the last attempt failed. */
-    Refusal failureReason = Refusal::NoEndpoint;
-};
-
 Forwarder::Forwarder(ForwarderDependencies hostDependencies)
     : dependencies { std::move(hostDependencies) }
 {
