--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -48,6 +48,7 @@
     record.domain = value.at("domain");
     record.isDraining = value.at("draining");
     record.coldDuration = Duration { value.at("cold_ms").get<Duration::rep>() };
+    record.startedAt = value.value("started_at", std::uint64_t {});
     return record;
 }
 
@@ -340,6 +341,10 @@
             throw EndpointError { EndpointFault::Broken, "reset" };
         if (chunks->empty())
             co_return std::nullopt;
+        if (this->eventInterval > Duration {})
+            co_await aborted->waitUntil(this->time + this->eventInterval);
+        if (this->eventInterval > Duration {} && *isAborted)
+            throw EndpointError { EndpointFault::Broken, "reset" };
         auto chunk = chunks->front();
         chunks->erase(chunks->begin());
         co_return chunk;
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -125,6 +125,8 @@
     /** Number of connections accepted by each endpoint. */
     std::map<std::string, int> connectionCounts;
     Duration answerTime { 20 };
+    /** Silence of an endpoint before each event of an answer. */
+    Duration eventInterval {};
     /** Limit that the answers of endpoints name. */
     std::optional<double> requestLimit;
     TimePoint time { Duration { 1'000'000 } };
