Abort a silent call only if a retry is certain to follow

Cause: after a failed connection or probe the prober aborted every silent call of a retryable route. Whether a retry could follow was checked only afterwards: on the last attempt of the route, without another endpoint, with the retry budget spent, with the request quarantined, or in a begun stream that cannot be resumed, there was none.

Ruled out: non-idempotent routes are not in the list of calls that can be aborted.

Fix: the call's abort first checks what the retry will need and takes it from the budget; the next attempt uses that retry. Otherwise the call goes on.

--- a/src/berylwing/gateway/crash_quarantine.cpp
+++ b/src/berylwing/gateway/crash_quarantine.cpp
@@ -104,6 +104,12 @@
         this->clear(suspect.subject, this->clock.now(), {});
 }
 
+bool CrashQuarantine::isAnyQuarantined(const std::vector<CrashSuspect>& suspects) const
+{
+    return std::any_of(suspects.begin(), suspects.end(),
+        [this](const CrashSuspect& suspect) { return this->quarantined.contains(suspect.subject); });
+}
+
 std::optional<Duration> CrashQuarantine::findRefusal(const std::vector<CrashSuspect>& suspects)
 {
     const auto now = this->clock.now();
--- a/src/berylwing/gateway/crash_quarantine.hpp
+++ b/src/berylwing/gateway/crash_quarantine.hpp
@@ -88,6 +88,9 @@
     /** @brief Clears the suspects of a request whose answer is past its beginning. @param suspects Suspects. */
     void recordAnswer(const std::vector<CrashSuspect>& suspects);
 
+    /** @brief Checks if a suspect is quarantined. @param suspects Suspects. @return True even if a trial is due. */
+    [[nodiscard]] bool isAnyQuarantined(const std::vector<CrashSuspect>& suspects) const;
+
     /**
      * @brief Checks if a request is to be refused; a request that is admitted as a trial has to be sent.
      * @param suspects Suspects of the request.
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -38,7 +38,7 @@
 struct RetryableCall : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
     /** Last time at which the endpoint sent data on this call, or the start of the call. */
     TimePoint lastActivityAt {};
-    /** Aborts the call, so that the forwarder retries or resumes it at another endpoint. */
+    /** Aborts the call if the forwarder can retry or resume it at another endpoint. */
     std::function<void()> abort;
 };
 
@@ -77,7 +77,7 @@
     /** @brief Estimates the requests of all hosts in flight at the endpoint. @return Requests. */
     [[nodiscard]] std::uint32_t load() const noexcept { return this->inFlight + this->remoteInFlight; }
 
-    /** @brief Aborts the retryable calls without activity since a time. @param since Time. */
+    /** @brief Moves the retryable calls without activity since a time to other endpoints. @param since Time. */
     void abortSilentCalls(TimePoint since);
 
     EndpointRecord record;
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -153,20 +153,38 @@
         context.load = this->dependencies.placement.describeLoad(*endpoint);
         context.loadAge = this->dependencies.loadAge();
     }
-    if (context.attempts > 0 && !this->dependencies.retryBudget.tryAcquire(context.service))
+    const bool isReserved = std::exchange(context.isRetryReserved, false);
+    if (context.attempts > 0 && !isReserved && !this->dependencies.retryBudget.tryAcquire(context.service))
         return this->failureOf(context, Refusal::RetryBudgetSpent);
     return std::nullopt;
 }
 
-bool Forwarder::canRetry(RequestContext& context, AttemptResult result)
+bool Forwarder::canRunAgain(const RequestContext& context, unsigned executions)
 {
-    if (context.attempts >= kMaxAttempts)
-        return false;
-    if (result == AttemptResult::NotRun)
-        return true;
     const bool canContinue = !context.isHeadWritten || (context.route->isResumable && context.isStreamBegun);
-    return result == AttemptResult::MayHaveRun && canContinue && context.route->isRetryable()
-        && context.executions < context.route->maxAttempts;
+    return canContinue && context.attempts < kMaxAttempts && context.route->isRetryable()
+        && executions < context.route->maxAttempts;
+}
+
+bool Forwarder::canRetry(const RequestContext& context, AttemptResult result)
+{
+    if (result == AttemptResult::NotRun)
+        return context.attempts < kMaxAttempts;
+    return result == AttemptResult::MayHaveRun && canRunAgain(context, context.executions);
+}
+
+bool Forwarder::reserveRetry(RequestContext& context)
+{
+    if (context.isRetryReserved || !canRunAgain(context, context.executions + 1) || !this->isAuthorized(context))
+        return false;
+    const auto& quarantine = this->dependencies.crashQuarantine;
+    if (!quarantine.isEmpty() && quarantine.isAnyQuarantined(suspectsOf(context)))
+        return false;
+    const auto next = this->dependencies.placement.choose(placementRequestOf(context), context.traits);
+    if (!next || next->health.isEjected(this->dependencies.clock.now()))
+        return false;
+    context.isRetryReserved = this->dependencies.retryBudget.tryAcquire(context.service);
+    return context.isRetryReserved;
 }
 
 Task<Outcome> Forwarder::forward(GatewayRequest& request, const ResponseWriter& writer)
@@ -328,7 +346,9 @@
     BacklogReservation reservation { &endpoint, unreadTokens };
     RetryableCall call;
     call.lastActivityAt = this->dependencies.clock.now();
-    call.abort = [&context, &session] {
+    call.abort = [this, &context, &session] {
+        if (!this->reserveRetry(context))
+            return;
         context.isAbortedByHost = true;
         session.abort();
     };
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -75,7 +75,11 @@
      * delay is the shortest after which a request that was not executed may be sent again.
      */
     [[nodiscard]] Outcome failureOf(const RequestContext& context, Refusal reason, Duration delay = {}) const;
-    [[nodiscard]] bool canRetry(RequestContext& context, AttemptResult result);
+    [[nodiscard]] static bool canRetry(const RequestContext& context, AttemptResult result);
+    /** Checks if a request may run again after a number of executions. */
+    [[nodiscard]] static bool canRunAgain(const RequestContext& context, unsigned executions);
+    /** Takes the retry that follows if the call in progress is aborted. @return False if there would be none. */
+    [[nodiscard]] bool reserveRetry(RequestContext& context);
     [[nodiscard]] Task<AttemptResult> attempt(RequestContext& context, GatewayEndpointPtr endpoint);
     /** Sends the request and handles the response. */
     [[nodiscard]] Task<AttemptResult> exchange(
--- a/src/berylwing/gateway/forwarder_context.hpp
+++ b/src/berylwing/gateway/forwarder_context.hpp
@@ -38,6 +38,8 @@
     bool isStreamBegun = false;
     /** Parts of the answer to the last attempt that were passed on, each with one or more events. */
     unsigned relayedParts = 0;
+    /** Whether the next attempt has its retry from the budget. */
+    bool isRetryReserved = false;
     /** Whether this host aborted the call because the endpoint was silent, so that the request is not to blame. */
     bool isAbortedByHost = false;
     EventSplitter events {};
