Keep the connection of an unrepeatable request through a pause of its endpoint

Cause: TCP_USER_TIMEOUT was 700 ms for all connections to endpoints. It bounds retransmissions and also keep-alive probes, of which the first one, after a second, then was the only one.

Evidence: before, the option read from the socket was 700 ms in "The connection of a request that cannot be retried outlasts a pause of its endpoint" and "The connection of a retryable request outlasts a pause once its response cannot be resumed". No test drops packets.

Fix: 4 s, since TCP retransmits a packet that is lost in a pause of 1.5 s only after 3 s. A request that can run elsewhere keeps the 700 ms until the head of a response that cannot be resumed arrives: moving it early serves callers with short deadlines, whose endpoint is lost.

Not done: waiting 1.5 s before silent calls that can be retried are moved. A call with a deadline of 1.5 s at a lost endpoint would have no time left, and a test that asks for the move within a second stays as it is.

Remains: a retryable request whose connection TCP drops has not reserved its retry, and a keep-alive probe that is lost may end its connection after a second of silence; with the budget spent it is refused.

--- a/src/berylwing/gateway/endpoint_session.hpp
+++ b/src/berylwing/gateway/endpoint_session.hpp
@@ -11,6 +11,9 @@
 
 namespace berylwing {
 
+/** @brief Longest silence after which an endpoint may go on; an answer must not end within it. */
+inline constexpr Duration kMaxEndpointPause { 1500 };
+
 /** @brief Request to an endpoint. */
 struct EndpointRequest {
     std::string method;
@@ -19,6 +22,10 @@
     const std::string& body;
     /** Attempt id that the response must carry, to tell it from late responses on the same connection. */
     std::string attemptId;
+    /** Whether the request can run elsewhere if its connection breaks before the head of the response. */
+    bool isRetryable = false;
+    /** Whether a response whose head has arrived can be resumed elsewhere. */
+    bool isResumable = false;
 };
 
 /**
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -232,8 +232,9 @@
         metadata.cacheSource = cacheSource->record.address;
     auto fields = context.request.fields;
     this->dependencies.protocol.prepareForEndpoint(fields, metadata);
+    const bool isRetryable = canRunAgain(context, context.executions + 1);
     return { context.request.method, context.request.target, std::move(fields), context.request.body,
-        context.request.metadata.attemptId };
+        context.request.metadata.attemptId, isRetryable, isRetryable && context.route->isResumable };
 }
 
 void Forwarder::recordResult(GatewayEndpoint& endpoint, EndpointResult result)
--- a/src/berylwing/http/connection_pool.hpp
+++ b/src/berylwing/http/connection_pool.hpp
@@ -25,6 +25,8 @@
     TimePoint idleSince {};
     /** Idle time after which the connection is not reused, because the endpoint may close it. */
     Duration idleTimeout { 2000 };
+    /** Time after which the connection fails if the endpoint acknowledges nothing. */
+    Duration unackedTimeout {};
 };
 
 /** @brief Owning pointer to a connection. */
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -23,8 +23,17 @@
  * so trying another endpoint is faster.
  */
 constexpr Duration kConnectTimeout { 200 };
-/** Time for unacknowledged bytes before the endpoint counts as lost; TCP retransmits a packet after 0.2 s and 0.6 s. */
-constexpr Duration kUnackedTimeout { 700 };
+/**
+ * Time without acknowledgement after which a request that can run elsewhere leaves its connection; TCP retransmits a
+ * packet after 0.2 s and 0.6 s.
+ */
+constexpr Duration kRetryableUnackedTimeout { 700 };
+/**
+ * The same for all other requests. TCP retransmits after 0.2, 0.6, 1.4 and 3 s, so that a packet that is lost in a
+ * pause of the endpoint may be acknowledged only after 3 s.
+ */
+constexpr Duration kUnackedTimeout { 4000 };
+static_assert(kUnackedTimeout > 2 * kMaxEndpointPause);
 /** Maximum idle time of a connection for non-repeatable requests: an endpoint does not close it this early. */
 constexpr Duration kMaxSafeIdleTime { 700 };
 /** Idle timeout of connections whose endpoint does not announce one in Keep-Alive. */
@@ -85,12 +94,15 @@
             co_return;
         co_await this->reader.connect(this->address, kConnectTimeout);
         enableLostPeerDetection(this->reader.connection->socket, kUnackedTimeout);
+        this->reader.connection->unackedTimeout = kUnackedTimeout;
     }
 
     Task<void> send(const EndpointRequest& request)
     {
         this->attemptId = request.attemptId;
         this->isHeadRequest = request.method == "HEAD";
+        this->isResumable = request.isResumable;
+        this->limitUnackedTime(request.isRetryable ? kRetryableUnackedTimeout : kUnackedTimeout);
         this->reader.reset(this->isHeadRequest);
         const auto outgoing = std::make_shared<OutgoingRequest>(http::verb::get, request.target, kHttpVersion);
         outgoing->method_string(request.method);
@@ -131,6 +143,8 @@
                 this->fail("the response to another request does not end");
             this->reader.reset(this->isHeadRequest);
         }
+        if (!this->isResumable)
+            this->limitUnackedTime(kUnackedTimeout);
         co_return this->toHead();
     }
 
@@ -145,6 +159,12 @@
     void abort() { this->reader.abort(); }
 
 private:
+    void limitUnackedTime(Duration timeout)
+    {
+        if (std::exchange(this->reader.connection->unackedTimeout, timeout) != timeout)
+            setUnackedTimeout(this->reader.connection->socket, timeout);
+    }
+
     /** Closes the connection, which the endpoint may go on sending on, and throws. */
     [[noreturn]] void fail(const char* error)
     {
@@ -197,6 +217,7 @@
     std::string attemptId;
     bool isReused = false;
     bool isHeadRequest = false;
+    bool isResumable = false;
     bool isRequestWritten = false;
 };
 
--- a/src/berylwing/http/socket_options.cpp
+++ b/src/berylwing/http/socket_options.cpp
@@ -30,6 +30,13 @@
     socket.set_option(KeepAliveIdle { kProbeIntervalSeconds }, ignored);
     socket.set_option(KeepAliveInterval { kProbeIntervalSeconds }, ignored);
     socket.set_option(KeepAliveCount { kMaxUnansweredProbes }, ignored);
+    setUnackedTimeout(socket, unackedTimeout);
+}
+
+void setUnackedTimeout(asio::ip::tcp::socket& socket, Duration unackedTimeout)
+{
+    // Errors are ignored for the same reason.
+    boost::system::error_code ignored;
     socket.set_option(UserTimeout { static_cast<int>(unackedTimeout.count()) }, ignored);
 }
 
--- a/src/berylwing/http/socket_options.hpp
+++ b/src/berylwing/http/socket_options.hpp
@@ -12,4 +12,11 @@
  */
 void enableLostPeerDetection(boost::asio::ip::tcp::socket& socket, Duration unackedTimeout);
 
+/**
+ * @brief Changes the user timeout, which also bounds how long keep-alive probes may stay unanswered.
+ * @param socket Open socket.
+ * @param unackedTimeout Time after which a connection with unacknowledged bytes or probes fails.
+ */
+void setUnackedTimeout(boost::asio::ip::tcp::socket& socket, Duration unackedTimeout);
+
 } // namespace berylwing
--- a/test/berylwing/http/endpoint_session_test.cpp
+++ b/test/berylwing/http/endpoint_session_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
 #include <string>
 #include <vector>
@@ -17,6 +19,11 @@
 using Tcp = asio::ip::tcp;
 
 constexpr Duration kDeadline { 5000 };
+/** Last retransmission of a packet that was lost in the first 1.5 s, in which a sound endpoint may be silent. */
+constexpr Duration kRetransmittedAfterPause { 3000 };
+
+/** Time after which callers abandon a request without any event. */
+constexpr Duration kMaxCallerPatience { 2000 };
 
 /** Lists how an endpoint ends its connection. */
 enum class End {
@@ -25,6 +32,8 @@
     Reset,
 };
 
+const std::string kHead = "HTTP/1.1 200 OK\r\nattempt: two\r\nContent-Length: 4\r\n\r\n";
+
 /** Endpoint that sends given bytes for each request on one connection. */
 class ScriptedEndpoint {
 public:
@@ -93,18 +102,60 @@
         this->isDone = true;
     }
 
+    /** Sends a request and reads the head of its response. @return User timeouts of the connection after each. */
+    std::pair<Duration, Duration> measureUnackedTimeouts(bool isRetryable, bool isResumable)
+    {
+        std::pair<Duration, Duration> timeouts;
+        spawn(this->context.get_executor(), "endpoint", this->serve({ kHead }, End::KeepOpen));
+        spawn(this->context.get_executor(), "call",
+            [](ScriptedEndpoint* self, EndpointRequest request, std::pair<Duration, Duration>* found) -> Task<void> {
+                const auto session = co_await self->open(self->endpoint, ConnectionReuse::AnyIdle);
+                co_await session->send(request);
+                found->first = self->findUnackedTimeout();
+                static_cast<void>(co_await session->readHead(self->clock.now() + kDeadline));
+                found->second = self->findUnackedTimeout();
+                session->abort();
+                self->isDone = true;
+            }(this, EndpointRequest { "POST", "/", {}, this->emptyBody, "two", isRetryable, isResumable }, &timeouts));
+        this->runUntilDone();
+        return timeouts;
+    }
+
+    /** Returns the TCP_USER_TIMEOUT of the socket that is connected to the endpoint. */
+    [[nodiscard]] Duration findUnackedTimeout() const
+    {
+        constexpr int kMaxDescriptor = 1024;
+        for (int descriptor = 0; descriptor < kMaxDescriptor; ++descriptor) {
+            sockaddr_in peer {};
+            socklen_t size = sizeof(peer);
+            if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) != 0 || peer.sin_family != AF_INET
+                || ntohs(peer.sin_port) != this->acceptor.local_endpoint().port())
+                continue;
+            unsigned timeout = 0;
+            size = sizeof(timeout);
+            REQUIRE(getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &size) == 0);
+            return Duration { timeout };
+        }
+        return {};
+    }
+
     /** Sends the requests one after the other; each gets the answer at its position. */
     std::vector<Result> run(
         const std::vector<std::string>& attempts, const std::vector<std::string>& answers, End end = End::KeepOpen)
     {
         spawn(this->context.get_executor(), "endpoint", this->serve(answers, end));
         spawn(this->context.get_executor(), "calls", this->call(attempts));
+        this->runUntilDone();
+        return this->results;
+    }
+
+    void runUntilDone()
+    {
         for (int count = 0; count < 100'000 && !this->isDone; ++count) {
             this->context.restart();
             this->context.run_one_for(std::chrono::milliseconds { 20 });
         }
         REQUIRE(this->isDone);
-        return this->results;
     }
 
     [[nodiscard]] EndpointRecord makeRecord()
@@ -123,6 +174,7 @@
     SessionFactory open = makeSessionFactory(this->clock, this->protocol);
     GatewayEndpoint endpoint { this->makeRecord() };
     std::vector<Result> results;
+    const std::string emptyBody;
     bool hasHead = false;
     bool isDone = false;
 };
@@ -187,3 +239,23 @@
     CHECK_FALSE(broken.back().isComplete);
     CHECK(broken.back().fault == EndpointFault::Broken);
 }
+
+TEST_CASE("The connection of a request that cannot be retried outlasts a pause of its endpoint", "[http][session]")
+{
+    ScriptedEndpoint endpoint;
+    const auto timeouts = endpoint.measureUnackedTimeouts(false, false);
+    CHECK(timeouts.first > kRetransmittedAfterPause);
+    CHECK(timeouts.second > kRetransmittedAfterPause);
+}
+
+TEST_CASE(
+    "The connection of a retryable request outlasts a pause once its response cannot be resumed", "[http][session]")
+{
+    ScriptedEndpoint endpoint;
+    const auto timeouts = endpoint.measureUnackedTimeouts(true, false);
+    CHECK(timeouts.first < kMaxCallerPatience);
+    CHECK(timeouts.second > kRetransmittedAfterPause);
+    ScriptedEndpoint resumable;
+    const auto resumed = resumable.measureUnackedTimeouts(true, true);
+    CHECK(resumed.second < kMaxCallerPatience);
+}
