Move the times of a graceful stop into an object of their own

The daemon's signal task held the grace period, the check interval and the exit margin, and the gateway the balancer's delay, so that no test could reach the end of a stop. StopSchedule has the times now, and GatewayServer::drain() the wait for requests in progress. A stop whose grace is shorter than the balancer's delay no longer outlasts its grace.

--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -23,10 +23,6 @@
 
 namespace {
 
-/** Part of the stop grace period that is reserved for the exit of the process. */
-constexpr Duration kExitMargin { 300 };
-constexpr Duration kStopCheckInterval { 50 };
-
 /** Runs a gateway: connects it to its listeners, its transport and the signals of the process. */
 class GatewayDaemon {
 public:
@@ -79,17 +75,9 @@
     [[nodiscard]] Task<void> stopOnSignal()
     {
         co_await this->stopSignals.async_wait(boost::asio::use_awaitable);
-        const auto deadline = this->clock.now() + this->settings.stopGrace - kExitMargin;
         this->gateway.beginStop();
         spawn(this->clock.executor(), "unregister", this->gateway.unregisterHost());
-        while (!this->gateway.isRefusingRequests())
-            co_await this->clock.sleepFor(kStopCheckInterval);
-        while (this->clock.now() < deadline) {
-            this->callers.closeIdle();
-            if (this->gateway.inProgress() == 0)
-                break;
-            co_await this->clock.sleepFor(kStopCheckInterval);
-        }
+        co_await this->callers.drain();
         LogLine line { LogEvent::Stopped };
         this->gateway.decisionLog().write(
             line.add("unfinished", static_cast<std::int64_t>(this->gateway.inProgress())));
@@ -105,7 +93,6 @@
             try {
                 // Limits take effect at once; changed addresses take effect at the next start.
                 const auto next = this->reload();
-                this->settings.stopGrace = next.stopGrace;
                 this->gateway.reload(next);
                 line.add("findings", std::int64_t { 0 });
             } catch (const std::exception& error) {
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -23,6 +23,7 @@
 class PromptCacheIndex;
 class ReachabilityProber;
 class RoutingPlan;
+class StopSchedule;
 class StoreFeed;
 class UnseenRequests;
 struct CrashSuspect;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -37,8 +37,6 @@
 constexpr Duration kProbedRetryInterval { 3000 };
 constexpr Duration kRegisterRetryDelay { 500 };
 constexpr Duration kMaintenanceInterval { 100 };
-/** Time after which the balancer, which checks once a second, has seen two unready answers and sends no connection. */
-constexpr Duration kBalancerDelay { 2600 };
 
 std::string logPrefix(const GatewaySettings& settings)
 {
@@ -89,6 +87,7 @@
         { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
+    , stop { gatewaySettings.stopGrace }
 {
 }
 
@@ -138,16 +137,11 @@
     return this->isolationDetector.isIsolated() ? "cut_off" : "";
 }
 
-bool Gateway::isRefusingRequests() const
-{
-    return this->stoppingSince && this->clock.now() >= *this->stoppingSince + kBalancerDelay;
-}
-
 void Gateway::beginStop()
 {
-    if (this->stoppingSince)
+    if (this->isStopping())
         return;
-    this->stoppingSince = this->clock.now();
+    this->stop.begin(this->clock.now());
     LogLine line { LogEvent::Stopping };
     this->log.write(line.add("in_progress", static_cast<std::int64_t>(this->requestsInProgress)));
 }
@@ -157,6 +151,7 @@
     this->lease.setBounds(next.planLease - kLeaseMargin, next.changeDeadlines.plan - kLeaseMargin);
     this->retries.setLimits(next.retries);
     this->changeDeadlines = next.changeDeadlines;
+    this->stop.setGrace(next.stopGrace);
 }
 
 CallerBounds Gateway::callerBounds() const { return this->plan ? this->plan->callerBounds() : CallerBounds {}; }
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -17,6 +17,7 @@
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reachability_prober.hpp"
+#include "berylwing/gateway/stop_schedule.hpp"
 #include "berylwing/gateway/store_feed.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
@@ -105,15 +106,18 @@
     [[nodiscard]] bool isReady() const { return this->unreadyReason().empty(); }
 
     /** @brief Checks if the host is stopping. @return True after beginStop(). */
-    [[nodiscard]] bool isStopping() const noexcept { return this->stoppingSince.has_value(); }
+    [[nodiscard]] bool isStopping() const noexcept { return this->stop.hasBegun(); }
 
     /** @brief Checks if new requests are refused because the host stops. @return True late in a stop. */
-    [[nodiscard]] bool isRefusingRequests() const;
+    [[nodiscard]] bool isRefusingRequests() const { return this->stop.isRefusingAll(this->clock.now()); }
+
+    /** @brief Returns the times of the graceful stop. @return Schedule. */
+    [[nodiscard]] const StopSchedule& stopSchedule() const noexcept { return this->stop; }
 
     /** @brief Begins a graceful stop; the readiness check fails, so that the balancer sends no new connections. */
     void beginStop();
 
-    /** @brief Applies changed settings: plan lease, retry bounds and change deadlines. @param next Settings. */
+    /** @brief Applies changed settings: lease, retry bounds, change deadlines, stop grace. @param next Settings. */
     void reload(const GatewaySettings& next);
 
     /** @brief Removes this host's entry from the store. @return Awaitable. */
@@ -176,7 +180,7 @@
     StoreFeed hostFeed;
     FleetExchange exchange;
     Forwarder forwarder;
-    std::optional<TimePoint> stoppingSince;
+    StopSchedule stop;
     std::size_t requestsInProgress = 0;
 };
 
--- a/src/berylwing/http/gateway_server.cpp
+++ b/src/berylwing/http/gateway_server.cpp
@@ -20,6 +20,7 @@
 constexpr Duration kUnackedTimeout { 10'000 };
 /** Delay after a failed accept, so that file descriptors can be closed if none was left. */
 constexpr Duration kAcceptRetryDelay { 20 };
+constexpr Duration kDrainCheckInterval { 50 };
 
 } // namespace
 
@@ -66,6 +67,19 @@
     }
 }
 
+Task<void> GatewayServer::drain()
+{
+    auto& shared = *this->state;
+    while (shared.clock.now() < shared.gateway.stopSchedule().exitAt()) {
+        if (shared.gateway.isRefusingRequests()) {
+            this->closeIdle();
+            if (shared.gateway.inProgress() == 0)
+                break;
+        }
+        co_await shared.clock.sleepFor(kDrainCheckInterval);
+    }
+}
+
 void GatewayServer::closeIdle()
 {
     for (auto position = this->state->connections.begin(); position != this->state->connections.end();) {
--- a/src/berylwing/http/gateway_server.hpp
+++ b/src/berylwing/http/gateway_server.hpp
@@ -11,6 +11,9 @@
 class GatewayServer {
     struct State;
 
+    /** Closes all connections on which no request has begun. */
+    void closeIdle();
+
 public:
     /**
      * @brief Opens the listener.
@@ -28,8 +31,12 @@
     /** @brief Accepts connections. @return Awaitable that does not complete. */
     [[nodiscard]] Task<void> run();
 
-    /** @brief Closes all connections on which no request has begun. */
-    void closeIdle();
+    /**
+     * @brief Waits for the requests in progress in a graceful stop, and closes idle connections once requests are
+     * refused.
+     * @return Awaitable that completes when no request is in progress, at the latest at the exit of the schedule.
+     */
+    [[nodiscard]] Task<void> drain();
 
 private:
     std::shared_ptr<State> state;
