Answer every request before the process of a stopping host exits

In a planned stop callers got a closed connection in place of an answer, among them callers whose requests may not be repeated: requests that still ran at the end of the grace period, requests that were being read when the last request in progress ended, and pipelined requests that were already read.

Cause: the daemon stopped its event loop at the end of the grace period, or as soon as no request was in progress, with whatever was unfinished. Nothing decided when a request came whether its answer could end in time.

Evidence, the new tests on the code before: "Stop ends a request that is still running with an answer" received nothing and one request stayed in progress; "Stop answers pipelined requests" received one answer of two; a request of a route with a timeout of 60 s was sent to an endpoint 1 s after the signal, and one 3 s after it was refused without Retry-After. "Stop answers a request that arrived on an idle connection just before it is closed" passed before; the check of unread input makes it independent of the order of the event loop's handlers. A second SIGTERM was ruled out by reading: the signal is awaited once.

Requests that are being read are refused as not run. The process waits until no connection is left.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -4,6 +4,7 @@
 #include "berylwing/gateway/endpoint_load.hpp"
 #include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/gateway/prompt_segments.hpp"
+#include "berylwing/gateway/retry_delay.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
@@ -34,20 +35,6 @@
 constexpr unsigned kClearingParts = 2;
 /** Time after the deadline for the endpoint's own response that the deadline has passed. */
 constexpr Duration kDeadlineTolerance { 40 };
-/**
- * Minimum delay that refused callers are told to wait before they retry; by then an ejection has ended or a cold
- * endpoint accepts another request.
- */
-constexpr Duration kMinRetryAfter { 300 };
-/** Jitter of the retry delay, so that refused callers do not retry at the same time. */
-constexpr std::uint64_t kRetryJitterMs = 300;
-
-Duration retryAfterOf(std::uint64_t requestHash)
-{
-    return kMinRetryAfter + Duration { static_cast<Duration::rep>(requestHash % kRetryJitterMs) };
-}
-
-std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
 bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
 
@@ -78,7 +65,7 @@
         return NotRun { Refusal::ConfigurationUnknown, retryAfter };
     if (metadata.attemptId.empty())
         return NotRun { Refusal::BadRequest };
-    context.route = context.plan->findRoute(context.request.hostname, pathOf(context.request.target));
+    context.route = context.plan->findRoute(context.request.hostname, context.request.path());
     // An outdated plan does not prove that a route or a key does not exist.
     if (context.route == nullptr)
         return this->dependencies.lease.isComplete() ? NotRun { Refusal::UnknownRoute }
@@ -133,8 +120,8 @@
 {
     if (context.request.isCallerGone)
         throw CallerGoneError {};
-    if (this->dependencies.clock.now() >= context.deadline)
-        return this->failureOf(context, Refusal::DeadlinePassed);
+    if (const auto reason = this->endOf(context))
+        return this->failureOf(context, *reason);
     if (!this->isAuthorized(context))
         return this->failureOf(context, Refusal::ConfigurationStale);
     // Hashing bodies is avoided as long as no crash is recorded.
@@ -159,6 +146,14 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> Forwarder::endOf(const RequestContext& context) const
+{
+    if (context.request.isEndedByHost)
+        return Refusal::HostLeaving;
+    return this->dependencies.clock.now() >= context.deadline ? std::optional { Refusal::DeadlinePassed }
+                                                              : std::nullopt;
+}
+
 bool Forwarder::canRunAgain(const RequestContext& context, unsigned executions)
 {
     const bool canContinue = !context.isHeadWritten || (context.route->isResumable && context.isStreamBegun);
@@ -205,7 +200,7 @@
         if (request.isCallerGone)
             throw CallerGoneError {};
         if (result == AttemptResult::TimedOut)
-            co_return this->failureOf(context, Refusal::DeadlinePassed);
+            co_return this->failureOf(context, this->endOf(context).value_or(Refusal::DeadlinePassed));
         if (!this->canRetry(context, result))
             co_return this->failureOf(context, context.failureReason);
         this->dependencies.metrics.add(context.isHeadWritten ? Retry::ResumeAtOffset : Retry::NextCandidate);
@@ -277,7 +272,7 @@
         co_return AttemptResult::NotRun;
     }
     // While the connection was established, the endpoint may have left and the key may have been revoked.
-    if (!this->dependencies.directory.isAvailable(*endpoint) || !this->isAuthorized(context)) {
+    if (!this->dependencies.directory.isAvailable(*endpoint) || !this->isAuthorized(context) || this->endOf(context)) {
         context.failureReason = Refusal::EndpointLeaving;
         co_return AttemptResult::NotRun;
     }
@@ -291,7 +286,7 @@
         if (context.request.isCallerGone)
             co_return AttemptResult::MayHaveRun;
         ++context.executions;
-        if (this->dependencies.clock.now() >= context.deadline)
+        if (this->endOf(context))
             co_return AttemptResult::TimedOut;
         this->recordFault(*endpoint, error, EndpointResult::Failed);
         // An answer past its beginning has cleared the request, which broke because another one crashed the endpoint.
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -60,7 +60,7 @@
         NotRun,
         /** The attempt failed after the request was sent, so that the endpoint may have executed it. */
         MayHaveRun,
-        /** The deadline of the request has passed. */
+        /** The deadline of the request has passed, or this host has ended it. */
         TimedOut,
     };
 
@@ -75,6 +75,8 @@
      * delay is the shortest after which a request that was not executed may be sent again.
      */
     [[nodiscard]] Outcome failureOf(const RequestContext& context, Refusal reason, Duration delay = {}) const;
+    /** Returns why no further attempt may begin; nothing while the request may go on. */
+    [[nodiscard]] std::optional<Refusal> endOf(const RequestContext& context) const;
     [[nodiscard]] static bool canRetry(const RequestContext& context, AttemptResult result);
     /** Checks if a request may run again after a number of executions. */
     [[nodiscard]] static bool canRunAgain(const RequestContext& context, unsigned executions);
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -3,6 +3,7 @@
 namespace berylwing {
 
 class AnnouncementQueue;
+class AnswerTimes;
 class ColdRateLimit;
 class CrashEvidence;
 class CrashQuarantine;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -1,6 +1,8 @@
 #include "berylwing/gateway/gateway.hpp"
 
 #include "berylwing/core/finding.hpp"
+#include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/retry_delay.hpp"
 #include <algorithm>
 #include <set>
 #include <spdlog/spdlog.h>
@@ -43,6 +45,27 @@
     return "\"host\":\"" + settings.host + "\",\"domain\":\"" + settings.domain + "\",";
 }
 
+/** Scope in which a request is in the list of open requests. */
+class OpenRequest {
+public:
+    explicit OpenRequest(GatewayRequest& listedRequest)
+        : request { listedRequest }
+    {
+    }
+
+    ~OpenRequest()
+    {
+        this->request.unlink();
+        this->request.abortCall = nullptr;
+    }
+
+    OpenRequest(const OpenRequest&) = delete;
+    OpenRequest& operator=(const OpenRequest&) = delete;
+
+private:
+    GatewayRequest& request;
+};
+
 std::set<std::string, std::less<>> collectNames(const std::vector<VersionedObject>& objects)
 {
     std::set<std::string, std::less<>> names;
@@ -88,6 +111,7 @@
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
     , stop { gatewaySettings.stopGrace }
+    , answerTimes { hostClock }
 {
 }
 
@@ -146,6 +170,24 @@
     this->log.write(line.add("in_progress", static_cast<std::int64_t>(this->requestsInProgress)));
 }
 
+bool Gateway::canEndBeforeExit(const GatewayRequest& request, const Route* route) const
+{
+    if (route == nullptr)
+        return true;
+    const auto timeout = std::min(request.metadata.timeout.value_or(route->timeout), route->timeout);
+    return this->stop.canEnd(
+        this->clock.now(), std::min(timeout, this->answerTimes.longest(route->name).value_or(timeout)));
+}
+
+void Gateway::endRequests()
+{
+    for (auto& request : this->openRequests) {
+        request.isEndedByHost = true;
+        if (request.abortCall)
+            request.abortCall();
+    }
+}
+
 void Gateway::reload(const GatewaySettings& next)
 {
     this->lease.setBounds(next.planLease - kLeaseMargin, next.changeDeadlines.plan - kLeaseMargin);
@@ -160,11 +202,18 @@
 {
     this->hostMetrics.addRequest();
     Outcome outcome;
-    if (this->isRefusingRequests())
-        outcome = NotRun { Refusal::HostLeaving };
-    else
+    const auto takenBy = this->usablePlan();
+    const auto* route = takenBy ? takenBy->findRoute(request.hostname, request.path()) : nullptr;
+    if (this->isRefusingRequests() || !this->canEndBeforeExit(request, route)) {
+        outcome = NotRun { Refusal::HostLeaving, retryAfterOf(hashText(request.metadata.attemptId)) };
+    } else {
+        this->openRequests.push_back(request);
+        const OpenRequest open { request };
         outcome = co_await this->forwarder.forward(request, sink);
+    }
     const auto took = this->clock.now() - request.arrivedAt;
+    if (route != nullptr && outcome.execution != Execution::NotRun)
+        this->answerTimes.record(route->name, took);
     if (outcome.isComplete()) {
         LogLine line { LogEvent::RequestAnswered };
         const auto firstByte = request.firstByteAt.value_or(this->clock.now()) - request.arrivedAt;
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/answer_times.hpp"
 #include "berylwing/gateway/cold_rate_limit.hpp"
 #include "berylwing/gateway/crash_quarantine.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
@@ -58,6 +59,8 @@
     void applyDomain(const VersionedObject& object);
     [[nodiscard]] Task<void> registerHost();
     [[nodiscard]] Task<void> runMaintenance();
+    /** Checks if the answer to a request can end before the exit, by the longest answer of late of its route. */
+    [[nodiscard]] bool canEndBeforeExit(const GatewayRequest& request, const Route* route) const;
     void applyHost(const VersionedObject& object);
     void logHostCount();
     void logWatcher();
@@ -117,6 +120,9 @@
     /** @brief Begins a graceful stop; the readiness check fails, so that the balancer sends no new connections. */
     void beginStop();
 
+    /** @brief Ends all requests in progress: their calls are aborted, and handle() returns a refusal for each. */
+    void endRequests();
+
     /** @brief Applies changed settings: lease, retry bounds, change deadlines, stop grace. @param next Settings. */
     void reload(const GatewaySettings& next);
 
@@ -181,6 +187,8 @@
     FleetExchange exchange;
     Forwarder forwarder;
     StopSchedule stop;
+    AnswerTimes answerTimes;
+    boost::intrusive::list<GatewayRequest, boost::intrusive::constant_time_size<false>> openRequests;
     std::size_t requestsInProgress = 0;
 };
 
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -3,10 +3,12 @@
 #include "berylwing/config/settings.hpp"
 #include "berylwing/core/clock.hpp"
 #include <boost/beast/http/fields.hpp>
+#include <boost/intrusive/list.hpp>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace berylwing {
@@ -36,7 +38,13 @@
 };
 
 /** @brief Caller's request, together with the state that its connection and the forwarder share. */
-struct GatewayRequest {
+struct GatewayRequest : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    /** @brief Returns the target without its query. @return Path. */
+    [[nodiscard]] std::string_view path() const
+    {
+        return std::string_view { this->target }.substr(0, this->target.find('?'));
+    }
+
     std::string method;
     /** Path and query, unmodified. */
     std::string target;
@@ -49,6 +57,8 @@
     std::optional<TimePoint> firstByteAt;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
+    /** Whether this host ends the request, since its process is about to exit. */
+    bool isEndedByHost = false;
     /** Aborts the call to an endpoint; set by the forwarder while a call is in progress, otherwise empty. */
     std::function<void()> abortCall;
 };
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -1,5 +1,7 @@
 #include "berylwing/http/gateway_connection.hpp"
 
+#include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/retry_delay.hpp"
 #include "berylwing/http/gateway_response.hpp"
 #include "berylwing/http/http_text.hpp"
 #include "berylwing/relay/response_sink.hpp"
@@ -59,6 +61,28 @@
     this->socket.close(ignored);
 }
 
+bool GatewayConnection::isIdle() const
+{
+    boost::system::error_code ignored;
+    // Closing a socket with unread bytes would reset the connection of a caller that has sent its request.
+    return this->isAwaitingRequest && this->socket.available(ignored) == 0;
+}
+
+void GatewayConnection::endReading()
+{
+    if (!this->isReading)
+        return;
+    this->isReadingEnded = true;
+    boost::system::error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+bool GatewayConnection::isKeptAlive() const
+{
+    // Pipelined requests that were read are answered as well.
+    return this->keepAlive && (!this->gateway.isStopping() || this->buffer.size() > 0);
+}
+
 Task<void> GatewayConnection::run()
 {
     const auto self = this->shared_from_this();
@@ -73,8 +97,6 @@
 {
     if (this->buffer.size() > 0)
         co_return true;
-    if (this->gateway.isRefusingRequests())
-        co_return false;
     this->isAwaitingRequest = true;
     this->setDeadline(this->clock.now() + bounds.idleTimeout);
     boost::system::error_code error;
@@ -89,17 +111,27 @@
 {
     boost::system::error_code error;
     this->setDeadline(this->clock.now() + bounds.headerTimeout);
+    this->isReading = true;
     co_await http::async_read_header(
         this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    this->isReading = false;
     if (!error && http::token_list { parser.get()[http::field::expect] }.exists("100-continue") && !parser.is_done())
         co_await this->write("HTTP/1.1 100 Continue\r\n\r\n");
     this->setDeadline(this->clock.now() + kBodyTimeout);
+    this->isReading = true;
     if (!error && !parser.is_done())
         co_await http::async_read(this->socket, this->buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    this->isReading = false;
     if (!error)
         co_return true;
-    if (this->socket.is_open() && isInvalidInput(error))
-        co_await this->refuseInput(error);
+    const bool isOpen = this->socket.is_open();
+    if (isOpen && this->isReadingEnded && error == asio::error::operation_aborted) {
+        const NotRun refusal { Refusal::HostLeaving, retryAfterOf(hashText(this->attemptId)) };
+        co_await this->refuseInput(refusal, "the host stops");
+    } else if (isOpen && isInvalidInput(error)) {
+        const NotRun refusal { toRefusal(error) };
+        co_await this->refuseInput(refusal, error.message());
+    }
     co_return false;
 }
 
@@ -127,12 +159,12 @@
     co_return this->keepAlive;
 }
 
-Task<void> GatewayConnection::refuseInput(const boost::system::error_code& error)
+Task<void> GatewayConnection::refuseInput(const NotRun& refusal, std::string_view error)
 {
-    const auto reason = toRefusal(error);
-    this->gateway.recordInvalidInput(reason, error.message());
+    this->gateway.recordInvalidInput(refusal.reason, error);
     this->keepAlive = false;
-    co_await this->writeRefusal(NotRun { reason });
+    const Outcome outcome { refusal };
+    co_await this->writeRefusal(outcome);
     boost::system::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     // Closing a socket with unread bytes sends a reset, which can discard the refusal before the caller has read it.
@@ -213,7 +245,7 @@
 Task<void> GatewayConnection::writeHead(const ResponseHead& head)
 {
     this->isHeadWritten = true;
-    this->keepAlive = this->keepAlive && !this->gateway.isStopping();
+    this->keepAlive = this->isKeptAlive();
     this->isChunked = !head.hasNoBody && !head.length;
     this->pendingHead = formatHead(head, this->isChunked, this->keepAlive);
     co_return;
@@ -247,7 +279,7 @@
 
 Task<void> GatewayConnection::writeRefusal(const Outcome& outcome)
 {
-    this->keepAlive = this->keepAlive && !this->gateway.isStopping();
+    this->keepAlive = this->isKeptAlive();
     HeaderFields fields;
     this->gateway.platformProtocol().markRefusal(fields, this->attemptId);
     const auto text = formatRefusal(outcome, std::move(fields), this->keepAlive);
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -21,7 +21,9 @@
     [[nodiscard]] Task<bool> serveRequest();
     [[nodiscard]] Task<bool> waitForFirstByte(const CallerBounds& bounds);
     [[nodiscard]] Task<bool> readRequest(Parser& parser, const CallerBounds& bounds);
-    [[nodiscard]] Task<void> refuseInput(const boost::system::error_code& error);
+    [[nodiscard]] Task<void> refuseInput(const NotRun& refusal, std::string_view error);
+    /** Checks if the connection is kept open after the current response. */
+    [[nodiscard]] bool isKeptAlive() const;
     [[nodiscard]] Task<void> handleRequest(Parser& parser);
     [[nodiscard]] Task<void> finish(const Outcome& outcome);
     [[nodiscard]] Task<void> writeHead(const ResponseHead& head);
@@ -46,8 +48,11 @@
     /** @brief Serves requests until the connection ends. @return Awaitable that completes at its end. */
     [[nodiscard]] Task<void> run();
 
-    /** @brief Checks if no request has begun, so that the connection may be closed. */
-    [[nodiscard]] bool isIdle() const noexcept { return this->isAwaitingRequest; }
+    /** @brief Checks if no request has begun to arrive, so that the connection may be closed. */
+    [[nodiscard]] bool isIdle() const;
+
+    /** @brief Ends the reading of a request, which is refused as not run; does nothing while none is read. */
+    void endReading();
 
     /** @brief Closes the connection immediately; a pending operation fails. */
     void close();
@@ -63,6 +68,9 @@
     std::string pendingHead;
     std::string attemptId;
     bool isAwaitingRequest = true;
+    /** Whether a request is being read. */
+    bool isReading = false;
+    bool isReadingEnded = false;
     bool keepAlive = true;
     bool isHeadWritten = false;
     bool isChunked = false;
--- a/src/berylwing/http/gateway_server.cpp
+++ b/src/berylwing/http/gateway_server.cpp
@@ -70,16 +70,26 @@
 Task<void> GatewayServer::drain()
 {
     auto& shared = *this->state;
-    while (shared.clock.now() < shared.gateway.stopSchedule().exitAt()) {
+    const auto& schedule = shared.gateway.stopSchedule();
+    while (shared.clock.now() < schedule.exitAt()) {
+        if (shared.clock.now() >= schedule.requestsEndAt())
+            this->endRequests();
         if (shared.gateway.isRefusingRequests()) {
             this->closeIdle();
-            if (shared.gateway.inProgress() == 0)
+            if (shared.connections.empty())
                 break;
         }
         co_await shared.clock.sleepFor(kDrainCheckInterval);
     }
 }
 
+void GatewayServer::endRequests()
+{
+    this->state->gateway.endRequests();
+    for (auto& connection : this->state->connections)
+        connection.endReading();
+}
+
 void GatewayServer::closeIdle()
 {
     for (auto position = this->state->connections.begin(); position != this->state->connections.end();) {
--- a/src/berylwing/http/gateway_server.hpp
+++ b/src/berylwing/http/gateway_server.hpp
@@ -13,6 +13,8 @@
 
     /** Closes all connections on which no request has begun. */
     void closeIdle();
+    /** Ends the requests in progress and those that are being read. */
+    void endRequests();
 
 public:
     /**
@@ -33,8 +35,8 @@
 
     /**
      * @brief Waits for the requests in progress in a graceful stop, and closes idle connections once requests are
-     * refused.
-     * @return Awaitable that completes when no request is in progress, at the latest at the exit of the schedule.
+     * refused. Requests that are still in progress shortly before the exit are ended with a refusal.
+     * @return Awaitable that completes when no connection is left, at the latest at the exit of the schedule.
      */
     [[nodiscard]] Task<void> drain();
 
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -36,6 +36,48 @@
         asio::write(this->caller, asio::buffer(text));
     }
 
+    void sendText(const std::string& bytes) { asio::write(this->caller, asio::buffer(bytes)); }
+
+    /** Adds a route for unrepeatable requests whose timeout is longer than the grace period of a stop. */
+    void putPlanWithLongRoute()
+    {
+        auto plan = makePlan(2);
+        Route route;
+        route.name = "long";
+        route.hostname = "hooks.example";
+        route.pathPrefix = "/long/";
+        route.timeout = Duration { 60'000 };
+        route.services = { { "engines", 1 } };
+        plan.add(route);
+        this->putPlan(plan);
+        this->advance(kSettleDelay);
+    }
+
+    void beginStop()
+    {
+        this->gateway->beginStop();
+        this->stoppedAt = this->time;
+        spawn(this->runtimeClock().executor(), "drain", this->drain());
+    }
+
+    /** Advances the clock until the stop has ended, and reads what the caller has received by then. */
+    void finishStop()
+    {
+        const auto graceEnd = this->stoppedAt + Duration { 8000 };
+        while (!this->isDrained && this->time < graceEnd)
+            this->advance(Duration { 5 });
+        CHECK(this->isDrained);
+        this->receive();
+    }
+
+    /** Lets time pass in which the host does not run. */
+    void stall(Duration length)
+    {
+        this->time += length;
+        this->advance(Duration {});
+        this->advance(Duration { 200 });
+    }
+
     /** Reads the bytes that have arrived, without blocking. */
     void receive()
     {
@@ -52,8 +94,25 @@
     asio::ip::tcp::socket caller { this->callerContext };
     /** Bytes received by the caller. */
     std::string text;
+    bool isDrained = false;
+    TimePoint stoppedAt {};
+
+private:
+    Task<void> drain()
+    {
+        co_await this->server.drain();
+        this->isDrained = true;
+    }
 };
 
+int countOf(const std::string& text, const std::string& part)
+{
+    int count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace
 
 TEST_CASE("Gateway counts a request as in progress until its response is fully written", "[http][stop]")
@@ -81,3 +140,59 @@
         CHECK(isWhole);
     }
 }
+
+TEST_CASE("Stop ends a request that is still running with an answer before the process exits", "[http][stop]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.putPlanWithLongRoute();
+    fixture.behaviors["engine"] = EndpointBehavior::Hang;
+    fixture.send("one", "/long/1");
+    fixture.advance(kSettleDelay);
+    REQUIRE(fixture.countRuns("one") == 1);
+    fixture.beginStop();
+    // The endpoint's time is not cut short: it has most of the grace period.
+    fixture.advance(Duration { 6700 });
+    fixture.receive();
+    CHECK(fixture.text.empty());
+    fixture.finishStop();
+    INFO(fixture.text);
+    CHECK(fixture.text.starts_with("HTTP/1.1 502"));
+    CHECK(fixture.text.ends_with("}"));
+    CHECK(fixture.gateway->inProgress() == 0);
+    CHECK(fixture.countRuns("one") == 1);
+}
+
+TEST_CASE("Stop refuses a request that has not been read completely before the process exits", "[http][stop]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.sendText("POST /order/1 HTTP/1.1\r\nHost: hooks.example\r\nContent-Length: 10\r\n\r\n");
+    fixture.advance(kSettleDelay);
+    fixture.beginStop();
+    fixture.finishStop();
+    INFO(fixture.text);
+    CHECK(fixture.text.starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("Stop answers a request that arrived on an idle connection just before it is closed", "[http][stop]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.beginStop();
+    fixture.advance(Duration { 2590 });
+    fixture.send("one", "/order/1");
+    fixture.time += Duration { 100 };
+    fixture.finishStop();
+    INFO(fixture.text);
+    CHECK(fixture.text.starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("Stop answers pipelined requests that were read before it closes the connection", "[http][stop]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.beginStop();
+    fixture.send("one", "/order/1");
+    fixture.send("two", "/order/2");
+    fixture.finishStop();
+    INFO(fixture.text);
+    CHECK(countOf(fixture.text, "HTTP/1.1 200") == 2);
+    CHECK(countOf(fixture.text, "Connection: close") == 1);
+}
