Answer and log a request that ends with an unexpected exception

Callers got a closed connection and no answer if an exception other than CallerGoneError or EndpointError left the handling of their request, and the decision log had no line for the attempt.

Cause: the connection knew only CallerGoneError; anything else ended its task.

Evidence, the new test on the code before: with an endpoint session that throws std::runtime_error, and with headers whose reading throws, the caller received nothing, and neither the reason nor the text of the error was in the log. The counts of requests in progress and in flight at the endpoint were right before: "Unexpected exception leaves no request counted at its endpoint" passed.

Gateway::handle() turns such an exception into a refusal with an unknown execution (502, internal_error), since it may have come after the request was sent; the connection does the same for exceptions outside of handle(). A head that was formatted but not sent no longer counts as a begun answer.

--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -66,10 +66,12 @@
     ConfigurationUnknown,
     /** The host could not confirm its configuration for too long. */
     ConfigurationStale,
+    /** The host failed for a reason of its own, such as lack of memory. */
+    InternalError,
 };
 
 /** @brief Names of the refusal reasons in responses, logs and metrics. */
-inline constexpr EnumNames<Refusal, 43> kRefusalNames { {
+inline constexpr EnumNames<Refusal, 44> kRefusalNames { {
     "missing_key",
     "unknown_workspace",
     "bad_request",
@@ -113,6 +115,7 @@
     "same_request_running",
     "configuration_unknown",
     "configuration_stale",
+    "internal_error",
 } };
 
 /** @brief Reasons for which a request to an endpoint, a ledger or the platform is retried. */
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/finding.hpp"
 #include "berylwing/core/hash.hpp"
 #include "berylwing/gateway/retry_delay.hpp"
+#include "berylwing/relay/response_sink.hpp"
 #include <algorithm>
 #include <set>
 #include <spdlog/spdlog.h>
@@ -202,6 +203,7 @@
 {
     this->hostMetrics.addRequest();
     Outcome outcome;
+    std::string error;
     const auto takenBy = this->usablePlan();
     const auto* route = takenBy ? takenBy->findRoute(request.hostname, request.path()) : nullptr;
     if (this->isRefusingRequests() || !this->canEndBeforeExit(request, route)) {
@@ -209,7 +211,15 @@
     } else {
         this->openRequests.push_back(request);
         const OpenRequest open { request };
-        outcome = co_await this->forwarder.forward(request, sink);
+        try {
+            outcome = co_await this->forwarder.forward(request, sink);
+        } catch (const CallerGoneError&) {
+            throw;
+        } catch (const std::exception& exception) {
+            // The endpoint may have the request: the exception can have come after it was sent.
+            outcome = OutcomeUnknown { Refusal::InternalError };
+            error = exception.what();
+        }
     }
     const auto took = this->clock.now() - request.arrivedAt;
     if (route != nullptr && outcome.execution != Execution::NotRun)
@@ -226,16 +236,22 @@
     LogLine line { LogEvent::RequestRefused };
     line.add("reason", kRefusalNames[*outcome.reason]).add("execution", kExecutionNames[outcome.execution]);
     line.add("took_ms", took).add("plan_age_ms", this->lease.age()).add("retry_after_ms", outcome.retryAfter);
+    if (!error.empty())
+        line.add("error", error);
     this->log.write(
         request.metadata.attemptId, std::move(line.add("hostname", request.hostname).add("target", request.target)));
     co_return outcome;
 }
 
-void Gateway::recordInvalidInput(Refusal reason, std::string_view error)
+void Gateway::recordRefusal(std::string_view attemptId, Refusal reason, std::string_view error)
 {
     this->hostMetrics.add(reason);
     LogLine line { LogEvent::RequestRefused };
-    this->log.write(line.add("reason", kRefusalNames[reason]).add("error", error));
+    line.add("reason", kRefusalNames[reason]).add("error", error);
+    if (attemptId.empty())
+        this->log.write(line);
+    else
+        this->log.write(attemptId, std::move(line));
 }
 
 StoreFeedHooks Gateway::makeFeedHooks(std::function<Duration()> watcherTtl)
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -132,14 +132,25 @@
     /** @brief Returns the bounds on callers. @return Bounds of the current plan; defaults without a plan. */
     [[nodiscard]] CallerBounds callerBounds() const;
 
-    /** @brief Handles a request. @param request Request. @param sink Receives the answer. @return Outcome. */
+    /**
+     * @brief Handles a request.
+     * @param request Request.
+     * @param sink Receives the answer.
+     * @return Outcome; an unexpected exception is logged and becomes one whose execution is unknown.
+     * @throws CallerGoneError If the caller has disconnected.
+     */
     [[nodiscard]] Task<Outcome> handle(GatewayRequest& request, const ResponseWriter& sink);
 
     /** @brief Processes a message from another host. @param address Sender. @param bytes Message. */
     void receive(const std::string& address, std::string_view bytes) { this->exchange.receive(address, bytes); }
 
-    /** @brief Counts and logs input that is not a valid request. @param reason Reason. @param error Parse error. */
-    void recordInvalidInput(Refusal reason, std::string_view error);
+    /**
+     * @brief Counts and logs a request that is refused outside of handle().
+     * @param attemptId Attempt; empty if it was not read.
+     * @param reason Reason.
+     * @param error Description of the failure.
+     */
+    void recordRefusal(std::string_view attemptId, Refusal reason, std::string_view error);
 
     /** @brief Returns the decision log. @return Log. */
     [[nodiscard]] DecisionLog& decisionLog() noexcept { return this->log; }
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -142,7 +142,9 @@
         co_return false;
     this->isAwaitingRequest = false;
     this->attemptId.clear();
-    this->isHeadWritten = false;
+    this->isAnswerBegun = false;
+    this->pendingHead.clear();
+    std::string error;
     Parser parser;
     parser.header_limit(bounds.maxHeaderBytes);
     parser.body_limit(bounds.maxBodyBytes);
@@ -151,17 +153,38 @@
             co_return false;
         this->keepAlive = parser.get().keep_alive();
         co_await this->handleRequest(parser);
+        co_return this->keepAlive;
     } catch (const CallerGoneError&) {
-        LogLine line { LogEvent::CallerLeft };
-        this->gateway.decisionLog().write(this->attemptId, std::move(line));
+        this->logCallerGone();
         co_return false;
+    } catch (const std::exception& exception) {
+        error = exception.what();
     }
-    co_return this->keepAlive;
+    try {
+        co_await this->refuseFailed(error);
+    } catch (const CallerGoneError&) {
+        this->logCallerGone();
+    }
+    co_return false;
+}
+
+void GatewayConnection::logCallerGone()
+{
+    LogLine line { LogEvent::CallerLeft };
+    this->gateway.decisionLog().write(this->attemptId, std::move(line));
+}
+
+Task<void> GatewayConnection::refuseFailed(std::string_view error)
+{
+    this->gateway.recordRefusal(this->attemptId, Refusal::InternalError, error);
+    this->keepAlive = false;
+    const Outcome outcome { OutcomeUnknown { Refusal::InternalError } };
+    co_await this->finish(outcome);
 }
 
 Task<void> GatewayConnection::refuseInput(const NotRun& refusal, std::string_view error)
 {
-    this->gateway.recordInvalidInput(refusal.reason, error);
+    this->gateway.recordRefusal(this->attemptId, refusal.reason, error);
     this->keepAlive = false;
     const Outcome outcome { refusal };
     co_await this->writeRefusal(outcome);
@@ -244,7 +267,6 @@
 
 Task<void> GatewayConnection::writeHead(const ResponseHead& head)
 {
-    this->isHeadWritten = true;
     this->keepAlive = this->isKeptAlive();
     this->isChunked = !head.hasNoBody && !head.length;
     this->pendingHead = formatHead(head, this->isChunked, this->keepAlive);
@@ -253,6 +275,7 @@
 
 Task<void> GatewayConnection::writeBody(std::string_view bytes)
 {
+    this->isAnswerBegun = true;
     auto text = std::exchange(this->pendingHead, {});
     if (this->isChunked)
         appendChunk(text, bytes);
@@ -263,13 +286,14 @@
 
 Task<void> GatewayConnection::finish(const Outcome& outcome)
 {
-    if (!outcome.isComplete() && !this->isHeadWritten)
+    if (!outcome.isComplete() && !this->isAnswerBegun)
         co_return co_await this->writeRefusal(outcome);
     if (!outcome.isComplete()) {
         // Closing without the last chunk, or short of Content-Length, marks the response as incomplete.
         this->keepAlive = false;
         co_return;
     }
+    this->isAnswerBegun = true;
     auto text = std::exchange(this->pendingHead, {});
     if (this->isChunked)
         appendLastChunk(text);
@@ -283,6 +307,7 @@
     HeaderFields fields;
     this->gateway.platformProtocol().markRefusal(fields, this->attemptId);
     const auto text = formatRefusal(outcome, std::move(fields), this->keepAlive);
+    this->isAnswerBegun = true;
     co_await this->write(text);
 }
 
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -19,6 +19,8 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     [[nodiscard]] Task<bool> serveRequest();
+    /** Refuses the current request after an exception, unless a part of its answer was written. */
+    [[nodiscard]] Task<void> refuseFailed(std::string_view error);
     [[nodiscard]] Task<bool> waitForFirstByte(const CallerBounds& bounds);
     [[nodiscard]] Task<bool> readRequest(Parser& parser, const CallerBounds& bounds);
     [[nodiscard]] Task<void> refuseInput(const NotRun& refusal, std::string_view error);
@@ -32,6 +34,7 @@
     [[nodiscard]] Task<void> write(std::string_view bytes);
     [[nodiscard]] Task<void> monitorCaller(GatewayRequest& request);
     [[nodiscard]] Task<void> stopMonitoring();
+    void logCallerGone();
     void setDeadline(TimePoint deadline) { this->connectionDeadline.expiresAt = deadline; }
 
 public:
@@ -72,7 +75,8 @@
     bool isReading = false;
     bool isReadingEnded = false;
     bool keepAlive = true;
-    bool isHeadWritten = false;
+    /** Whether bytes of the answer may have been written. */
+    bool isAnswerBegun = false;
     bool isChunked = false;
     bool isMonitoring = false;
     bool isMonitorStopping = false;
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -196,3 +196,31 @@
     CHECK(countOf(fixture.text, "HTTP/1.1 200") == 2);
     CHECK(countOf(fixture.text, "Connection: close") == 1);
 }
+
+TEST_CASE("Request that ends with an unexpected exception is answered and logged", "[http]")
+{
+    for (const std::string attempt : { "one", "unreadable" }) {
+        GatewayConnectionFixture fixture;
+        fixture.behaviors["engine"] = EndpointBehavior::Throw;
+        fixture.send(attempt, "/order/1");
+        fixture.advance(kSettleDelay);
+        fixture.receive();
+        INFO(fixture.text);
+        CHECK(fixture.text.starts_with("HTTP/1.1 502"));
+        CHECK(fixture.text.ends_with("}"));
+        CHECK(fixture.gateway->inProgress() == 0);
+        CHECK(fixture.logText.find("internal_error") != std::string::npos);
+        CHECK(fixture.logText.find(attempt == "one" ? "unexpected" : "unreadable") != std::string::npos);
+    }
+}
+
+TEST_CASE("Unexpected exception leaves no request counted at its endpoint", "[http]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.behaviors["engine"] = EndpointBehavior::Throw;
+    fixture.send("one", "/order/1");
+    fixture.advance(kSettleDelay);
+    fixture.behaviors["engine"] = EndpointBehavior::Answer;
+    CHECK(fixture.sendAndWait("two", "/order/2")->outcome->isComplete());
+    CHECK(fixture.logText.find("\"in_flight\":2") == std::string::npos);
+}
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/core/finding.hpp"
 #include "berylwing/relay/response_sink.hpp"
+#include <stdexcept>
 #include <utility>
 
 namespace berylwing::test {
@@ -74,6 +75,8 @@
     this->protocol.readRequest = [](const HeaderFields& fields) {
         RequestMetadata metadata;
         metadata.attemptId = std::string { fields["attempt"] };
+        if (metadata.attemptId == "unreadable")
+            throw std::runtime_error { "unreadable" };
         metadata.apiKey = std::string { fields["key"] };
         return metadata;
     };
@@ -302,6 +305,8 @@
             co_await aborted->waitUntil(deadline);
         else
             co_await aborted->waitUntil(this->time + this->answerTime);
+        if (behavior == EndpointBehavior::Throw)
+            throw std::runtime_error { "unexpected" };
         if (*isAborted || behavior == EndpointBehavior::Break || behavior == EndpointBehavior::Hang)
             throw EndpointError { EndpointFault::Broken, "reset" };
         ResponseHead head;
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -44,6 +44,8 @@
     EndlessUnsignedFailure,
     /** Accepts the request and does not respond until it is aborted. */
     Hang,
+    /** Fails with an exception that is not an EndpointError. */
+    Throw,
     /** Does not respond to new connections. */
     Silent,
     /** Refuses connections. */
