Do not count the time for which the host stood still as a caller's silence

A host that did not run for a while (a suspension, a starved processor) closed callers' connections when it went on, though the callers had not been silent: the deadlines of reading had passed meanwhile.

Evidence, the new test on the code before: with half a request read and 20 s in which the host did not run, the caller that sent the rest afterwards received nothing. A request that had arrived whole meanwhile was read before the check in the test's order of handlers, so that test passed before in substance (503, configuration_stale); input that is read but still waits in the event loop's queue was not protected by anything.

The deadline monitor notices from its own late check for how long the host did not run and extends the deadlines of callers' connections by it; those of endpoints' answers stay, as the caller's deadline does not move. An expired connection is closed only if no input is left to read and the event loop has gone through its queue once more. A caller that does not send its request in time is still disconnected, which a test shows.

--- a/src/berylwing/http/deadline_monitor.cpp
+++ b/src/berylwing/http/deadline_monitor.cpp
@@ -23,16 +23,28 @@
 
 Task<void> DeadlineMonitor::run()
 {
+    auto expectedAt = this->clock.now();
     while (!this->deadlines.empty()) {
         const auto now = this->clock.now();
+        if (now - expectedAt >= kCheckInterval)
+            this->extend(now - expectedAt);
         for (auto deadline = this->deadlines.begin(); deadline != this->deadlines.end();) {
             auto& current = *deadline++;
             if (now >= current.expiresAt)
                 current.onExpire();
         }
+        expectedAt = this->clock.now() + kCheckInterval;
         co_await this->clock.sleepFor(kCheckInterval);
     }
     this->isRunning = false;
 }
 
+void DeadlineMonitor::extend(Duration stall)
+{
+    for (auto& deadline : this->deadlines) {
+        if (deadline.isExtendedByStalls && deadline.expiresAt != TimePoint::max())
+            deadline.expiresAt += stall;
+    }
+}
+
 } // namespace berylwing
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -51,10 +51,29 @@
     , gateway { hostGateway }
     , monitorStopped { hostClock }
 {
-    this->connectionDeadline.onExpire = [this] { this->close(); };
+    this->connectionDeadline.isExtendedByStalls = true;
+    this->connectionDeadline.onExpire = [this] { this->expire(); };
     deadlineMonitor.add(this->connectionDeadline);
 }
 
+void GatewayConnection::setDeadline(TimePoint deadline)
+{
+    this->connectionDeadline.expiresAt = deadline;
+    this->isDeadlinePassed = false;
+}
+
+void GatewayConnection::expire()
+{
+    boost::system::error_code ignored;
+    const bool isReceiving = this->isReading || this->isAwaitingRequest;
+    if (isReceiving && this->socket.available(ignored) > 0)
+        return;
+    // Input that was already read may wait for its turn in the queue of the event loop.
+    if (!std::exchange(this->isDeadlinePassed, true))
+        return;
+    this->close();
+}
+
 void GatewayConnection::close()
 {
     boost::system::error_code ignored;
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -35,7 +35,9 @@
     [[nodiscard]] Task<void> monitorCaller(GatewayRequest& request);
     [[nodiscard]] Task<void> stopMonitoring();
     void logCallerGone();
-    void setDeadline(TimePoint deadline) { this->connectionDeadline.expiresAt = deadline; }
+    void setDeadline(TimePoint deadline);
+    /** Closes the connection, unless input is left to read. */
+    void expire();
 
 public:
     /**
@@ -65,6 +67,8 @@
     boost::asio::ip::tcp::socket socket;
     Gateway& gateway;
     CallDeadline connectionDeadline;
+    /** Whether a check has found the current deadline passed. */
+    bool isDeadlinePassed = false;
     boost::beast::flat_buffer buffer;
     Event monitorStopped;
     /** Formatted response head, which is written together with the first bytes of the body. */
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -105,6 +105,9 @@
     }
 };
 
+const std::string kHalfRequest = "POST /order/1 HTTP/1.1\r\nHost: hooks.exa";
+const std::string kOtherHalf = "mple\r\nattempt: one\r\nkey: shop-key\r\nContent-Length: 0\r\n\r\n";
+
 int countOf(const std::string& text, const std::string& part)
 {
     int count = 0;
@@ -224,3 +227,42 @@
     CHECK(fixture.sendAndWait("two", "/order/2")->outcome->isComplete());
     CHECK(fixture.logText.find("\"in_flight\":2") == std::string::npos);
 }
+
+TEST_CASE("Request that arrived whole while the host stood still gets an answer", "[http][deadline]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.sendText(kHalfRequest);
+    fixture.advance(kSettleDelay);
+    fixture.sendText(kOtherHalf);
+    fixture.stall(Duration { 20'000 });
+    fixture.advance(kSettleDelay);
+    fixture.receive();
+    INFO(fixture.text);
+    CHECK(countOf(fixture.text, "HTTP/1.1 ") == 1);
+}
+
+TEST_CASE("Time for which the host stood still does not count as a caller's silence", "[http][deadline]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.sendText(kHalfRequest);
+    fixture.advance(kSettleDelay);
+    fixture.stall(Duration { 20'000 });
+    fixture.sendText(kOtherHalf);
+    fixture.advance(kSettleDelay);
+    fixture.receive();
+    INFO(fixture.text);
+    CHECK(countOf(fixture.text, "HTTP/1.1 ") == 1);
+}
+
+TEST_CASE("Caller that does not send its request in time is disconnected", "[http][deadline]")
+{
+    GatewayConnectionFixture fixture;
+    fixture.sendText(kHalfRequest);
+    fixture.advance(CallerBounds {}.headerTimeout + Duration { 500 });
+    std::string bytes(1, '\0');
+    boost::system::error_code error;
+    fixture.caller.non_blocking(true);
+    static_cast<void>(fixture.caller.read_some(asio::buffer(bytes), error));
+    const bool isOpen = error == asio::error::would_block;
+    CHECK_FALSE(isOpen);
+}
