Apply a longer idle timeout to connections that are already idle

Beside a change of the configuration a caller's request on a kept connection could end without an answer: callers reuse a connection within the idle timeout of the newest configuration, but the host closed it after the timeout that was in force when it became idle.

The current plan's timeout is read again when the old one has passed. A shorter timeout does not close connections that became idle under a longer one before that one has passed, as their callers may still use them.

--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -64,6 +64,8 @@
 
 void GatewayConnection::expire()
 {
+    if (this->isAwaitingRequest && this->clock.now() < this->idleSince + this->gateway.callerBounds().idleTimeout)
+        return;
     boost::system::error_code ignored;
     const bool isReceiving = this->isReading || this->isAwaitingRequest;
     if (isReceiving && this->socket.available(ignored) > 0)
@@ -117,7 +119,8 @@
     if (this->buffer.size() > 0)
         co_return true;
     this->isAwaitingRequest = true;
-    this->setDeadline(this->clock.now() + bounds.idleTimeout);
+    this->idleSince = this->clock.now();
+    this->setDeadline(this->idleSince + bounds.idleTimeout);
     boost::system::error_code error;
     const auto size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -36,7 +36,7 @@
     [[nodiscard]] Task<void> stopMonitoring();
     void logCallerGone();
     void setDeadline(TimePoint deadline);
-    /** Closes the connection, unless input is left to read. */
+    /** Closes the connection, unless input is left to read or a newer plan allows it to be idle for longer. */
     void expire();
 
 public:
@@ -70,6 +70,8 @@
     /** Whether a check has found the current deadline passed. */
     bool isDeadlinePassed = false;
     boost::beast::flat_buffer buffer;
+    /** Time of the end of the last answer. */
+    TimePoint idleSince {};
     Event monitorStopped;
     /** Formatted response head, which is written together with the first bytes of the body. */
     std::string pendingHead;
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -266,3 +266,26 @@
     const bool isOpen = error == asio::error::would_block;
     CHECK_FALSE(isOpen);
 }
+
+TEST_CASE("Longer idle timeout of a new plan holds for a connection that is already idle", "[http][deadline]")
+{
+    GatewayConnectionFixture fixture;
+    auto bounds = CallerBounds {};
+    bounds.idleTimeout = Duration { 2000 };
+    auto plan = GatewayConnectionFixture::makePlan(2);
+    plan.setCallerBounds(bounds);
+    fixture.putPlan(plan);
+    fixture.advance(kSettleDelay);
+    fixture.send("one", "/status/1");
+    fixture.advance(kSettleDelay);
+    bounds.idleTimeout = Duration { 10'000 };
+    plan = GatewayConnectionFixture::makePlan(3);
+    plan.setCallerBounds(bounds);
+    fixture.putPlan(plan);
+    fixture.advance(Duration { 7000 });
+    fixture.send("two", "/status/2");
+    fixture.advance(kSettleDelay);
+    fixture.receive();
+    INFO(fixture.text);
+    CHECK(countOf(fixture.text, "HTTP/1.1 200") == 2);
+}
