Read a request on an idle connection with the limits of the current plan

A caller that sent a larger body than the plan of before allowed, on a connection that had been idle during the change, got 413 though the change was in force.

Cause: the limits were taken when the connection became idle, not when the request came.

Evidence, the new test on the code before: max_body_bytes is raised from 10 to 100 while a connection is idle; 2 s later a body of 50 bytes on it got 413.

The limits are taken when the first byte of the request has arrived.

--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -114,13 +114,13 @@
     this->close();
 }
 
-Task<bool> GatewayConnection::waitForFirstByte(const CallerBounds& bounds)
+Task<bool> GatewayConnection::waitForFirstByte()
 {
     if (this->buffer.size() > 0)
         co_return true;
     this->isAwaitingRequest = true;
     this->idleSince = this->clock.now();
-    this->setDeadline(this->idleSince + bounds.idleTimeout);
+    this->setDeadline(this->idleSince + this->gateway.callerBounds().idleTimeout);
     boost::system::error_code error;
     const auto size = co_await this->socket.async_read_some(
         this->buffer.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
@@ -159,9 +159,11 @@
 
 Task<bool> GatewayConnection::serveRequest()
 {
-    const auto bounds = this->gateway.callerBounds();
-    if (!co_await this->waitForFirstByte(bounds))
+    const bool hasInput = co_await this->waitForFirstByte();
+    if (!hasInput)
         co_return false;
+    // A newer plan may have come while the connection was idle.
+    const auto bounds = this->gateway.callerBounds();
     this->isAwaitingRequest = false;
     this->attemptId.clear();
     this->isAnswerBegun = false;
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -21,7 +21,7 @@
     [[nodiscard]] Task<bool> serveRequest();
     /** Refuses the current request after an exception, unless a part of its answer was written. */
     [[nodiscard]] Task<void> refuseFailed(std::string_view error);
-    [[nodiscard]] Task<bool> waitForFirstByte(const CallerBounds& bounds);
+    [[nodiscard]] Task<bool> waitForFirstByte();
     [[nodiscard]] Task<bool> readRequest(Parser& parser, const CallerBounds& bounds);
     [[nodiscard]] Task<void> refuseInput(const NotRun& refusal, std::string_view error);
     /** Checks if the connection is kept open after the current response. */
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -289,3 +289,29 @@
     INFO(fixture.text);
     CHECK(countOf(fixture.text, "HTTP/1.1 200") == 2);
 }
+
+TEST_CASE("Request on a connection that was idle during a change of the plan has the new plan's limits", "[http][plan]")
+{
+    GatewayConnectionFixture fixture;
+    auto bounds = CallerBounds {};
+    bounds.maxBodyBytes = 10;
+    auto plan = GatewayConnectionFixture::makePlan(2);
+    plan.setCallerBounds(bounds);
+    fixture.putPlan(plan);
+    fixture.advance(kSettleDelay);
+    fixture.send("one", "/status/1");
+    fixture.advance(kSettleDelay);
+    bounds.maxBodyBytes = 100;
+    plan = GatewayConnectionFixture::makePlan(3);
+    plan.setCallerBounds(bounds);
+    fixture.putPlan(plan);
+    fixture.advance(Duration { 2000 });
+    fixture.sendText(
+        "POST /status/2 HTTP/1.1\r\nHost: hooks.example\r\nattempt: two\r\nkey: shop-key\r\nContent-Length: "
+        "50\r\n\r\n"
+        + std::string(50, 'x'));
+    fixture.advance(kSettleDelay);
+    fixture.receive();
+    INFO(fixture.text);
+    CHECK(countOf(fixture.text, "HTTP/1.1 200") == 2);
+}
