Keep following the store when one of its objects cannot be read (LOST)

Other operators reported machines that stopped following the list of engines after another writer had left one odd entry: they have no engines or plan, and refuse or go on with old ones.

Cause: the whole body of a list or watch was parsed as one JSON document. A number such as 1e999, bytes that are not UTF-8 or an escape without a character made all of it unreadable, and the feed asked for it again without end. In news such a document made the follower ask the store, which had the same answer.

Why this works: the answer is split into its objects without parsing them, and each is parsed by itself. An object that cannot be read has a discarded value, which no reader takes: the endpoint is out of use, the plan before stays in force, the domain is withdrawn, the host counts for the shares. The revision moves on, and news relay the object as unreadable. The reason is logged with the object's kind and name.

--- a/src/berylwing/config/catalog.hpp
+++ b/src/berylwing/config/catalog.hpp
@@ -11,7 +11,11 @@
 
 namespace berylwing {
 
-/** @brief One version of a configuration object; an empty value marks a removed object. */
+/**
+ * @brief One version of a configuration object.
+ *
+ * An empty value marks a removed object, a discarded one an object whose document cannot be read.
+ */
 struct VersionedObject {
     ObjectKind kind = ObjectKind::Contract;
     std::string name;
--- /dev/null
+++ b/src/berylwing/core/json_text.cpp
@@ -0,0 +1,167 @@
+#include "berylwing/core/json_text.hpp"
+
+#include <algorithm>
+#include <spdlog/spdlog.h>
+
+namespace berylwing {
+
+namespace {
+
+/** Limit of an error text, which may contain the whole unreadable value. */
+constexpr std::size_t kMaxErrorBytes = 200;
+constexpr std::string_view kSpaces = " \t\r\n";
+
+/** Finds the ends of values without parsing them. */
+class Scanner {
+public:
+    explicit Scanner(std::string_view jsonText)
+        : text { jsonText }
+    {
+    }
+
+    /** Skips spaces and returns the next character. */
+    char peek()
+    {
+        this->position = std::min(this->text.find_first_not_of(kSpaces, this->position), this->text.size());
+        return this->current();
+    }
+
+    bool skipIf(char expected)
+    {
+        const bool isNext = this->peek() == expected;
+        this->position += isNext ? 1 : 0;
+        return isNext;
+    }
+
+    void skip(char expected)
+    {
+        if (!this->skipIf(expected))
+            throw JsonTextError { std::string { "expected " } + expected + " at byte "
+                + std::to_string(this->position) };
+    }
+
+    void skipString()
+    {
+        this->skip('"');
+        while (this->current() != '"')
+            this->position += this->current() == '\\' ? 2 : 1;
+        ++this->position;
+    }
+
+    std::string_view readValue()
+    {
+        const auto first = this->peek();
+        const auto begin = this->position;
+        if (first == '"')
+            this->skipString();
+        else if (first == '{' || first == '[')
+            this->skipNested();
+        else
+            this->position = std::min(this->text.find_first_of(",]} \t\r\n", begin), this->text.size());
+        return this->text.substr(begin, this->position - begin);
+    }
+
+private:
+    [[nodiscard]] char current() const
+    {
+        if (this->position >= this->text.size())
+            throw JsonTextError { "unexpected end of the text" };
+        return this->text[this->position];
+    }
+
+    void skipNested()
+    {
+        std::size_t depth = 0;
+        do {
+            const auto next = this->current();
+            if (next == '"') {
+                this->skipString();
+                continue;
+            }
+            if (next == '{' || next == '[')
+                ++depth;
+            else if (next == '}' || next == ']')
+                --depth;
+            ++this->position;
+        } while (depth > 0);
+    }
+
+    std::string_view text;
+    std::size_t position = 0;
+};
+
+std::string readName(std::string_view text)
+{
+    if (text.find('\\') == std::string_view::npos)
+        return std::string { text.substr(1, text.size() - 2) };
+    return parseJsonText(text).get<std::string>();
+}
+
+} // namespace
+
+JsonObjectText::JsonObjectText(std::string_view text)
+{
+    Scanner scanner { text };
+    scanner.skip('{');
+    if (scanner.skipIf('}'))
+        return;
+    do {
+        if (scanner.peek() != '"')
+            throw JsonTextError { "expected the name of a member" };
+        auto name = readName(scanner.readValue());
+        scanner.skip(':');
+        this->members.emplace_back(std::move(name), scanner.readValue());
+    } while (scanner.skipIf(','));
+    scanner.skip('}');
+}
+
+std::optional<std::string_view> JsonObjectText::find(std::string_view name) const
+{
+    const auto found = std::find_if(
+        this->members.rbegin(), this->members.rend(), [name](const auto& member) { return member.first == name; });
+    if (found == this->members.rend())
+        return std::nullopt;
+    return found->second;
+}
+
+std::string_view JsonObjectText::at(std::string_view name) const
+{
+    if (const auto found = this->find(name))
+        return *found;
+    throw JsonTextError { "missing member " + std::string { name } };
+}
+
+std::vector<std::string_view> splitJsonArray(std::string_view text)
+{
+    std::vector<std::string_view> items;
+    Scanner scanner { text };
+    scanner.skip('[');
+    if (scanner.skipIf(']'))
+        return items;
+    do
+        items.push_back(scanner.readValue());
+    while (scanner.skipIf(','));
+    scanner.skip(']');
+    return items;
+}
+
+nlohmann::json parseJsonText(std::string_view text)
+{
+    try {
+        return nlohmann::json::parse(text);
+    } catch (const nlohmann::json::exception& error) {
+        throw JsonTextError { std::string { error.what() }.substr(0, kMaxErrorBytes) };
+    }
+}
+
+nlohmann::json readDocument(std::string_view text, std::string_view place)
+{
+    try {
+        return parseJsonText(text);
+    } catch (const JsonTextError& error) {
+        spdlog::warn("cannot read the document of {}: {}", place, error.what());
+        return nlohmann::json::value_t::discarded;
+    }
+}
+
+} // namespace berylwing
--- /dev/null
+++ b/src/berylwing/core/json_text.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace berylwing {
+
+/** @brief Error for JSON text that cannot be read. */
+class JsonTextError : public std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+/**
+ * @brief Members of a JSON object as text, so that a member that cannot be parsed does not affect the others.
+ *
+ * The members refer to the text from which the object was created.
+ */
+class JsonObjectText {
+public:
+    /** @brief Splits an object into its members. @param text JSON object. @throws JsonTextError If it is not one. */
+    explicit JsonObjectText(std::string_view text);
+
+    /** @brief Finds a member. @param name Name. @return Text of its value; nothing if there is none. */
+    [[nodiscard]] std::optional<std::string_view> find(std::string_view name) const;
+
+    /** @brief Returns a member. @param name Name. @return Text of its value. @throws JsonTextError If there is none. */
+    [[nodiscard]] std::string_view at(std::string_view name) const;
+
+private:
+    std::vector<std::pair<std::string, std::string_view>> members;
+};
+
+/** @brief Splits an array into its items. @param text JSON array. @return Items. @throws JsonTextError If not one. */
+[[nodiscard]] std::vector<std::string_view> splitJsonArray(std::string_view text);
+
+/**
+ * @brief Parses JSON text of another process.
+ * @param text JSON text.
+ * @return Value.
+ * @throws JsonTextError If the text is not valid JSON or a number is out of range.
+ */
+[[nodiscard]] nlohmann::json parseJsonText(std::string_view text);
+
+/**
+ * @brief Parses the document of an object that any process may have written; logs an error.
+ * @param text JSON text.
+ * @param place Kind and name of the object.
+ * @return Document; a discarded value if it cannot be read.
+ */
+[[nodiscard]] nlohmann::json readDocument(std::string_view text, std::string_view place);
+
+} // namespace berylwing
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/gateway/store_feed.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/core/json_text.hpp"
 #include <algorithm>
 #include <utility>
 
@@ -32,6 +33,16 @@
 /** Time for which news report an outage; longer than the grace period of entries that expired during it. */
 constexpr Duration kOutageTtl { 4000 };
 
+/** Text of a document that could not be read; other hosts cannot read it either. */
+constexpr std::string_view kUnreadableDocument = "unreadable";
+
+std::string textOf(const nlohmann::json& document)
+{
+    if (document.is_discarded())
+        return std::string { kUnreadableDocument };
+    return document.is_null() ? std::string {} : document.dump();
+}
+
 } // namespace
 
 StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind,
@@ -52,7 +63,7 @@
     this->hooks.change(change);
     // A host that has missed earlier changes of the object needs only the last one.
     std::erase_if(this->recentChanges, [&change](const RecentChange& recent) { return recent.name == change.name; });
-    auto document = change.value.is_null() ? std::string {} : change.value.dump();
+    auto document = textOf(change.value);
     this->recentChanges.push_back({ change.name, std::move(document), through, this->clock.now() });
 }
 
@@ -168,19 +179,16 @@
     return news;
 }
 
-bool StoreFeed::applyChanges(const wire::StoreNews& news)
+void StoreFeed::applyChanges(const wire::StoreNews& news)
 {
     for (const auto& change : news.changes()) {
         if (change.revision() <= this->revision)
             continue;
         nlohmann::json value;
         if (!change.value().empty())
-            value = nlohmann::json::parse(change.value(), nullptr, false);
-        if (value.is_discarded())
-            return false;
+            value = readDocument(change.value(), change.name());
         this->applyChange({ this->kind, change.name(), change.revision(), std::move(value) }, change.revision());
     }
-    return true;
 }
 
 void StoreFeed::receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
@@ -197,12 +205,13 @@
         confirmed = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
         this->watcherConfirmedAt = std::max(this->watcherConfirmedAt, *confirmed);
     }
-    if (this->revision < news.after() || !this->applyChanges(news)) {
+    if (this->revision < news.after()) {
         if (!this->missingSince)
             this->missingSince = now;
         this->newsArrived.notifyAll();
         return;
     }
+    this->applyChanges(news);
     this->revision = std::max(this->revision, news.through());
     this->missingSince.reset();
     if (!confirmed)
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -19,7 +19,7 @@
 struct StoreFeedHooks {
     /** Receives the complete list of objects, which replaces all that was reported before. */
     std::function<void(const std::vector<VersionedObject>&)> replaceAll;
-    /** Receives one change; the value of a removed object is null. */
+    /** Receives one change; the value is null if the object was removed, discarded if it cannot be read. */
     std::function<void(const VersionedObject&)> change;
     /** Receives the time up to which all changes are known. */
     std::function<void(TimePoint)> confirm = [](TimePoint) {};
@@ -58,7 +58,7 @@
 class StoreFeed {
     struct RecentChange {
         std::string name;
-        /** JSON document; empty if the object was removed. */
+        /** JSON document, or a text that is none if it cannot be read; empty if the object was removed. */
         std::string document;
         /** Revision of the response that contained the change; not lower than the revision of the change itself. */
         std::uint64_t through = 0;
@@ -72,8 +72,7 @@
     /** Checks if news or the probes of other hosts make a call to the store unnecessary for now. */
     [[nodiscard]] bool canPostponeCall() const;
     void applyChange(const VersionedObject& change, std::uint64_t through);
-    /** Applies the changes of news. @return False if a document is not valid JSON. */
-    [[nodiscard]] bool applyChanges(const wire::StoreNews& news);
+    void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
     [[nodiscard]] wire::StoreNews makeNewsHeader() const;
     static void addChange(wire::StoreNews& news, const RecentChange& recent);
--- /dev/null
+++ b/test/platform/odd_entry_test.cpp
@@ -0,0 +1,149 @@
+#include "berylwing/gateway/gateway.hpp"
+#include "platform/names.hpp"
+#include "platform/platform.hpp"
+#include "platform/store_stand_in.hpp"
+#include "platform/store_transport.hpp"
+#include "support/runtime_context.hpp"
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <unistd.h>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+using nlohmann::json;
+
+constexpr std::uint16_t kStorePort = 8224;
+/** Time in which a change has to be in force; the first list of a host takes as long as a watch. */
+constexpr std::chrono::milliseconds kApplyTimeout { 2000 };
+constexpr std::chrono::milliseconds kPollInterval { 5 };
+
+json makeServer(const std::string& address = "10.128.0.9:8080")
+{
+    return { { "service", "s1" }, { "address", address }, { "zone", "nabeul" }, { "slots", 64 }, { "state", "ready" } };
+}
+
+/** A gateway that reads from a store over HTTP, in which another writer leaves documents as text. */
+class StoreReader {
+public:
+    StoreReader()
+    {
+        this->settings.host = "knox-a-1";
+        this->settings.domain = "nabeul";
+        this->settings.planLease = Duration { 5000 };
+        this->store.rewriteBody = [this](std::string& body) {
+            for (const auto& [mark, text] : this->oddTexts) {
+                for (auto at = body.find(mark); at != std::string::npos; at = body.find(mark, at + text.size()))
+                    body.replace(at, mark.size(), text);
+            }
+        };
+        spawn(this->context.get_executor(), "store", this->store.listen(this->ip, kStorePort, "knox-a-1"));
+    }
+
+    ~StoreReader() { this->context.destroyPending(); }
+
+    void start()
+    {
+        GatewayDependencies dependencies;
+        dependencies.platform = platform::makeStoreTransport({ this->ip, kStorePort });
+        dependencies.open = [](const GatewayEndpoint&, ConnectionReuse) -> Task<std::shared_ptr<EndpointSession>> {
+            throw EndpointError { EndpointFault::NotSent, "refused" };
+            co_return nullptr;
+        };
+        dependencies.sendToHost = [](const SocketAddress&, const std::string&) {};
+        dependencies.logWriter = [this](std::string_view lines) {
+            this->log += lines;
+            return lines.size();
+        };
+        this->gateway = std::make_unique<Gateway>(this->clock, this->settings, this->protocol, std::move(dependencies));
+        this->gateway->start();
+    }
+
+    void writeOdd(const std::string& kind, const std::string& name, const std::string& text)
+    {
+        const auto mark = "odd-text-" + std::to_string(this->oddTexts.size());
+        this->oddTexts.emplace('"' + mark + '"', text);
+        this->store.write(kind, name, mark);
+    }
+
+    /** Runs the host until its log has a line with both texts. */
+    [[nodiscard]] bool waitForLog(const std::string& event, const std::string& detail)
+    {
+        for (std::chrono::milliseconds waited {}; waited < kApplyTimeout; waited += kPollInterval) {
+            if (this->hasLine("\"event\":\"" + event + "\"", detail))
+                return true;
+            this->context.run_for(kPollInterval);
+        }
+        return false;
+    }
+
+    RuntimeContext context;
+    Clock clock { this->context.get_executor() };
+    StoreStandIn store { this->clock };
+    std::map<std::string, std::string> oddTexts;
+    std::string log;
+
+private:
+    [[nodiscard]] bool hasLine(const std::string& event, const std::string& detail) const
+    {
+        for (auto at = this->log.find(event); at != std::string::npos; at = this->log.find(event, at + 1)) {
+            if (this->log.substr(at, this->log.find('\n', at) - at).find(detail) != std::string::npos)
+                return true;
+        }
+        return false;
+    }
+
+    std::string ip
+        = "127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 250) + ".1";
+    GatewaySettings settings;
+    GatewayProtocol protocol = platform::makeProtocol();
+    std::unique_ptr<Gateway> gateway;
+};
+
+/** Writes an odd object of each kind before and after the host starts, and checks that the host follows the others. */
+void checkOthersHold(const std::string& odd)
+{
+    StoreReader reader;
+    reader.store.write("servers", "i-1", makeServer());
+    reader.writeOdd("servers", "i-odd-1", odd);
+    reader.store.write("config", "main", { { "version", 7 } });
+    reader.writeOdd("config", "odd", odd);
+    reader.writeOdd(std::string { platform::names::kHostsKind }, "odd-host-1", odd);
+    reader.start();
+    CHECK(reader.waitForLog("endpoint_seen", "i-1"));
+    CHECK(reader.waitForLog("endpoint_rejected", "i-odd-1"));
+    CHECK(reader.waitForLog("plan_taken", "\"plan\":7"));
+    CHECK(reader.waitForLog("plan_rejected", "odd"));
+    CHECK(reader.waitForLog("hosts_counted", "\"hosts\":2"));
+    reader.writeOdd("servers", "i-1", odd);
+    CHECK(reader.waitForLog("endpoint_gone", "i-1"));
+    reader.store.write("servers", "i-2", makeServer());
+    CHECK(reader.waitForLog("endpoint_seen", "i-2"));
+    reader.writeOdd("config", "odd", odd);
+    reader.store.write("config", "main", { { "version", 8 } });
+    CHECK(reader.waitForLog("plan_taken", "\"plan\":8"));
+    reader.writeOdd("evacuations", "kelibia", odd);
+    reader.store.write("evacuations", "menzel", json::object());
+    CHECK(reader.waitForLog("domain_withdrawn", "kelibia"));
+    CHECK(reader.waitForLog("domain_withdrawn", "menzel"));
+    CHECK(reader.log.find("dependency_lost") == std::string::npos);
+}
+
+} // namespace
+
+TEST_CASE("A number out of range in one object hides no other object of the store", "[platform][odd]")
+{
+    checkOthersHold(R"({"service":"s1","slots":1e999})");
+}
+
+TEST_CASE("Bytes that are not UTF-8 in one object hide no other object of the store", "[platform][odd]")
+{
+    checkOthersHold("{\"service\":\"\xff\xfe\",\"slots\":4}");
+}
+
+TEST_CASE("An escape that stands for no character in one object hides no other object of the store", "[platform][odd]")
+{
+    checkOthersHold(R"({"service":"\ud800","slots":4})");
+}
--- a/test/platform/store_stand_in.cpp
+++ b/test/platform/store_stand_in.cpp
@@ -109,16 +109,20 @@
     if (const auto after = target.parameter("watch"); !after.empty()) {
         const Duration wait { numberOf(target.parameter("wait_ms")) };
         auto answer = co_await this->watch(target.kind, numberOf(after), wait, host);
+        this->rewriteBody(answer.body());
         co_await respond(stream, std::move(answer));
         co_return true;
     }
     if (target.name.empty()) {
-        co_await respond(stream, this->list(target.kind, target.parameter("after")));
+        auto answer = this->list(target.kind, target.parameter("after"));
+        this->rewriteBody(answer.body());
+        co_await respond(stream, std::move(answer));
         co_return true;
     }
     const auto found = this->objects.find({ target.kind, target.name });
     const bool isFound = found != this->objects.end();
     auto answer = isFound ? responseOf(http::status::ok, found->second) : responseOf(http::status::not_found);
+    this->rewriteBody(answer.body());
     co_await respond(stream, std::move(answer));
     co_return true;
 }
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -72,6 +72,8 @@
     std::set<std::string> rejectedHosts;
     /** Modifies the spec that a host writes before it is stored. */
     std::function<void(const std::string& kind, nlohmann::json& spec)> rewriteSpec;
+    /** Modifies the text of the objects that a host reads. */
+    std::function<void(std::string& body)> rewriteBody = [](std::string&) {};
 
 private:
     Clock& clock;
