--- a/src/berylwing/core/json_text.cpp
+++ b/src/berylwing/core/json_text.cpp
@@ -48,6 +48,25 @@
         ++this->position;
     }
 
+    /** Returns the maximum depth of the values that begin up to the end of the text. */
+    std::size_t measureDepth()
+    {
+        std::size_t depth = 0;
+        std::size_t maxDepth = 0;
+        for (; this->position < this->text.size(); ++this->position) {
+            const auto next = this->current();
+            if (next == '"') {
+                this->skipString();
+                --this->position;
+            } else if (next == '{' || next == '[') {
+                maxDepth = std::max(maxDepth, ++depth);
+            } else if ((next == '}' || next == ']') && depth > 0) {
+                --depth;
+            }
+        }
+        return maxDepth;
+    }
+
     std::string_view readValue()
     {
         const auto first = this->peek();
@@ -147,6 +166,8 @@
 
 nlohmann::json parseJsonText(std::string_view text)
 {
+    if (Scanner { text }.measureDepth() > kMaxJsonDepth)
+        throw JsonTextError { "nested too deeply" };
     try {
         return nlohmann::json::parse(text);
     } catch (const nlohmann::json::exception& error) {
--- a/src/berylwing/core/json_text.hpp
+++ b/src/berylwing/core/json_text.hpp
@@ -11,6 +11,9 @@
 
 namespace berylwing {
 
+/** @brief Maximum depth of nested values; copying and writing a value takes stack memory for each level. */
+inline constexpr std::size_t kMaxJsonDepth = 64;
+
 /** @brief Error for JSON text that cannot be read. */
 class JsonTextError : public std::runtime_error {
     using std::runtime_error::runtime_error;
@@ -43,7 +46,7 @@
  * @brief Parses JSON text of another process.
  * @param text JSON text.
  * @return Value.
- * @throws JsonTextError If the text is not valid JSON or a number is out of range.
+ * @throws JsonTextError If the text is not valid JSON, is nested too deeply or has a number out of range.
  */
 [[nodiscard]] nlohmann::json parseJsonText(std::string_view text);
 
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/store/platform_client.hpp"
 
+#include "berylwing/core/json_text.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
 #include <iterator>
@@ -18,8 +19,8 @@
 nlohmann::json parseBody(const std::string& body)
 {
     try {
-        return nlohmann::json::parse(body);
-    } catch (const nlohmann::json::exception& error) {
+        return parseJsonText(body);
+    } catch (const JsonTextError& error) {
         throw PlatformError { PlatformFault::Protocol, error.what() };
     }
 }
--- a/test/berylwing/core/json_text_test.cpp
+++ b/test/berylwing/core/json_text_test.cpp
@@ -43,3 +43,12 @@
     for (const auto* text : { "", "1e999", "\"\xff\"", "{", "NaN", "{} {}" })
         CHECK(readDocument(text, "a").is_discarded());
 }
+
+TEST_CASE("parseJsonText bounds the depth of a document", "[core]")
+{
+    const auto nest = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    CHECK(parseJsonText(nest(kMaxJsonDepth)).size() == 1);
+    CHECK_THROWS_AS(parseJsonText(nest(kMaxJsonDepth + 1)), JsonTextError);
+    CHECK_THROWS_AS(parseJsonText(nest(500'000)), JsonTextError);
+    CHECK(parseJsonText("\"" + std::string(500, '[') + "\"").is_string());
+}
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -275,3 +275,28 @@
     CHECK(fixture.follower.objects.contains("engine-1"));
     CHECK(fixture.follower.feed.isStoreReachable());
 }
+
+TEST_CASE("StoreFeed survives news of a document nested so deeply that the stack cannot hold it", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.follower.hasWatcher = true;
+    fixture.advance(Duration { 4000 });
+    auto news = fixture.watcher.feed.makeRecentNews();
+    const auto addChange = [&news](const std::string& name, const std::string& value) {
+        auto& change = *news.add_changes();
+        change.set_name(name);
+        change.set_revision(news.through() + 1);
+        change.set_value(value);
+        news.set_through(change.revision());
+    };
+    constexpr std::size_t kDepth = 31 * 1024;
+    addChange("odd", std::string(kDepth, '[') + std::string(kDepth, ']'));
+    addChange("engine-1", R"({"slots":1})");
+    fixture.follower.feed.receiveNews(news, std::nullopt);
+    CHECK(fixture.follower.objects.at("odd").is_discarded());
+    CHECK(fixture.follower.objects.contains("engine-1"));
+    CHECK_FALSE(fixture.follower.feed.missingAfter());
+    const auto relayed = fixture.follower.feed.makeRecentNews();
+    REQUIRE(relayed.changes_size() == 2);
+    CHECK(relayed.changes(0).value().size() < kDepth);
+}
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -147,3 +147,11 @@
 {
     checkOthersHold(R"({"service":"\ud800","slots":4})");
 }
+
+TEST_CASE("A document nested so deeply that the stack cannot hold it ends no host", "[platform][odd]")
+{
+    constexpr std::size_t kDepth = 250'000;
+    const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    checkOthersHold(R"({"service":"s1","slots":)" + nested + "}");
+    checkOthersHold(nested);
+}
