--- a/src/berylwing/core/json_text.cpp
+++ b/src/berylwing/core/json_text.cpp
@@ -185,4 +185,24 @@
     }
 }
 
+std::optional<std::uint64_t> readNumber(const nlohmann::json& value, std::uint64_t max)
+{
+    std::uint64_t number = 0;
+    if (value.is_number_unsigned()) {
+        number = value.get<std::uint64_t>();
+    } else if (value.is_number_float()) {
+        // Two to the power of 64, the first number that does not fit.
+        constexpr double kEnd = 18446744073709551616.0;
+        const auto decimal = value.get<double>();
+        if (!(decimal >= 0 && decimal < kEnd))
+            return std::nullopt;
+        number = static_cast<std::uint64_t>(decimal);
+    } else {
+        return std::nullopt;
+    }
+    if (number > max)
+        return std::nullopt;
+    return number;
+}
+
 } // namespace berylwing
--- a/src/berylwing/core/json_text.hpp
+++ b/src/berylwing/core/json_text.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
@@ -58,4 +59,12 @@
  */
 [[nodiscard]] nlohmann::json readDocument(std::string_view text, std::string_view place);
 
+/**
+ * @brief Reads a number that may be written as a decimal; decimals are rounded down.
+ * @param value Value of another process.
+ * @param max Maximum.
+ * @return Number; nothing if the value is not a number from zero to the maximum.
+ */
+[[nodiscard]] std::optional<std::uint64_t> readNumber(const nlohmann::json& value, std::uint64_t max);
+
 } // namespace berylwing
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -2,9 +2,11 @@
 
 #include "berylwing/core/finding.hpp"
 #include "berylwing/core/hash.hpp"
+#include "berylwing/core/json_text.hpp"
 #include "berylwing/gateway/retry_delay.hpp"
 #include "berylwing/relay/response_sink.hpp"
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <spdlog/spdlog.h>
 #include <utility>
@@ -414,8 +416,11 @@
     HostEntry entry { object.name, {}, {} };
     try {
         entry.domain = object.value.at("domain").get<std::string>();
-        entry.address = { object.value.at("address").get<std::string>(), object.value.at("port").get<std::uint16_t>() };
-    } catch (const nlohmann::json::exception& error) {
+        const auto port = readNumber(object.value.at("port"), std::numeric_limits<std::uint16_t>::max());
+        if (!port)
+            throw JsonTextError { "the port is out of range" };
+        entry.address = { object.value.at("address").get<std::string>(), static_cast<std::uint16_t>(*port) };
+    } catch (const std::exception& error) {
         // The host still counts for the fleet-wide limits, which only makes the shares of the others smaller.
         spdlog::warn("invalid entry of host {}: {}", object.name, error.what());
     }
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -92,3 +92,51 @@
     CHECK_THROWS_AS(platform::readEndpoint("i-1", json {}), ConfigurationError);
     CHECK_THROWS_AS(platform::readEndpoint("i-1", json("text")), ConfigurationError);
 }
+
+TEST_CASE("readEndpoint rejects numbers that do not fit into their types", "[platform][odd]")
+{
+    for (const auto* field : { "slots", "cold_remaining_ms", "born" }) {
+        for (const auto& number : { json(1e300), json(2e19), json(-1), json(-0.5), json("64") }) {
+            auto server = makeServer();
+            server[field] = number;
+            CAPTURE(field, number.dump());
+            CHECK_THROWS_AS(platform::readEndpoint("i-1", server), ConfigurationError);
+        }
+    }
+    auto server = makeServer();
+    server["slots"] = std::uint64_t { 1 } << 32;
+    CHECK_THROWS_AS(platform::readEndpoint("i-1", server), ConfigurationError);
+    server["slots"] = 64.0;
+    server["born"] = 18446744073709551615U;
+    CHECK(platform::readEndpoint("i-1", server).slots == 64);
+    CHECK(platform::readEndpoint("i-1", server).startedAt == 18446744073709551615U);
+}
+
+TEST_CASE("readPlan lowers limits and durations that do not fit into their types", "[platform][odd]")
+{
+    auto config = makeConfig();
+    for (const auto* field : { "timeout_ms", "target_latency_ms", "max_attempts", "priority" })
+        config["routes"][0][field] = 1e300;
+    for (const auto* field : { "max_connections", "cold_start_s", "cold_per_s" })
+        config["services"][0][field] = 1e300;
+    config["limits"]["max_header_bytes"] = std::uint64_t { 1 } << 32;
+    config["limits"]["max_body_bytes"] = 1e300;
+    config["limits"]["idle_timeout_ms"] = 18446744073709551615U;
+    const auto plan = platform::readPlan(config);
+    constexpr Duration kDay { 86'400'000 };
+    constexpr Duration kTwoYears { 730 * kDay };
+    const auto* route = plan.findRoute("a.example", "/x/1");
+    CHECK(route->timeout > kDay);
+    CHECK(route->timeout < kTwoYears);
+    CHECK(route->targetLatency > kDay);
+    CHECK(route->maxAttempts > 1000);
+    CHECK(plan.findService("s1")->maxConnections > 1'000'000);
+    CHECK(plan.findService("s1")->coldDuration > kDay);
+    CHECK(plan.findService("s1")->coldDuration < kTwoYears);
+    CHECK(plan.callerBounds().maxHeaderBytes > 1'000'000);
+    CHECK(plan.callerBounds().maxBodyBytes > 1'000'000);
+    CHECK(plan.callerBounds().idleTimeout > kDay);
+    CHECK(plan.callerBounds().idleTimeout < kTwoYears);
+    config["routes"][1]["traffic_split"][0]["weight"] = 1e300;
+    CHECK_THROWS_AS(platform::readPlan(config), ConfigurationError);
+}
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -52,7 +52,8 @@
             throw EndpointError { EndpointFault::NotSent, "refused" };
             co_return nullptr;
         };
-        dependencies.sendToHost = [](const SocketAddress&, const std::string&) {};
+        dependencies.sendToHost
+            = [this](const SocketAddress& to, const std::string&) { this->portsSentTo[to.address] = to.port; };
         dependencies.logWriter = [this](std::string_view lines) {
             this->log += lines;
             return lines.size();
@@ -83,6 +84,8 @@
     Clock clock { this->context.get_executor() };
     StoreStandIn store { this->clock };
     std::map<std::string, std::string> oddTexts;
+    /** Last port of each address to which messages for other hosts were sent. */
+    std::map<std::string, std::uint16_t> portsSentTo;
     std::string log;
 
 private:
@@ -155,3 +158,17 @@
     checkOthersHold(R"({"service":"s1","slots":)" + nested + "}");
     checkOthersHold(nested);
 }
+
+TEST_CASE("A host whose entry has a port out of range gets no messages at another port", "[platform][odd]")
+{
+    StoreReader reader;
+    const std::string kind { platform::names::kHostsKind };
+    for (const auto& port : { json(70'000), json(-1), json(1e300), json("7000") })
+        reader.store.write(
+            kind, "odd-" + port.dump(), { { "domain", "nabeul" }, { "address", "127.0.0.2" }, { "port", port } });
+    reader.store.write(kind, "sound", { { "domain", "nabeul" }, { "address", "127.0.0.3" }, { "port", 7000 } });
+    reader.start();
+    REQUIRE(reader.waitForLog("hosts_counted", "\"hosts\":6"));
+    reader.context.run_for(std::chrono::seconds { 1 });
+    CHECK(reader.portsSentTo == std::map<std::string, std::uint16_t> { { "127.0.0.3", 7000 } });
+}
