--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -30,7 +30,9 @@
 Task<void> connectHttp(beast::tcp_stream& stream, SocketAddress address)
 {
     boost::system::error_code error;
-    const asio::ip::tcp::endpoint endpoint { asio::ip::make_address(address.address), address.port };
+    const asio::ip::tcp::endpoint endpoint { asio::ip::make_address(address.address, error), address.port };
+    if (error)
+        throw HttpCallError { HttpFault::NotConnected, address.address + " is not an IP address" };
     co_await stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         throw HttpCallError { HttpFault::NotConnected, error.message() };
--- a/src/berylwing/http/response_reader.cpp
+++ b/src/berylwing/http/response_reader.cpp
@@ -55,8 +55,10 @@
     this->connection->openedAt = this->clock.now();
     this->setActivityDeadline(this->clock.now() + timeout);
     auto& socket = this->connection->socket;
-    const asio::ip::tcp::endpoint target { asio::ip::make_address(address.address), address.port };
     boost::system::error_code error;
+    const asio::ip::tcp::endpoint target { asio::ip::make_address(address.address, error), address.port };
+    if (error)
+        throw EndpointError { EndpointFault::NotSent, address.address + " is not an IP address" };
     co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         throw EndpointError { this->isTimeout(error) ? EndpointFault::Silent : EndpointFault::NotSent,
--- a/test/berylwing/http/endpoint_session_test.cpp
+++ b/test/berylwing/http/endpoint_session_test.cpp
@@ -259,3 +259,27 @@
     const auto resumed = resumable.measureUnackedTimeouts(true, true);
     CHECK(resumed.second < kMaxCallerPatience);
 }
+
+TEST_CASE("A session with an endpoint that has no IP address fails as not sent", "[http][session]")
+{
+    berylwing::test::RuntimeContext context;
+    Clock clock { context.get_executor() };
+    const GatewayProtocol protocol;
+    const auto open = makeSessionFactory(clock, protocol);
+    EndpointRecord record;
+    record.address = { "engine.example", 8080 };
+    const GatewayEndpoint endpoint { record };
+    std::optional<EndpointFault> fault;
+    spawn(context.get_executor(), "call",
+        [](const SessionFactory& factory, const GatewayEndpoint& target,
+            std::optional<EndpointFault>& result) -> Task<void> {
+            try {
+                co_await factory(target, ConnectionReuse::None);
+            } catch (const EndpointError& error) {
+                result = error.fault();
+            }
+        }(open, endpoint, fault));
+    context.run_for(std::chrono::milliseconds { 100 });
+    CHECK(fault == EndpointFault::NotSent);
+    context.destroyPending();
+}
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -140,3 +140,15 @@
     config["routes"][1]["traffic_split"][0]["weight"] = 1e300;
     CHECK_THROWS_AS(platform::readPlan(config), ConfigurationError);
 }
+
+TEST_CASE("readEndpoint rejects an address to which no connection can be opened", "[platform][odd]")
+{
+    for (const auto* address :
+        { "10.0.0.1:99999", "10.0.0.1:65536", "10.0.0.1:0", "10.0.0.1:-1", "10.0.0.1:80x", "10.0.0.1:", ":80", "x:1",
+            "engine.example:80", "[::1]:80", "10.0.0:80", "10.0.0.1.1:80", "256.0.0.1:80" }) {
+        auto server = makeServer();
+        server["address"] = address;
+        CAPTURE(address);
+        CHECK_THROWS_AS(platform::readEndpoint("i-1", server), ConfigurationError);
+    }
+}
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -1,4 +1,5 @@
 #include "berylwing/gateway/gateway.hpp"
+#include "berylwing/http/endpoint_session.hpp"
 #include "platform/names.hpp"
 #include "platform/platform.hpp"
 #include "platform/store_stand_in.hpp"
@@ -7,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <unistd.h>
 
 namespace {
@@ -48,10 +50,7 @@
     {
         GatewayDependencies dependencies;
         dependencies.platform = platform::makeStoreTransport({ this->ip, kStorePort });
-        dependencies.open = [](const GatewayEndpoint&, ConnectionReuse) -> Task<std::shared_ptr<EndpointSession>> {
-            throw EndpointError { EndpointFault::NotSent, "refused" };
-            co_return nullptr;
-        };
+        dependencies.open = makeSessionFactory(this->clock, this->protocol);
         dependencies.sendToHost
             = [this](const SocketAddress& to, const std::string&) { this->portsSentTo[to.address] = to.port; };
         dependencies.logWriter = [this](std::string_view lines) {
@@ -80,6 +79,28 @@
         return false;
     }
 
+    /** Sends a request and returns whether it got an answer or a refusal. */
+    [[nodiscard]] bool isAnswered(const std::string& target)
+    {
+        GatewayRequest request;
+        request.method = "POST";
+        request.target = target;
+        request.hostname = "a.example";
+        request.arrivedAt = this->clock.now();
+        request.metadata.attemptId = "one";
+        const ResponseWriter sink { [](const ResponseHead&) -> Task<void> { co_return; },
+            [](std::string_view) -> Task<void> { co_return; } };
+        std::optional<Outcome> outcome;
+        spawn(this->context.get_executor(), "caller",
+            [](StoreReader* reader, GatewayRequest& sent, const ResponseWriter& writer,
+                std::optional<Outcome>& result) -> Task<void> {
+                const auto received = co_await reader->gateway->handle(sent, writer);
+                result = received;
+            }(this, request, sink, outcome));
+        this->context.run_for(kApplyTimeout);
+        return outcome.has_value();
+    }
+
     RuntimeContext context;
     Clock clock { this->context.get_executor() };
     StoreStandIn store { this->clock };
@@ -172,3 +193,15 @@
     reader.context.run_for(std::chrono::seconds { 1 });
     CHECK(reader.portsSentTo == std::map<std::string, std::uint16_t> { { "127.0.0.3", 7000 } });
 }
+
+TEST_CASE("A request gets its answer while an entry of its service has a host name for an address", "[platform][odd]")
+{
+    StoreReader reader;
+    reader.store.write("config", "main", json::parse(R"({"version":1,"routes":[{"name":"r","hostname":"a.example",
+        "path_prefix":"/x/","route_kind":"non_idempotent","timeout_ms":1000,"service":"s1"}]})"));
+    reader.store.write("servers", "i-odd", makeServer("engine.example:8080"));
+    reader.start();
+    CHECK(reader.waitForLog("plan_taken", "\"plan\":1"));
+    CHECK(reader.waitForLog("endpoint_rejected", "i-odd"));
+    CHECK(reader.isAnswered("/x/1"));
+}
