--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -348,7 +348,7 @@
         line.add("revision", static_cast<std::int64_t>(object.version));
         this->log.write(line);
         this->plan = std::make_shared<const RoutingPlan>(std::move(next));
-    } catch (const ConfigurationError& error) {
+    } catch (const std::exception& error) {
         LogLine line { LogEvent::PlanRejected };
         this->log.write(line.add("object", object.name).add("findings", error.what()));
     }
@@ -362,7 +362,7 @@
     }
     try {
         this->directory.put(this->protocol.readEndpoint(object.name, object.value));
-    } catch (const ConfigurationError& error) {
+    } catch (const std::exception& error) {
         LogLine line { LogEvent::EndpointRejected };
         this->log.write(line.add("endpoint", object.name).add("findings", error.what()));
         this->directory.remove(object.name);
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -60,7 +60,13 @@
 
 void StoreFeed::applyChange(const VersionedObject& change, std::uint64_t through)
 {
-    this->hooks.change(change);
+    try {
+        this->hooks.change(change);
+    } catch (const std::exception& error) {
+        LogLine line { LogEvent::ObjectRejected };
+        line.add("kind", kObjectKindNames[this->kind]).add("object", change.name);
+        this->log.write(line.add("error", error.what()));
+    }
     // A host that has missed earlier changes of the object needs only the last one.
     std::erase_if(this->recentChanges, [&change](const RecentChange& recent) { return recent.name == change.name; });
     auto document = textOf(change.value);
@@ -271,7 +277,7 @@
             this->isConfirmationRequired = true;
             continue;
         }
-        bool hasFailed = false;
+        std::optional<Duration> retryDelay;
         this->lastAttemptAt = this->clock.now();
         try {
             if (this->isListRequired)
@@ -288,11 +294,17 @@
                 this->isListRequired = true;
                 continue;
             }
-            hasFailed = true;
             this->recordFailure(error);
+            retryDelay = this->nextRetryDelay();
+        } catch (const std::exception& error) {
+            LogLine line { LogEvent::ObjectRejected };
+            this->log.write(line.add("kind", kObjectKindNames[this->kind]).add("error", error.what()));
+            // Some of the objects may not have been applied.
+            this->isListRequired = true;
+            retryDelay = kMaxRetryDelay;
         }
-        if (hasFailed)
-            co_await this->clock.sleepFor(this->nextRetryDelay());
+        if (retryDelay)
+            co_await this->clock.sleepFor(*retryDelay);
     }
 }
 
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -15,7 +15,11 @@
 
 namespace berylwing {
 
-/** @brief Callbacks through which a feed reports the state of the store and queries the state of other hosts. */
+/**
+ * @brief Callbacks through which a feed reports the state of the store and queries the state of other hosts.
+ *
+ * An object whose change throws an exception is ignored; a list that throws is requested again.
+ */
 struct StoreFeedHooks {
     /** Receives the complete list of objects, which replaces all that was reported before. */
     std::function<void(const std::vector<VersionedObject>&)> replaceAll;
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -23,6 +23,7 @@
     WatcherChanged,
     PlanTaken,
     PlanRejected,
+    ObjectRejected,
     EndpointSeen,
     EndpointChanged,
     EndpointGone,
@@ -47,7 +48,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 33> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 34> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -60,6 +61,7 @@
     "watcher_changed",
     "plan_taken",
     "plan_rejected",
+    "object_rejected",
     "endpoint_seen",
     "endpoint_changed",
     "endpoint_gone",
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -5,6 +5,7 @@
 #include "support/runtime_context.hpp"
 #include <catch2/catch.hpp>
 #include <map>
+#include <stdexcept>
 
 namespace {
 
@@ -56,6 +57,8 @@
 
         void apply(const VersionedObject& object)
         {
+            if (object.name == this->rejectedName)
+                throw std::runtime_error { "cannot apply" };
             if (object.value.is_null())
                 this->objects.erase(object.name);
             else
@@ -70,6 +73,8 @@
         TimePoint confirmedAt {};
         TimePoint outageEndedAt {};
         std::map<std::string, nlohmann::json> objects;
+        /** Object whose changes cannot be applied. */
+        std::string rejectedName;
         PlatformClient client;
         StoreFeed feed;
     };
@@ -300,3 +305,36 @@
     REQUIRE(relayed.changes_size() == 2);
     CHECK(relayed.changes(0).value().size() < kDepth);
 }
+
+TEST_CASE("StoreFeed follows the other objects after one cannot be applied", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.advance(Duration { 1000 });
+    fixture.follower.hasWatcher = true;
+    fixture.watcher.rejectedName = "odd";
+    fixture.follower.rejectedName = "odd";
+    fixture.advance(Duration { 3000 });
+    fixture.write("odd", { { "slots", 1 } });
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    fixture.write("engine-2", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    for (const auto* host : { &fixture.watcher, &fixture.follower }) {
+        CHECK(host->objects.contains("engine-1"));
+        CHECK(host->objects.contains("engine-2"));
+        CHECK(host->feed.isStoreReachable());
+    }
+}
+
+TEST_CASE("StoreFeed lists the objects again after a list could not be applied", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.write("a-odd", { { "slots", 1 } });
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.watcher.rejectedName = "a-odd";
+    fixture.advance(Duration { 1000 });
+    CHECK(fixture.watcher.calls < 6);
+    fixture.watcher.rejectedName = {};
+    fixture.advance(Duration { 1000 });
+    CHECK(fixture.watcher.objects.contains("engine-1"));
+}
