Send nothing to an endpoint whose entry became invalid in an outage of the store (LOST)

Cause: an invalid entry was handled like a removed one, and entries that vanish in or shortly after an outage stay in use when most of them are missing. But an entry that another writer replaced has not expired, and names no endpoint to use.

Why this works: the directory rejects an endpoint with an invalid entry at once, in an outage as well.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -65,9 +65,21 @@
         this->logChange(LogEvent::EndpointChanged, *found->second, "missing after an outage of the store");
         return;
     }
-    this->logChange(LogEvent::EndpointGone, *found->second, "removed from the store");
-    found->second->record.isDraining = true;
-    this->endpoints.erase(found);
+    this->erase(found, "removed from the store");
+}
+
+void EndpointDirectory::reject(const std::string& id)
+{
+    if (const auto found = this->endpoints.find(id); found != this->endpoints.end())
+        this->erase(found, "its entry is invalid");
+}
+
+void EndpointDirectory::erase(
+    std::map<std::string, GatewayEndpointPtr, std::less<>>::iterator position, std::string_view reason)
+{
+    this->logChange(LogEvent::EndpointGone, *position->second, reason);
+    position->second->record.isDraining = true;
+    this->endpoints.erase(position);
 }
 
 void EndpointDirectory::retain(const std::set<std::string, std::less<>>& ids)
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -111,6 +111,7 @@
 /** @brief Endpoints and withdrawn failure domains, as listed in the platform's store. */
 class EndpointDirectory {
     [[nodiscard]] bool isInOutageGrace(TimePoint now) const noexcept;
+    void erase(std::map<std::string, GatewayEndpointPtr, std::less<>>::iterator position, std::string_view reason);
     void logChange(LogEvent event, const GatewayEndpoint& endpoint, std::string_view state);
 
 public:
@@ -132,6 +133,9 @@
      */
     void remove(const std::string& id);
 
+    /** @brief Removes an endpoint whose entry became invalid, also after an outage of the store. @param id Endpoint. */
+    void reject(const std::string& id);
+
     /** @brief Removes the endpoints that are not in a complete list. @param ids Endpoints of the list. */
     void retain(const std::set<std::string, std::less<>>& ids);
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -365,7 +365,7 @@
     } catch (const std::exception& error) {
         LogLine line { LogEvent::EndpointRejected };
         this->log.write(line.add("endpoint", object.name).add("findings", error.what()));
-        this->directory.remove(object.name);
+        this->directory.reject(object.name);
     }
 }
 
--- a/test/berylwing/gateway/odd_object_test.cpp
+++ b/test/berylwing/gateway/odd_object_test.cpp
@@ -28,3 +28,21 @@
     CHECK(harness.logText.find("\"event\":\"endpoint_rejected\"") != std::string::npos);
     CHECK(harness.logText.find("\"event\":\"plan_rejected\"") != std::string::npos);
 }
+
+TEST_CASE(
+    "Gateway sends nothing to an endpoint whose entry became invalid in an outage of the store", "[gateway][store]")
+{
+    GatewayHarness harness;
+    harness.putPlan(GatewayHarness::makePlan(1));
+    harness.putEndpoint("engine", "knox-a");
+    harness.advance(Duration { 1500 });
+    harness.platform.failureMode = PlatformFailureMode::Down;
+    harness.advance(Duration { 1000 });
+    harness.platform.store.write(ObjectKind::Endpoint, "engine", { { "slots", 1 } });
+    harness.platform.failureMode = PlatformFailureMode::None;
+    harness.advance(Duration { 1000 });
+    REQUIRE(harness.logText.find("\"event\":\"endpoint_rejected\"") != std::string::npos);
+    const auto answer = harness.sendAndWait("one", "/status/1");
+    CHECK_FALSE(answer->outcome->isComplete());
+    CHECK(harness.receivedRequests.empty());
+}
