Report invalid values by their beginning, so that the report fits into the log

Seen by operators: an entry that was rejected for a value of more than 64 KB left no line, only a count of dropped lines.

Cause: the finding contained the whole value, and a line beyond the log's buffer is dropped.

Evidence: before, the text of the findings had 100,047 bytes.

Why this works: a finding contains the first 200 bytes of the value.

--- a/src/berylwing/core/finding.cpp
+++ b/src/berylwing/core/finding.cpp
@@ -4,6 +4,13 @@
 
 namespace berylwing {
 
+namespace {
+
+/** Limit of the part of a value that is reported; a longer line does not fit into the log. */
+constexpr std::size_t kMaxFoundBytes = 200;
+
+} // namespace
+
 std::string Findings::text() const
 {
     std::string text;
@@ -14,7 +21,8 @@
 
 void Findings::add(std::string_view place, std::string_view found, std::string_view allowed)
 {
-    this->list.push_back({ std::string { place }, std::string { found }, std::string { allowed } });
+    this->list.push_back(
+        { std::string { place }, std::string { found.substr(0, kMaxFoundBytes) }, std::string { allowed } });
 }
 
 void Findings::addAll(std::string_view place, const Findings& part)
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -152,3 +152,18 @@
         CHECK_THROWS_AS(platform::readEndpoint("i-1", server), ConfigurationError);
     }
 }
+
+TEST_CASE(
+    "readEndpoint reports a large value by its beginning, so that the report fits into the log", "[platform][odd]")
+{
+    auto server = makeServer();
+    server["slots"] = std::string(100'000, 'x');
+    try {
+        static_cast<void>(platform::readEndpoint("i-1", server));
+        FAIL("accepted");
+    } catch (const ConfigurationError& error) {
+        const std::string text = error.what();
+        CHECK(text.find("servers/i-1/slots: found \"xxx") != std::string::npos);
+        CHECK(text.size() < 1000);
+    }
+}
