Decode the store's era and show it in logs and metrics

`Store-Era` is read from every answer, from refusals (503, 410, 404, 409) too, and kept by `StoreEra`. Its rise is logged as `store_era_advanced`; `plan_taken`, `dependency_lost` and `history_lost` name the era beside the revision; the gauge `berylwing_store_era` shows the latest one. Nothing acts on it yet.

The store of the soak sends the header in all answers and answers a watch from a revision that it doesn't have with 410.

--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -25,6 +25,7 @@
 class ReachabilityProber;
 class RoutingPlan;
 class StopSchedule;
+class StoreEra;
 class StoreFeed;
 class UnseenRequests;
 struct CrashSuspect;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -87,6 +87,7 @@
     , changeDeadlines { gatewaySettings.changeDeadlines }
     , log { hostClock, std::move(dependencies.logWriter), logPrefix(gatewaySettings) }
     , client { std::move(dependencies.platform), this->hostMetrics }
+    , storeEra { this->hostMetrics, this->log }
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin, gatewaySettings.changeDeadlines.plan - kLeaseMargin }
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
@@ -104,13 +105,15 @@
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay },
-        this->makePlanHooks(), this->log }
+        this->makePlanHooks(), this->storeEra, this->log }
     , endpointFeed { hostClock, this->client, ObjectKind::Endpoint,
-        { kEndpointWatchTimeout, kEndpointBatchDelay, false, kFetchDelay }, this->makeEndpointHooks(), this->log }
+        { kEndpointWatchTimeout, kEndpointBatchDelay, false, kFetchDelay }, this->makeEndpointHooks(), this->storeEra,
+        this->log }
     , domainFeed { hostClock, this->client, ObjectKind::FailureDomain, { kDomainWatchTimeout, {}, false, {} },
-        this->makeDomainHooks(), this->log }
+        this->makeDomainHooks(), this->storeEra, this->log }
     , hostFeed { hostClock, this->client, ObjectKind::Host,
-        { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->log }
+        { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->storeEra,
+        this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
     , stop { gatewaySettings.stopGrace }
@@ -346,7 +349,7 @@
         LogLine line { LogEvent::PlanTaken };
         line.add("plan", static_cast<std::int64_t>(next.version()));
         line.add("revision", static_cast<std::int64_t>(object.version));
-        this->log.write(line);
+        this->log.write(line.add("era", static_cast<std::int64_t>(this->storeEra.current())));
         this->plan = std::make_shared<const RoutingPlan>(std::move(next));
     } catch (const std::exception& error) {
         LogLine line { LogEvent::PlanRejected };
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reachability_prober.hpp"
 #include "berylwing/gateway/stop_schedule.hpp"
+#include "berylwing/gateway/store_era.hpp"
 #include "berylwing/gateway/store_feed.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
@@ -172,6 +173,7 @@
     Metrics hostMetrics;
     DecisionLog log;
     PlatformClient client;
+    StoreEra storeEra;
     PlanLease lease;
     std::shared_ptr<const RoutingPlan> plan;
     EndpointDirectory directory;
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -46,12 +46,13 @@
 } // namespace
 
 StoreFeed::StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind,
-    const StoreFeedTiming& feedTiming, StoreFeedHooks feedHooks, DecisionLog& decisionLog)
+    const StoreFeedTiming& feedTiming, StoreFeedHooks feedHooks, StoreEra& storeEra, DecisionLog& decisionLog)
     : clock { hostClock }
     , client { storeClient }
     , kind { objectKind }
     , timing { feedTiming }
     , hooks { std::move(feedHooks) }
+    , era { storeEra }
     , log { decisionLog }
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
     , newsArrived { hostClock }
@@ -87,6 +88,8 @@
 {
     const auto sentAt = this->clock.now();
     const auto all = co_await this->client.listAll(this->kind, false);
+    this->era.observe(all.era, {});
+    this->listEra = all.era;
     this->revision = all.through;
     this->recentChanges.clear();
     this->recentChangesAfter = this->revision;
@@ -104,6 +107,7 @@
     const bool isShort = this->failures > 0 || this->isConfirmationRequired || this->missingSince;
     const auto length = isShort ? kProbeTimeout : this->timing.watchTimeout;
     const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
+    this->era.observe(batch.era, {});
     for (const auto& change : batch.changes)
         this->applyChange(change, batch.through);
     this->revision = std::max(this->revision, batch.through);
@@ -246,6 +250,12 @@
     return Duration { jitter(this->random) };
 }
 
+void StoreFeed::logPosition(LogLine line)
+{
+    line.add("revision", static_cast<std::int64_t>(this->revision));
+    this->log.write(line.add("era", static_cast<std::int64_t>(this->listEra)));
+}
+
 void StoreFeed::recordSuccess()
 {
     if (this->failures == 0)
@@ -262,7 +272,7 @@
     if (this->failures == 0) {
         LogLine line { LogEvent::DependencyLost };
         line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
-        this->log.write(line.add("revision", static_cast<std::int64_t>(this->revision)).add("error", error.what()));
+        this->logPosition(std::move(line.add("error", error.what())));
     }
     ++this->failures;
     this->hooks.reportFailure();
@@ -286,11 +296,12 @@
                 co_await this->watchChanges();
             this->recordSuccess();
         } catch (const PlatformError& error) {
+            this->era.observe(error.era(), {});
             if (error.fault() == PlatformFault::HistoryGone) {
                 this->recordSuccess();
                 LogLine line { LogEvent::HistoryLost };
                 line.add("kind", kObjectKindNames[this->kind]);
-                this->log.write(line.add("revision", static_cast<std::int64_t>(this->revision)));
+                this->logPosition(std::move(line));
                 this->isListRequired = true;
                 continue;
             }
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/event.hpp"
 #include "berylwing/gateway/digest.pb.h"
+#include "berylwing/gateway/store_era.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include <cstdint>
@@ -80,6 +81,8 @@
     void pruneRecentChanges();
     [[nodiscard]] wire::StoreNews makeNewsHeader() const;
     static void addChange(wire::StoreNews& news, const RecentChange& recent);
+    /** Writes a log line with the revision and the era that the feed has reached. */
+    void logPosition(LogLine line);
     void recordSuccess();
     void recordFailure(const PlatformError& error);
 
@@ -91,10 +94,11 @@
      * @param objectKind Kind of the objects.
      * @param feedTiming Timing of the calls to the store.
      * @param feedHooks Callbacks of the feed.
+     * @param storeEra Latest known era of the store.
      * @param decisionLog Decision log of the host.
      */
     StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, const StoreFeedTiming& feedTiming,
-        StoreFeedHooks feedHooks, DecisionLog& decisionLog);
+        StoreFeedHooks feedHooks, StoreEra& storeEra, DecisionLog& decisionLog);
 
     /** @brief Follows the objects until the host stops. @return Awaitable that never completes. */
     [[nodiscard]] Task<void> run();
@@ -137,9 +141,12 @@
     ObjectKind kind;
     StoreFeedTiming timing;
     StoreFeedHooks hooks;
+    StoreEra& era;
     DecisionLog& log;
     std::minstd_rand random;
     Event newsArrived;
+    /** Era of the last list, which the revision belongs to. */
+    std::uint64_t listEra = 0;
     std::uint64_t revision = 0;
     /** Last change of each object, kept to be relayed to other hosts. */
     std::deque<RecentChange> recentChanges;
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -54,6 +54,11 @@
     std::vector<VersionedObject> changes;
     /** Revision up to which the list or the changes are complete. */
     std::uint64_t through = 0;
+    /**
+     * Era of the store, which rises each time that the store is restored from a copy; zero if the platform has no eras.
+     * Revisions are comparable only within an era.
+     */
+    std::uint64_t era = 0;
     /** Whether the list continues after the last object. */
     bool hasMore = false;
 };
@@ -65,6 +70,8 @@
     std::string body;
     /** Objects of a List or WatchKind call. */
     WatchBatch batch {};
+    /** Era of the store; zero if the response names none. */
+    std::uint64_t era = 0;
 };
 
 /** @brief Object as it is stored in the platform. */
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -123,6 +123,7 @@
     request.afterName = std::move(afterName);
     request.allowStale = allowStale;
     auto reply = co_await this->call(std::move(request));
+    reply.batch.era = reply.era;
     co_return std::move(reply.batch);
 }
 
@@ -146,6 +147,7 @@
     request.wait = wait;
     request.timeout = wait + kKindWatchReplyTimeout;
     auto reply = co_await this->call(std::move(request));
+    reply.batch.era = reply.era;
     co_return std::move(reply.batch);
 }
 
--- a/src/berylwing/store/platform_error.hpp
+++ b/src/berylwing/store/platform_error.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <stdexcept>
 #include <string>
 
@@ -22,18 +23,28 @@
 /** @brief Error of a call to the platform. */
 class PlatformError : public std::runtime_error {
 public:
-    /** @brief Creates the error. @param kind Reason. @param text Description. */
-    PlatformError(PlatformFault kind, const std::string& text)
+    /**
+     * @brief Creates the error.
+     * @param kind Reason.
+     * @param text Description.
+     * @param storeEra Era of the store that the response named; zero without one.
+     */
+    PlatformError(PlatformFault kind, const std::string& text, std::uint64_t storeEra = 0)
         : std::runtime_error { text }
         , kind { kind }
+        , storeEra { storeEra }
     {
     }
 
     /** @brief Returns why the call failed. @return Reason. */
     [[nodiscard]] PlatformFault fault() const noexcept { return this->kind; }
 
+    /** @brief Returns the era of the store that the response named. @return Era; zero without one. */
+    [[nodiscard]] std::uint64_t era() const noexcept { return this->storeEra; }
+
 private:
     PlatformFault kind;
+    std::uint64_t storeEra;
 };
 
 } // namespace berylwing
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -19,6 +19,7 @@
     DependencyLost,
     DependencyRegained,
     HistoryLost,
+    StoreEraAdvanced,
     RolesChanged,
     WatcherChanged,
     PlanTaken,
@@ -48,7 +49,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 34> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 35> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -57,6 +58,7 @@
     "dependency_lost",
     "dependency_regained",
     "history_lost",
+    "store_era_advanced",
     "roles_changed",
     "watcher_changed",
     "plan_taken",
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -22,6 +22,11 @@
     return &prometheus::BuildCounter().Name(name).Help(help).Register(registry).Add({});
 }
 
+prometheus::Gauge* makeGauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
 /** Upper bounds in seconds, around the latency targets for first tokens (0.15 to 0.6 s) and deadlines (up to 15 s). */
 const prometheus::Histogram::BucketBoundaries kLatencyBucketBounds { 0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.4, 0.5, 0.6,
     1.0, 2.5, 5.0, 15.0 };
@@ -46,11 +51,8 @@
     , controlByteCount { makeCounter(*this->registry, "berylwing_control_bytes_total", "Bytes sent for control.") }
     , platformCallCount { makeCounter(*this->registry, "berylwing_platform_calls_total", "Calls to the platform.") }
     , relayedChunks { makeCounter(*this->registry, "berylwing_relayed_chunks_total", "Relayed chunks of answers.") }
-    , inFlight { &prometheus::BuildGauge()
-                      .Name("berylwing_in_flight")
-                      .Help("Requests in flight at owned endpoints.")
-                      .Register(*this->registry)
-                      .Add({}) }
+    , inFlight { makeGauge(*this->registry, "berylwing_in_flight", "Requests in flight at owned endpoints.") }
+    , storeEra { makeGauge(*this->registry, "berylwing_store_era", "Latest known era of the store.") }
     , firstByteSeconds { makeHistogram(
           *this->registry, "berylwing_first_byte_seconds", "Time from a request to the first byte of its answer.") }
     , responseSeconds { makeHistogram(
@@ -101,4 +103,6 @@
 
 void Metrics::setInFlight(std::size_t count) { this->inFlight->Set(static_cast<double>(count)); }
 
+void Metrics::setStoreEra(std::uint64_t era) { this->storeEra->Set(static_cast<double>(era)); }
+
 } // namespace berylwing
--- a/src/berylwing/telemetry/metrics.hpp
+++ b/src/berylwing/telemetry/metrics.hpp
@@ -70,6 +70,9 @@
     /** @brief Sets the number of requests in flight at the endpoints that this host owns. @param count Requests. */
     void setInFlight(std::size_t count);
 
+    /** @brief Sets the latest known era of the platform's store. @param era Era. */
+    void setStoreEra(std::uint64_t era);
+
 private:
     std::shared_ptr<prometheus::Registry> registry;
     Counters<kRefusalNames.size()> refusals;
@@ -80,6 +83,7 @@
     prometheus::Counter* platformCallCount;
     prometheus::Counter* relayedChunks;
     prometheus::Gauge* inFlight;
+    prometheus::Gauge* storeEra;
     prometheus::Histogram* firstByteSeconds;
     prometheus::Histogram* responseSeconds;
 };
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -23,7 +23,7 @@
             : log { fixture.clock, [](std::string_view lines) { return lines.size(); }, "" }
             , client { this->counting(fixture.platform.createTransport(name, fixture.clock)), this->metrics }
             , feed { fixture.clock, this->client, ObjectKind::Endpoint, { kWatchTimeout, {}, false, {} },
-                this->hooks(fixture), this->log }
+                this->hooks(fixture), this->era, this->log }
         {
             spawn(fixture.context.get_executor(), "feed", this->feed.run());
         }
@@ -76,6 +76,7 @@
         /** Object whose changes cannot be applied. */
         std::string rejectedName;
         PlatformClient client;
+        StoreEra era { this->metrics, this->log };
         StoreFeed feed;
     };
 
--- a/test/platform/store_stand_in.cpp
+++ b/test/platform/store_stand_in.cpp
@@ -87,6 +87,12 @@
     return this->fault.isDown || this->rejectedHosts.contains(host);
 }
 
+Task<void> StoreStandIn::respondWithEra(boost::beast::tcp_stream& stream, StandInResponse response) const
+{
+    response.set(std::string { names::kStoreEra }, std::to_string(this->era));
+    return respond(stream, std::move(response));
+}
+
 Task<bool> StoreStandIn::handle(boost::beast::tcp_stream& stream, const StandInRequest& request, std::string host)
 {
     const Target target { { request.target().data(), request.target().size() } };
@@ -96,34 +102,34 @@
         co_return false;
     }
     if (this->isRejecting(host)) {
-        co_await respond(stream, responseOf(http::status::service_unavailable));
+        co_await this->respondWithEra(stream, responseOf(http::status::service_unavailable));
         co_return true;
     }
     if (request.method() != http::verb::get) {
         auto answer = this->applyChange(request, target.kind, target.name, target.parameter("revision"));
         if (this->fault.isDroppingAnswers)
             co_return false;
-        co_await respond(stream, std::move(answer));
+        co_await this->respondWithEra(stream, std::move(answer));
         co_return true;
     }
     if (const auto after = target.parameter("watch"); !after.empty()) {
         const Duration wait { numberOf(target.parameter("wait_ms")) };
         auto answer = co_await this->watch(target.kind, numberOf(after), wait, host);
         this->rewriteBody(answer.body());
-        co_await respond(stream, std::move(answer));
+        co_await this->respondWithEra(stream, std::move(answer));
         co_return true;
     }
     if (target.name.empty()) {
         auto answer = this->list(target.kind, target.parameter("after"));
         this->rewriteBody(answer.body());
-        co_await respond(stream, std::move(answer));
+        co_await this->respondWithEra(stream, std::move(answer));
         co_return true;
     }
-    const auto found = this->objects.find({ target.kind, target.name });
-    const bool isFound = found != this->objects.end();
+    const auto found = this->state.objects.find({ target.kind, target.name });
+    const bool isFound = found != this->state.objects.end();
     auto answer = isFound ? responseOf(http::status::ok, found->second) : responseOf(http::status::not_found);
     this->rewriteBody(answer.body());
-    co_await respond(stream, std::move(answer));
+    co_await this->respondWithEra(stream, std::move(answer));
     co_return true;
 }
 
@@ -133,15 +139,15 @@
     while (true) {
         if (this->isRejecting(host))
             co_return responseOf(http::status::service_unavailable);
-        if (after < this->compactedRevision)
+        if (after < this->state.compactedRevision || after > this->state.revision)
             co_return responseOf(http::status::gone);
         json events = json::array();
-        for (const auto& each : this->history) {
+        for (const auto& each : this->state.history) {
             if (each.kind == kind && each.revision > after)
                 events.push_back(each.event);
         }
         if (!events.empty() || this->clock.now() >= until)
-            co_return responseOf(http::status::ok, { { "events", events }, { "at", this->revision } });
+            co_return responseOf(http::status::ok, { { "events", events }, { "at", this->state.revision } });
         co_await this->changed.waitUntil(until);
     }
 }
@@ -149,11 +155,11 @@
 StandInResponse StoreStandIn::list(const std::string& kind, const std::string& afterName) const
 {
     json items = json::array();
-    for (const auto& [key, object] : this->objects) {
+    for (const auto& [key, object] : this->state.objects) {
         if (key.first == kind && key.second > afterName)
             items.push_back(object);
     }
-    return responseOf(http::status::ok, { { "items", items }, { "has_more", false }, { "at", this->revision } });
+    return responseOf(http::status::ok, { { "items", items }, { "has_more", false }, { "at", this->state.revision } });
 }
 
 StandInResponse StoreStandIn::applyChange(
@@ -162,8 +168,8 @@
     const auto document = json::parse(request.body(), nullptr, false);
     const auto metadata = document.is_object() ? document.value("metadata", json::object()) : json::object();
     const Key key { kind, name.empty() ? metadata.value("name", "") : name };
-    const auto found = this->objects.find(key);
-    const bool isThere = found != this->objects.end();
+    const auto found = this->state.objects.find(key);
+    const bool isThere = found != this->state.objects.end();
     if (request.method() == http::verb::post && isThere)
         return responseOf(http::status::conflict, found->second);
     if (request.method() != http::verb::post) {
@@ -181,18 +187,18 @@
     if (this->rewriteSpec)
         this->rewriteSpec(kind, spec);
     this->put(key, spec);
-    return responseOf(http::status::ok, this->objects.at(key));
+    return responseOf(http::status::ok, this->state.objects.at(key));
 }
 
 void StoreStandIn::put(const Key& key, const json& spec)
 {
-    auto& object = this->objects[key];
+    auto& object = this->state.objects[key];
     if (object.is_object() && object.at("spec") == spec)
         return;
-    ++this->revision;
-    const auto created = object.is_object() ? object.at("metadata").at("created_revision") : json(this->revision);
+    ++this->state.revision;
+    const auto created = object.is_object() ? object.at("metadata").at("created_revision") : json(this->state.revision);
     object = { { "metadata",
-                   { { "name", key.second }, { "revision", this->revision }, { "created_revision", created },
+                   { { "name", key.second }, { "revision", this->state.revision }, { "created_revision", created },
                        { "finalizers", json::array() }, { "deletion_pending", false } } },
         { "spec", spec }, { "status", json::object() } };
     this->record(key, object, false);
@@ -200,19 +206,20 @@
 
 void StoreStandIn::erase(const Key& key)
 {
-    auto object = std::move(this->objects.at(key));
-    this->objects.erase(key);
-    ++this->revision;
-    object["metadata"]["revision"] = this->revision;
+    auto object = std::move(this->state.objects.at(key));
+    this->state.objects.erase(key);
+    ++this->state.revision;
+    object["metadata"]["revision"] = this->state.revision;
     this->record(key, object, true);
 }
 
 void StoreStandIn::record(const Key& key, const json& object, bool isDeleted)
 {
-    this->history.push_back({ this->revision, key.first, { { "object", object }, { "deleted", isDeleted } } });
-    if (this->history.size() > kMaxHistory) {
-        this->compactedRevision = this->history.front().revision;
-        this->history.pop_front();
+    this->state.history.push_back(
+        { this->state.revision, key.first, { { "object", object }, { "deleted", isDeleted } } });
+    if (this->state.history.size() > kMaxHistory) {
+        this->state.compactedRevision = this->state.history.front().revision;
+        this->state.history.pop_front();
     }
     this->changed.notifyAll();
 }
@@ -224,14 +231,21 @@
 
 void StoreStandIn::remove(const std::string& kind, const std::string& name)
 {
-    if (this->objects.contains({ kind, name }))
+    if (this->state.objects.contains({ kind, name }))
         this->erase({ kind, name });
 }
 
+void StoreStandIn::restore(const State& earlier)
+{
+    this->state = earlier;
+    ++this->era;
+    this->changed.notifyAll();
+}
+
 void StoreStandIn::dropHistory()
 {
-    this->compactedRevision = this->revision;
-    this->history.clear();
+    this->state.compactedRevision = this->state.revision;
+    this->state.history.clear();
     this->changed.notifyAll();
 }
 
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -35,6 +35,16 @@
 
     using Key = std::pair<std::string, std::string>;
 
+    /** Objects and the history that leads to them. */
+    struct State {
+        std::map<Key, nlohmann::json> objects;
+        std::deque<Change> history;
+        std::uint64_t revision = 1;
+        /** Last revision whose change is no longer in the history. */
+        std::uint64_t compactedRevision = 0;
+    };
+
+    [[nodiscard]] Task<void> respondWithEra(boost::beast::tcp_stream& stream, StandInResponse response) const;
     [[nodiscard]] Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request, std::string host);
     [[nodiscard]] Task<StandInResponse> watch(std::string kind, std::uint64_t after, Duration wait, std::string host);
     [[nodiscard]] StandInResponse list(const std::string& kind, const std::string& afterName) const;
@@ -64,6 +74,12 @@
     /** @brief Removes an object. @param kind Kind. @param name Name. */
     void remove(const std::string& kind, const std::string& name);
 
+    /** @brief Copies all objects. @return Copy for restore(). */
+    [[nodiscard]] State copy() const { return this->state; }
+
+    /** @brief Restores an earlier state: revisions are given out again, and the era rises. @param earlier Copy. */
+    void restore(const State& earlier);
+
     /** @brief Drops the history of changes, so that watches from an earlier revision end with 410 Gone. */
     void dropHistory();
 
@@ -78,11 +94,9 @@
 private:
     Clock& clock;
     Event changed;
-    std::map<Key, nlohmann::json> objects;
-    std::deque<Change> history;
-    std::uint64_t revision = 1;
-    /** Last revision whose change is no longer in the history. */
-    std::uint64_t compactedRevision = 0;
+    State state;
+    /** Number of times that the store was restored from a copy, from 1 on. */
+    std::uint64_t era = 1;
 };
 
 } // namespace berylwing::test
--- /dev/null
+++ b/test/platform/store_transport_test.cpp
@@ -0,0 +1,97 @@
+#include "platform/store_transport.hpp"
+
+#include "berylwing/store/platform_error.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include "platform/store_stand_in.hpp"
+#include "support/runtime_context.hpp"
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+namespace {
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+constexpr int kFirstPort = 40'000;
+constexpr int kPorts = 8000;
+constexpr Duration kShortWait { 1 };
+constexpr Duration kLongWait { 400 };
+
+/** Client of a store that listens on a port of this process. */
+class TransportFixture {
+public:
+    TransportFixture()
+    {
+        spawn(this->context.get_executor(), "store",
+            this->store.listen(this->address.address, this->address.port, "host"));
+    }
+
+    ~TransportFixture() { this->context.destroyPending(); }
+
+    /** Runs a call to its end. */
+    void run(Task<WatchBatch> call)
+    {
+        bool hasEnded = false;
+        spawn(this->context.get_executor(), "call", this->complete(std::move(call), hasEnded));
+        while (!hasEnded) {
+            this->clock.fireDue();
+            this->context.restart();
+            this->context.run_for(std::chrono::milliseconds { 2 });
+        }
+    }
+
+    Task<void> complete(Task<WatchBatch> call, bool& hasEnded)
+    {
+        this->fault.reset();
+        try {
+            this->batch = co_await std::move(call);
+            this->era = this->batch.era;
+        } catch (const PlatformError& error) {
+            this->fault = error.fault();
+            this->era = error.era();
+        }
+        hasEnded = true;
+    }
+
+    RuntimeContext context;
+    Clock clock { this->context.get_executor(),
+        [] { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); } };
+    SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + ::getpid() % kPorts) };
+    StoreStandIn store { this->clock };
+    Metrics metrics;
+    PlatformClient client { platform::makeStoreTransport(this->address), this->metrics };
+    WatchBatch batch;
+    std::uint64_t era = 0;
+    std::optional<PlatformFault> fault;
+};
+
+} // namespace
+
+TEST_CASE("The store's transport reads the era of each answer, of refusals too", "[platform][restore]")
+{
+    TransportFixture fixture;
+    fixture.store.write("servers", "i-1", { { "service", "s1" } });
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK(fixture.era == 1);
+    const auto copy = fixture.store.copy();
+    for (int write = 0; write < 3; ++write)
+        fixture.store.write("servers", "i-2", { { "sequence", write } });
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    const auto before = fixture.batch.through;
+    fixture.store.restore(copy);
+
+    fixture.run(fixture.client.watchKind(ObjectKind::Endpoint, before, kShortWait));
+    CHECK(fixture.fault == PlatformFault::HistoryGone);
+    CHECK(fixture.era == 2);
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK_FALSE(fixture.fault);
+    CHECK(fixture.era == 2);
+    CHECK(fixture.batch.through < before);
+    CHECK(fixture.batch.changes.size() == 1);
+    fixture.run(fixture.client.watchKind(ObjectKind::Endpoint, fixture.batch.through, kLongWait));
+    CHECK(fixture.era == 2);
+    fixture.store.fault.isDown = true;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK(fixture.fault == PlatformFault::Unavailable);
+    CHECK(fixture.era == 2);
+}
