Compare the store's revisions only within an era

Cause: revisions of before and after a restore were compared as one sequence. Hosts that follow the news of a watcher stayed at the higher revision of before, skipped all changes up to it, and confirmed their state all the while. A watch from a revision of before succeeds without 410 once the store has given that revision out again, and skips what was written up to it. A list that was answered before the restore could arrive after it.

Fix: each list belongs to an era, and so do the revision, the news and the requests for news that follow it. Digests name the latest era that their sender knows. When it rises, a host abandons its watches in flight, which a restored store need not answer, and lists all kinds again; until then it neither applies nor relays news nor confirms. A watcher that is still in the old era is ignored, so that its readers ask the store themselves. A list that is older than the known era is dropped.

A host that reaches the store no more since a restore takes no news of the new era, so its lease ends and it refuses; it follows again within 4 s of the store's return.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -71,13 +71,15 @@
     this->dependencies.rateLimits.appendTo(*digest.mutable_limit_report(), digest.is_delegate());
     if (digest.is_delegate())
         this->usesForOwnGroup.appendTo(*digest.mutable_uses());
+    digest.set_store_era(this->dependencies.storeEra.current());
     for (auto* feed : this->dependencies.feeds) {
-        if (digest.is_watcher() && feed->isListed())
+        if (digest.is_watcher() && feed->isCurrent())
             *digest.add_news() = feed->makeRecentNews();
         if (const auto after = feed->missingAfter()) {
             auto& request = *digest.add_requests();
             request.set_kind(static_cast<std::uint32_t>(feed->objectKind()));
             request.set_after(*after);
+            request.set_era(feed->listedEra());
         }
     }
     return digest;
@@ -173,6 +175,7 @@
     if (this->isDelegate && !digest.is_delegate())
         this->usesForOtherGroups.push(uses);
     const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
+    this->dependencies.storeEra.observe(digest.store_era(), digest.host());
     if (digest.reaches_store()) {
         for (const auto& news : digest.news())
             this->handleNews(news, sentAt);
@@ -201,7 +204,7 @@
         return;
     for (const auto& request : digest.requests()) {
         auto* feed = this->findFeed(request.kind());
-        const auto news = feed == nullptr ? std::nullopt : feed->makeNewsAfter(request.after());
+        const auto news = feed == nullptr ? std::nullopt : feed->makeNewsAfter(request.era(), request.after());
         if (!news)
             continue;
         wire::FleetMessage reply;
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -32,6 +32,7 @@
     PromptCacheIndex& holders;
     CrashQuarantine& crashes;
     EndpointRateLimits& rateLimits;
+    StoreEra& storeEra;
     /** Feeds whose news are relayed to other hosts. */
     std::vector<StoreFeed*> feeds;
     /** Sends a datagram to another host; delivery is not guaranteed. */
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -87,7 +87,7 @@
     , changeDeadlines { gatewaySettings.changeDeadlines }
     , log { hostClock, std::move(dependencies.logWriter), logPrefix(gatewaySettings) }
     , client { std::move(dependencies.platform), this->hostMetrics }
-    , storeEra { this->hostMetrics, this->log }
+    , storeEra { this->hostMetrics, this->log, [this] { this->requireLists(); } }
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin, gatewaySettings.changeDeadlines.plan - kLeaseMargin }
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
@@ -139,8 +139,9 @@
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->fleet, this->roster, this->holders,
-        this->crashes, this->rateLimits, { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed },
-        std::move(sendToHost), this->hostMetrics, this->log };
+        this->crashes, this->rateLimits, this->storeEra,
+        { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
+        this->hostMetrics, this->log };
 }
 
 void Gateway::start()
@@ -357,6 +358,12 @@
     }
 }
 
+void Gateway::requireLists()
+{
+    for (auto* feed : { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed })
+        feed->requireList();
+}
+
 void Gateway::applyEndpoint(const VersionedObject& object)
 {
     if (object.value.is_null()) {
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -58,6 +58,7 @@
     void applyPlan(const VersionedObject& object);
     void applyEndpoint(const VersionedObject& object);
     void applyDomain(const VersionedObject& object);
+    void requireLists();
     [[nodiscard]] Task<void> registerHost();
     [[nodiscard]] Task<void> runMaintenance();
     /** Checks if the answer to a request can end before the exit, by the longest answer of late of its route. */
--- a/src/berylwing/gateway/store_era.cpp
+++ b/src/berylwing/gateway/store_era.cpp
@@ -11,6 +11,7 @@
     this->log.write(line.add("from", source));
     this->latest = era;
     this->metrics.setStoreEra(era);
+    this->reportAdvance();
 }
 
 } // namespace berylwing
--- a/src/berylwing/gateway/store_era.hpp
+++ b/src/berylwing/gateway/store_era.hpp
@@ -3,7 +3,9 @@
 #include "berylwing/telemetry/decision_log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <cstdint>
+#include <functional>
 #include <string_view>
+#include <utility>
 
 namespace berylwing {
 
@@ -19,10 +21,12 @@
      * @brief Creates the era of a host that has not heard of the store.
      * @param hostMetrics Metrics of the host.
      * @param decisionLog Decision log of the host.
+     * @param advancedHook Called each time that the known era rises.
      */
-    StoreEra(Metrics& hostMetrics, DecisionLog& decisionLog)
+    StoreEra(Metrics& hostMetrics, DecisionLog& decisionLog, std::function<void()> advancedHook)
         : metrics { hostMetrics }
         , log { decisionLog }
+        , reportAdvance { std::move(advancedHook) }
     {
     }
 
@@ -39,6 +43,7 @@
 private:
     Metrics& metrics;
     DecisionLog& log;
+    std::function<void()> reportAdvance;
     std::uint64_t latest = 0;
 };
 
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -56,6 +56,7 @@
     , log { decisionLog }
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
     , newsArrived { hostClock }
+    , watchEnded { hostClock }
 {
 }
 
@@ -89,6 +90,8 @@
     const auto sentAt = this->clock.now();
     const auto all = co_await this->client.listAll(this->kind, false);
     this->era.observe(all.era, {});
+    if (all.era < this->era.current())
+        throw PlatformError { PlatformFault::Unavailable, "the list is from before a restore of the store" };
     this->listEra = all.era;
     this->revision = all.through;
     this->recentChanges.clear();
@@ -101,18 +104,19 @@
     this->hooks.confirm(sentAt);
 }
 
-Task<void> StoreFeed::watchChanges()
+Task<bool> StoreFeed::watchChanges()
 {
     const auto sentAt = this->clock.now();
     const bool isShort = this->failures > 0 || this->isConfirmationRequired || this->missingSince;
     const auto length = isShort ? kProbeTimeout : this->timing.watchTimeout;
-    const auto batch = co_await this->client.watchKind(this->kind, this->revision, length);
-    this->era.observe(batch.era, {});
-    for (const auto& change : batch.changes)
-        this->applyChange(change, batch.through);
-    this->revision = std::max(this->revision, batch.through);
+    const auto batch = co_await this->watchUntilRestored(length);
+    if (!batch)
+        co_return false;
+    for (const auto& change : batch->changes)
+        this->applyChange(change, batch->through);
+    this->revision = std::max(this->revision, batch->through);
     this->missingSince.reset();
-    const bool hasChanges = !batch.changes.empty();
+    const bool hasChanges = !batch->changes.empty();
     // The store responds to a watch without changes only at the end of its wait, so the response covers that time.
     const auto when = hasChanges ? sentAt : std::min(sentAt + length, this->clock.now());
     this->confirmedAt = std::max(this->confirmedAt, when);
@@ -121,6 +125,51 @@
     this->isConfirmationRequired = hasChanges && this->timing.hasConfirmationWatch;
     if (hasChanges && this->timing.batchingDelay > Duration {})
         co_await this->clock.sleepFor(this->timing.batchingDelay);
+    co_return true;
+}
+
+Task<void> StoreFeed::completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending)
+{
+    try {
+        auto batch = co_await this->client.watchKind(this->kind, after, length);
+        this->era.observe(batch.era, {});
+        pending->batch = std::move(batch);
+    } catch (const PlatformError& error) {
+        this->era.observe(error.era(), {});
+        pending->failure = std::current_exception();
+    } catch (...) {
+        pending->failure = std::current_exception();
+    }
+    this->watchEnded.notifyAll();
+}
+
+Task<std::optional<WatchBatch>> StoreFeed::watchUntilRestored(Duration length)
+{
+    const auto pending = std::make_shared<PendingWatch>();
+    spawn(this->clock.executor(), "store watch", this->completeWatch(this->revision, length, pending));
+    // A store that was restored need not answer the watches from before, which wait for up to several seconds.
+    while (!this->isListRequired && !pending->batch && !pending->failure)
+        co_await this->watchEnded.waitUntil(TimePoint::max());
+    // Whatever the abandoned watch returns says nothing of the restored store.
+    if (this->isListRequired)
+        co_return std::nullopt;
+    if (pending->failure)
+        std::rethrow_exception(pending->failure);
+    if (pending->batch->era != this->listEra)
+        throw PlatformError { PlatformFault::HistoryGone, "the store answered in another era" };
+    co_return std::move(pending->batch);
+}
+
+void StoreFeed::requireList()
+{
+    this->isListRequired = true;
+    // Neither the news nor the failed calls of before tell anything about the restored store.
+    this->newsReceivedAt = {};
+    this->watcherConfirmedAt = {};
+    this->lastAttemptAt = {};
+    this->missingSince.reset();
+    this->newsArrived.notifyAll();
+    this->watchEnded.notifyAll();
 }
 
 wire::StoreNews StoreFeed::makeNewsHeader() const
@@ -128,6 +177,7 @@
     const auto now = this->clock.now();
     wire::StoreNews news;
     news.set_kind(static_cast<std::uint32_t>(this->kind));
+    news.set_era(this->listEra);
     news.set_after(this->recentChangesAfter);
     news.set_through(this->revision);
     news.set_confirmed_age_ms(static_cast<std::uint64_t>((now - this->confirmedAt).count()));
@@ -170,10 +220,10 @@
     return this->revision;
 }
 
-std::optional<wire::StoreNews> StoreFeed::makeNewsAfter(std::uint64_t after)
+std::optional<wire::StoreNews> StoreFeed::makeNewsAfter(std::uint64_t newsEra, std::uint64_t after)
 {
     this->pruneRecentChanges();
-    if (after < this->recentChangesAfter)
+    if (!this->isCurrent() || newsEra != this->listEra || after < this->recentChangesAfter)
         return std::nullopt;
     auto news = this->makeNewsHeader();
     news.set_after(after);
@@ -203,8 +253,8 @@
 
 void StoreFeed::receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
 {
-    // Changes cannot be applied before the first list, or while the feed has to list again.
-    if (!this->hasList || this->isListRequired)
+    // Changes can be applied only to a list of the same era.
+    if (!this->isCurrent() || news.era() != this->listEra)
         return;
     const auto now = this->clock.now();
     this->newsReceivedAt = now;
@@ -290,11 +340,13 @@
         std::optional<Duration> retryDelay;
         this->lastAttemptAt = this->clock.now();
         try {
+            bool isAnswered = true;
             if (this->isListRequired)
                 co_await this->listObjects();
             else
-                co_await this->watchChanges();
-            this->recordSuccess();
+                isAnswered = co_await this->watchChanges();
+            if (isAnswered)
+                this->recordSuccess();
         } catch (const PlatformError& error) {
             this->era.observe(error.era(), {});
             if (error.fault() == PlatformFault::HistoryGone) {
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -8,7 +8,9 @@
 #include "berylwing/telemetry/decision_log.hpp"
 #include <cstdint>
 #include <deque>
+#include <exception>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -70,8 +72,18 @@
         TimePoint at {};
     };
 
+    /** Watch that is abandoned when the store was restored meanwhile. */
+    struct PendingWatch {
+        std::optional<WatchBatch> batch;
+        std::exception_ptr failure;
+    };
+
     [[nodiscard]] Task<void> listObjects();
-    [[nodiscard]] Task<void> watchChanges();
+    /** Watches the store once. @return False if the watch was abandoned. */
+    [[nodiscard]] Task<bool> watchChanges();
+    /** Waits for changes. @return Changes; nothing if the objects have to be listed again meanwhile. */
+    [[nodiscard]] Task<std::optional<WatchBatch>> watchUntilRestored(Duration length);
+    [[nodiscard]] Task<void> completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending);
     /** Returns an exponential delay with jitter, so that hosts do not retry at the same time. */
     [[nodiscard]] Duration nextRetryDelay();
     /** Checks if news or the probes of other hosts make a call to the store unnecessary for now. */
@@ -94,7 +106,7 @@
      * @param objectKind Kind of the objects.
      * @param feedTiming Timing of the calls to the store.
      * @param feedHooks Callbacks of the feed.
-     * @param storeEra Latest known era of the store.
+     * @param storeEra Latest known era of the store; requireList() has to be called when it rises.
      * @param decisionLog Decision log of the host.
      */
     StoreFeed(Clock& hostClock, PlatformClient& storeClient, ObjectKind objectKind, const StoreFeedTiming& feedTiming,
@@ -106,6 +118,16 @@
     /** @brief Checks if the objects have been listed. @return True after the first complete list. */
     [[nodiscard]] bool isListed() const noexcept { return this->hasList; }
 
+    /** @brief Checks if the feed follows the latest known era. @return False until the objects have been listed in it.
+     */
+    [[nodiscard]] bool isCurrent() const noexcept { return this->hasList && !this->isListRequired; }
+
+    /** @brief Returns the era that the feed follows. @return Era of the last list. */
+    [[nodiscard]] std::uint64_t listedEra() const noexcept { return this->listEra; }
+
+    /** @brief Lists the objects again as soon as possible, because the store was restored from a copy. */
+    void requireList();
+
     /** @brief Returns the kind of the objects. @return Kind. */
     [[nodiscard]] ObjectKind objectKind() const noexcept { return this->kind; }
 
@@ -123,13 +145,14 @@
 
     /**
      * @brief Creates news with the last change of each object after a revision, regardless of document size.
+     * @param newsEra Era that the revision belongs to.
      * @param after Revision.
      * @return News; nothing if this host no longer has all of these changes, or if they do not fit into a datagram.
      */
-    [[nodiscard]] std::optional<wire::StoreNews> makeNewsAfter(std::uint64_t after);
+    [[nodiscard]] std::optional<wire::StoreNews> makeNewsAfter(std::uint64_t newsEra, std::uint64_t after);
 
     /**
-     * @brief Applies the changes that another host has seen.
+     * @brief Applies the changes that another host has seen in the era that this feed follows; ignores other news.
      * @param news News of the feed's kind.
      * @param sentAt Earliest time at which they can have been sent; nothing if unknown.
      */
@@ -145,7 +168,8 @@
     DecisionLog& log;
     std::minstd_rand random;
     Event newsArrived;
-    /** Era of the last list, which the revision belongs to. */
+    Event watchEnded;
+    /** Era of the last list, which all revisions here belong to. */
     std::uint64_t listEra = 0;
     std::uint64_t revision = 0;
     /** Last change of each object, kept to be relayed to other hosts. */
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -132,6 +132,8 @@
     auto all = co_await this->list(kind, {}, allowStale);
     while (all.hasMore && !all.changes.empty()) {
         auto page = co_await this->list(kind, all.changes.back().name, allowStale);
+        if (page.era != all.era)
+            throw PlatformError { PlatformFault::HistoryGone, "the store was restored between two pages", page.era };
         all.hasMore = page.hasMore && !page.changes.empty();
         std::move(page.changes.begin(), page.changes.end(), std::back_inserter(all.changes));
     }
--- a/src/berylwing/store/platform_client.hpp
+++ b/src/berylwing/store/platform_client.hpp
@@ -81,7 +81,7 @@
      * @param kind Kind of the objects.
      * @param allowStale Whether the pages may be a few seconds old.
      * @return Objects, complete up to the revision of the first page; a watch from there returns the later changes.
-     * @throws PlatformError If the platform does not respond.
+     * @throws PlatformError If the platform does not respond; with HistoryGone if it was restored between two pages.
      */
     [[nodiscard]] Task<WatchBatch> listAll(ObjectKind kind, bool allowStale);
 
--- a/test/berylwing/gateway/store_era_test.cpp
+++ b/test/berylwing/gateway/store_era_test.cpp
@@ -6,7 +6,7 @@
 
 using namespace berylwing;
 
-TEST_CASE("StoreEra logs and counts each rise of the era, whoever names it", "[gateway][restore]")
+TEST_CASE("StoreEra logs, counts and reports each rise of the era, whoever names it", "[gateway][restore]")
 {
     boost::asio::io_context context { 1 };
     TimePoint time { Duration { 1'000'000 } };
@@ -19,13 +19,15 @@
         },
         "" };
     Metrics metrics;
-    StoreEra era { metrics, log };
+    int advances = 0;
+    StoreEra era { metrics, log, [&advances] { ++advances; } };
     era.observe(3, {});
     era.observe(4, "knox-a-1");
     era.observe(3, "knox-a-2");
     era.observe(0, {});
     log.flush();
     CHECK(era.current() == 4);
+    CHECK(advances == 2);
     CHECK(text.find(R"("event":"store_era_advanced","era":3,"previous":0,"from":"")") != std::string::npos);
     CHECK(text.find(R"("event":"store_era_advanced","era":4,"previous":3,"from":"knox-a-1")") != std::string::npos);
     CHECK(text.find("knox-a-2") == std::string::npos);
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -20,7 +20,8 @@
 public:
     struct Host {
         Host(FeedFixture& fixture, const std::string& name)
-            : log { fixture.clock, [](std::string_view lines) { return lines.size(); }, "" }
+            : clock { fixture.clock }
+            , log { fixture.clock, [](std::string_view lines) { return lines.size(); }, "" }
             , client { this->counting(fixture.platform.createTransport(name, fixture.clock)), this->metrics }
             , feed { fixture.clock, this->client, ObjectKind::Endpoint, { kWatchTimeout, {}, false, {} },
                 this->hooks(fixture), this->era, this->log }
@@ -32,10 +33,18 @@
         {
             return [this, transport = std::move(transport)](const PlatformCall& call) {
                 ++this->calls;
-                return transport(call);
+                return this->delayAnswer(transport(call));
             };
         }
 
+        Task<PlatformReply> delayAnswer(Task<PlatformReply> call)
+        {
+            auto reply = co_await std::move(call);
+            if (this->answerDelay > Duration {})
+                co_await this->clock.sleepFor(this->answerDelay);
+            co_return reply;
+        }
+
         StoreFeedHooks hooks(FeedFixture& fixture)
         {
             StoreFeedHooks result;
@@ -65,6 +74,9 @@
                 this->objects[object.name] = object.value;
         }
 
+        Clock& clock;
+        /** Time that answers of the store are on their way. */
+        Duration answerDelay {};
         Metrics metrics;
         DecisionLog log;
         int calls = 0;
@@ -76,7 +88,7 @@
         /** Object whose changes cannot be applied. */
         std::string rejectedName;
         PlatformClient client;
-        StoreEra era { this->metrics, this->log };
+        StoreEra era { this->metrics, this->log, [this] { this->feed.requireList(); } };
         StoreFeed feed;
     };
 
@@ -240,15 +252,15 @@
     while (!fixture.follower.feed.missingAfter() && fixture.time < TimePoint { Duration { 1'010'000 } })
         fixture.advance(Duration { 5 }, Duration { 5 });
     REQUIRE(fixture.follower.feed.missingAfter());
-    const auto news = fixture.watcher.feed.makeNewsAfter(*fixture.follower.feed.missingAfter());
+    const auto news = fixture.watcher.feed.makeNewsAfter(1, *fixture.follower.feed.missingAfter());
     REQUIRE(news);
     fixture.follower.feed.receiveNews(*news, std::nullopt);
     CHECK(fixture.follower.objects.contains("engine-1"));
     CHECK_FALSE(fixture.follower.feed.missingAfter());
     CHECK(fixture.follower.calls <= calls + 1);
-    CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(0));
+    CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(1, 0));
     fixture.advance(Duration { 15'000 });
-    CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(news->after()));
+    CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(1, news->after()));
 }
 
 TEST_CASE("StoreFeed sends only the last of many versions, which together do not fit into a reply", "[gateway][feed]")
@@ -261,7 +273,7 @@
         fixture.write("engine-1", { { "text", std::string(20'000, 'x') }, { "version", version } });
         fixture.advance(Duration { 250 });
     }
-    const auto news = fixture.watcher.feed.makeNewsAfter(before);
+    const auto news = fixture.watcher.feed.makeNewsAfter(1, before);
     REQUIRE(news);
     REQUIRE(news->changes_size() == 1);
     CHECK(news->changes(0).value().find("\"version\":12") != std::string::npos);
@@ -339,3 +351,81 @@
     fixture.advance(Duration { 1000 });
     CHECK(fixture.watcher.objects.contains("engine-1"));
 }
+
+TEST_CASE(
+    "StoreFeed lists the objects of a restored store although its watch from before succeeds", "[gateway][restore]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    const auto copy = fixture.platform.store;
+    for (int number = 2; number <= 5; ++number)
+        fixture.write("engine-" + std::to_string(number), { { "slots", number } });
+    fixture.advance(Duration { 1000 });
+    CHECK(fixture.watcher.objects.size() == 5);
+    fixture.platform.failureMode = PlatformFailureMode::Down;
+    fixture.advance(Duration { 200 });
+    fixture.platform.store.restore(copy);
+    for (int number = 6; number <= 12; ++number)
+        fixture.write("engine-" + std::to_string(number), { { "slots", number } });
+    fixture.platform.failureMode = PlatformFailureMode::None;
+    fixture.advance(Duration { 1500 });
+    CHECK(fixture.watcher.objects.size() == 8);
+    CHECK(fixture.watcher.objects.contains("engine-6"));
+    CHECK_FALSE(fixture.watcher.objects.contains("engine-2"));
+    CHECK(fixture.watcher.feed.listedEra() == 2);
+}
+
+TEST_CASE("StoreFeed takes no confirmation and no change from news of another era", "[gateway][restore]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.follower.hasWatcher = true;
+    fixture.advance(Duration { 4000 });
+    const auto copy = fixture.platform.store;
+    fixture.write("engine-2", { { "slots", 2 } });
+    fixture.advance(Duration { 1000 });
+    // The host that is cut off from the store stays in the era that the other one leaves, or the other way round.
+    const bool isFollowerLate = GENERATE(true, false);
+    CAPTURE(isFollowerLate);
+    fixture.platform.unreachableHosts.insert(isFollowerLate ? "follower" : "watcher");
+    fixture.platform.store.restore(copy);
+    const auto restoredAt = fixture.time;
+    if (!isFollowerLate)
+        fixture.follower.era.observe(2, "other");
+    for (int number = 0; number < 3; ++number) {
+        fixture.write("engine-3", { { "slots", number } });
+        fixture.advance(Duration { 1500 });
+    }
+    if (isFollowerLate) {
+        CHECK(fixture.follower.confirmedAt <= restoredAt);
+        CHECK_FALSE(fixture.follower.objects.contains("engine-3"));
+        CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(1, 0));
+        fixture.platform.unreachableHosts.clear();
+        fixture.advance(Duration { 4000 });
+    }
+    CHECK(fixture.follower.feed.listedEra() == 2);
+    CHECK_FALSE(fixture.follower.objects.contains("engine-2"));
+    CHECK(fixture.follower.objects.at("engine-3").at("slots") == 2);
+    CHECK(fixture.follower.confirmedAt + Duration { 3500 } > fixture.time);
+}
+
+TEST_CASE("StoreFeed takes no list that was answered before a restore of the store", "[gateway][restore]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.advance(Duration { 4000 });
+    const auto copy = fixture.platform.store;
+    fixture.write("engine-2", { { "slots", 2 } });
+    fixture.follower.answerDelay = Duration { 400 };
+    fixture.follower.feed.requireList();
+    fixture.advance(Duration { 100 });
+    fixture.platform.store.restore(copy);
+    const auto restoredAt = fixture.time;
+    fixture.follower.era.observe(2, "other");
+    fixture.follower.answerDelay = {};
+    while (!fixture.follower.feed.isCurrent() && fixture.time < restoredAt + Duration { 2000 })
+        fixture.advance(Duration { 5 });
+    CHECK(fixture.follower.feed.listedEra() == 2);
+    CHECK_FALSE(fixture.follower.objects.contains("engine-2"));
+}
--- a/test/support/fake_platform.cpp
+++ b/test/support/fake_platform.cpp
@@ -44,6 +44,7 @@
 Task<PlatformReply> FakePlatform::handleCall(std::string host, Clock& clock, PlatformCall call)
 {
     const auto startedAt = clock.now();
+    const auto startEra = this->store.era;
     const bool isSlow = this->failureMode == PlatformFailureMode::Slow || this->slowHosts.contains(host);
     co_await clock.sleepFor(isSlow ? kSlowLatency : kLatency);
     if (this->isUnreachable(host))
@@ -62,6 +63,11 @@
         while (!isSilent && call.after >= this->store.oldestRevision
             && !this->store.hasChangesAfter(call.kind, call.after) && clock.now() < until) {
             co_await clock.sleepFor(kWatchPollInterval);
+            if (this->store.era != startEra) {
+                // A restored store knows nothing of the watches from before, so that they get no response.
+                co_await clock.sleepFor(startedAt + call.timeout - clock.now());
+                throw PlatformError { PlatformFault::OutcomeUnknown, "timed out" };
+            }
             if (this->isUnreachable(host))
                 throwUnavailable();
         }
@@ -77,6 +83,7 @@
     }
     auto& source = this->staleReadHosts.contains(host) && !isWrite(call) ? this->staleStore : this->store;
     auto reply = source.apply(call);
+    reply.era = source.era;
     if (isWrite(call) && this->failureMode == PlatformFailureMode::AnswersLost) {
         co_await clock.sleepFor(kLostAnswerDelay);
         throw PlatformError { PlatformFault::OutcomeUnknown, "no answer" };
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -47,22 +47,39 @@
     added.settings.digests = { address, kPort };
     added.settings.planLease = Duration { 5000 };
     added.settings.changeDeadlines = this->changeDeadlines;
+    this->hosts.emplace(address, std::move(host));
+    this->startProcess(added);
+}
+
+void GatewayFleet::startProcess(Host& host)
+{
+    const auto incarnation = ++host.incarnation;
     GatewayDependencies dependencies;
-    const auto exchange = this->platform.createTransport(name, this->clock);
-    dependencies.platform = [&added, exchange](const PlatformCall& call) {
-        ++added.storeCalls;
+    const auto exchange = this->platform.createTransport(host.settings.host, this->clock);
+    dependencies.platform = [&host, incarnation, exchange](const PlatformCall& call) -> Task<PlatformReply> {
+        if (host.incarnation != incarnation)
+            throw PlatformError { PlatformFault::Unavailable, "the process was killed" };
+        ++host.storeCalls;
         return exchange(call);
     };
-    dependencies.sendToHost
-        = [this, &added](const SocketAddress& to, const std::string& bytes) { this->deliver(added, to, bytes); };
-    dependencies.logWriter = [&added](std::string_view lines) {
-        added.logText += lines;
+    dependencies.sendToHost = [this, &host, incarnation](const SocketAddress& to, const std::string& bytes) {
+        if (host.incarnation == incarnation)
+            this->deliver(host, to, bytes);
+    };
+    dependencies.logWriter = [&host, incarnation](std::string_view lines) {
+        if (host.incarnation == incarnation)
+            host.logText += lines;
         return lines.size();
     };
-    dependencies.incarnation = 1;
-    added.gateway = std::make_unique<Gateway>(this->clock, added.settings, this->protocol, std::move(dependencies));
-    this->hosts.emplace(address, std::move(host));
-    added.gateway->start();
+    dependencies.incarnation = incarnation;
+    host.gateway = std::make_unique<Gateway>(this->clock, host.settings, this->protocol, std::move(dependencies));
+    host.gateway->start();
+}
+
+void GatewayFleet::restart(Host& host)
+{
+    this->formerProcesses.push_back(std::move(host.gateway));
+    this->startProcess(host);
 }
 
 void GatewayFleet::deliver(Host& from, const SocketAddress& to, const std::string& bytes)
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -27,6 +27,7 @@
         std::string logText;
         /** Messages that wait for resume(), as sender and bytes. */
         std::vector<std::pair<std::string, std::string>> heldMessages;
+        std::uint64_t incarnation = 0;
         std::unique_ptr<Gateway> gateway;
     };
 
@@ -48,6 +49,9 @@
     /** @brief Writes the entry of an endpoint into the store. */
     void putEndpoint(const std::string& id, bool isDraining = false);
 
+    /** @brief Kills the process of a host and starts another one. */
+    void restart(Host& host);
+
     /** @brief Resumes a suspended host and delivers the messages that arrived in the meantime. */
     void resume(Host& host);
 
@@ -74,6 +78,7 @@
 
 private:
     void addHost(const std::string& domain, const std::string& name, const std::string& address);
+    void startProcess(Host& host);
     void deliver(Host& from, const SocketAddress& to, const std::string& bytes);
     void runReady();
     /** Returns the hosts that have a role by their last "roles_changed" log line. */
@@ -83,6 +88,8 @@
     Clock clock;
     GatewayProtocol protocol;
     ChangeDeadlines changeDeadlines;
+    /** Gateways of killed processes, which are cut off; their tasks end with the context. */
+    std::vector<std::unique_ptr<Gateway>> formerProcesses;
 };
 
 } // namespace berylwing::test
--- a/test/support/object_store.cpp
+++ b/test/support/object_store.cpp
@@ -28,13 +28,20 @@
     case PlatformOperation::List:
         return { PlatformStatus::Ok, this->revision, {}, this->objectsOf(call.kind, 0) };
     case PlatformOperation::WatchKind:
-        if (call.after < this->oldestRevision)
-            throw PlatformError { PlatformFault::HistoryGone, "history dropped" };
+        if (call.after < this->oldestRevision || call.after > this->revision)
+            throw PlatformError { PlatformFault::HistoryGone, "history dropped", this->era };
         return { PlatformStatus::Ok, this->revision, {}, this->objectsOf(call.kind, call.after) };
     }
     return {};
 }
 
+void ObjectStore::restore(const ObjectStore& copy)
+{
+    const auto nextEra = this->era + 1;
+    *this = copy;
+    this->era = nextEra;
+}
+
 bool ObjectStore::hasChangesAfter(std::uint64_t after) const { return this->configurationRevision > after; }
 
 std::string ObjectStore::body(ObjectKind kind, const std::string& name) const
--- a/test/support/object_store.hpp
+++ b/test/support/object_store.hpp
@@ -38,6 +38,15 @@
     std::vector<HostListing> hosts;
     /** Oldest revision from which a watch of a kind can start; older ones fail with PlatformFault::HistoryGone. */
     std::uint64_t oldestRevision = 0;
+    /** Number of times that the store was restored from a copy, from 1 on. */
+    std::uint64_t era = 1;
+
+    /**
+     * @brief Restores the store from a copy: what was written since is gone, revisions are given out again, and the era
+     * rises.
+     * @param copy Earlier state of the store.
+     */
+    void restore(const ObjectStore& copy);
 
     /** @brief Compacts the history, so that watches from revisions before the current one fail. */
     void dropHistory() { this->oldestRevision = this->revision; }
--- a/test/support/placement_fleet.cpp
+++ b/test/support/placement_fleet.cpp
@@ -54,8 +54,9 @@
         [this] { return this->view.loadAge(); } }
     , placement { fleet.clock, this->directory, this->coldRateLimit, this->rateLimits, this->promptCache,
         this->unseenRequests, this->entry.domain }
+    , storeEra { this->metrics, this->log, [] {} }
     , exchange { { fleet.clock, this->entry.domain, this->entry.name, this->view, this->roster, this->promptCache,
-          this->crashes, this->rateLimits, {},
+          this->crashes, this->rateLimits, this->storeEra, {},
           [this, &fleet](const SocketAddress& to, const std::string& bytes) { fleet.deliver(*this, to, bytes); },
           this->metrics, this->log } }
 {
--- a/test/support/placement_fleet.hpp
+++ b/test/support/placement_fleet.hpp
@@ -71,6 +71,7 @@
         EndpointRateLimits rateLimits;
         UnseenRequests unseenRequests;
         Placement placement;
+        StoreEra storeEra;
         FleetExchange exchange;
         /** Whether messages between this host and others are dropped. */
         bool isIsolated = false;
