Drop the changes of a watch that news have overtaken

What callers could see: an endpoint that leaves is open again at one host, until its next change.

Cause: news of a watcher may be applied while the feed's own watch is in flight. The older answer of the watch was then applied over them, while the revision stayed at that of the news, so that nothing corrected it.

Evidence: found by reading. "StoreFeed does not return to an older state when its own watch is answered after later news" failed without the fix: an answer that was 500 ms on its way turned `draining` from true back to false for good.

Fix: a batch that ends before the feed's revision brings nothing new; its changes are not applied. It still confirms the state, since the store held nothing newer when the watch was sent. Lists can't be overtaken: no news are applied while a list is required.

After: the test passes, as do the other tests of the feed.

--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -112,9 +112,12 @@
     const auto batch = co_await this->watchUntilRestored(length);
     if (!batch)
         co_return false;
-    for (const auto& change : batch->changes)
-        this->applyChange(change, batch->through);
-    this->revision = std::max(this->revision, batch->through);
+    // News may have brought later changes meanwhile.
+    if (batch->through >= this->revision) {
+        for (const auto& change : batch->changes)
+            this->applyChange(change, batch->through);
+        this->revision = batch->through;
+    }
     this->missingSince.reset();
     const bool hasChanges = !batch->changes.empty();
     // The store responds to a watch without changes only at the end of its wait, so the response covers that time.
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -352,6 +352,23 @@
     CHECK(fixture.watcher.objects.contains("engine-1"));
 }
 
+TEST_CASE(
+    "StoreFeed does not return to an older state when its own watch is answered after later news", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "draining", false } });
+    fixture.advance(Duration { 1000 });
+    fixture.follower.answerDelay = Duration { 500 };
+    fixture.advance(kWatchTimeout + Duration { 1000 });
+    fixture.write("engine-1", { { "draining", false }, { "sequence", 2 } });
+    fixture.advance(Duration { 50 });
+    fixture.write("engine-1", { { "draining", true } });
+    fixture.advance(Duration { 300 });
+    CHECK(fixture.follower.objects.at("engine-1").at("draining") == true);
+    fixture.advance(Duration { 3000 });
+    CHECK(fixture.follower.objects.at("engine-1").at("draining") == true);
+}
+
 TEST_CASE(
     "StoreFeed lists the objects of a restored store although its watch from before succeeds", "[gateway][restore]")
 {
