Write the host's own entry again when it vanishes

What callers could see: a host that counts no more among those that share the retry budget, the cold rates and the limits of endpoints: all other hosts take larger shares, so that the fleet exceeds these bounds. It gets no digests, either.

Cause: a host wrote its entry once, at its start. A restore of the store to before it, or the delayed removal by an earlier process of the host, took the entry away for good.

Fix: `HostRegistration` owns the entry. It writes the entry when a list of hosts lacks it or its removal is seen, until the host stops.

Left alone: a host that left after the copy was made comes back as an entry that nobody removes. All shares only get smaller by it, which is safe.

--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -18,6 +18,7 @@
 class Forwarder;
 class Gateway;
 class GatewayEndpoint;
+class HostRegistration;
 class HostRoster;
 class Placement;
 class PlanLease;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -40,7 +40,6 @@
 constexpr Duration kFetchDelay { 500 };
 /** Time between two calls of a host without access to the store while the watcher of its group also retries. */
 constexpr Duration kProbedRetryInterval { 3000 };
-constexpr Duration kRegisterRetryDelay { 500 };
 constexpr Duration kMaintenanceInterval { 100 };
 
 std::string logPrefix(const GatewaySettings& settings)
@@ -88,6 +87,9 @@
     , log { hostClock, std::move(dependencies.logWriter), logPrefix(gatewaySettings) }
     , client { std::move(dependencies.platform), this->hostMetrics }
     , storeEra { this->hostMetrics, this->log, [this] { this->requireLists(); } }
+    , registration { hostClock, this->client, gatewaySettings.host,
+        { { "domain", gatewaySettings.domain }, { "address", gatewaySettings.digests.address },
+            { "port", gatewaySettings.digests.port } } }
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin, gatewaySettings.changeDeadlines.plan - kLeaseMargin }
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
@@ -152,7 +154,7 @@
     spawn(executor, "endpoint feed", this->endpointFeed.run());
     spawn(executor, "domain feed", this->domainFeed.run());
     spawn(executor, "host feed", this->hostFeed.run());
-    spawn(executor, "host entry", this->registerHost());
+    spawn(executor, "host entry", this->registration.run());
     spawn(executor, "maintenance", this->runMaintenance());
     spawn(executor, "digests", this->exchange.run());
 }
@@ -316,7 +318,9 @@
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         for (const auto& object : objects)
             this->applyHost(object);
-        this->roster.retain(collectNames(objects));
+        const auto names = collectNames(objects);
+        this->roster.retain(names);
+        this->registration.applyList(names);
         this->logHostCount();
     };
     hooks.change = [this](const VersionedObject& object) {
@@ -387,40 +391,11 @@
     this->directory.setDomainWithdrawn(object.name, isWithdrawn);
 }
 
-Task<void> Gateway::registerHost()
-{
-    while (!this->isStopping()) {
-        try {
-            const nlohmann::json description { { "domain", this->settings.domain },
-                { "address", this->settings.digests.address }, { "port", this->settings.digests.port } };
-            co_await this->client.put(ObjectKind::Host, this->settings.host, description, 0);
-            co_return;
-        } catch (const PlatformError& error) {
-            // The entry of an earlier start of this host serves as well.
-            if (error.fault() == PlatformFault::Conflict)
-                co_return;
-            spdlog::debug("cannot register host in the store, retrying: {}", error.what());
-        }
-        co_await this->clock.sleepFor(kRegisterRetryDelay);
-    }
-}
-
-Task<void> Gateway::unregisterHost()
-{
-    try {
-        const auto object = co_await this->client.get(ObjectKind::Host, this->settings.host);
-        if (object)
-            co_await this->client.remove(ObjectKind::Host, this->settings.host, object->version);
-    } catch (const PlatformError& error) {
-        // With a stale entry the other hosts use smaller shares of the fleet-wide limits, which is safe.
-        spdlog::info("cannot remove host entry from the store: {}", error.what());
-    }
-}
-
 void Gateway::applyHost(const VersionedObject& object)
 {
     if (object.value.is_null()) {
         this->roster.remove(object.name);
+        this->registration.applyRemoval(object.name);
         return;
     }
     HostEntry entry { object.name, {}, {} };
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/forwarder.hpp"
 #include "berylwing/gateway/gateway_settings.hpp"
+#include "berylwing/gateway/host_registration.hpp"
 #include "berylwing/gateway/host_roster.hpp"
 #include "berylwing/gateway/isolation_detector.hpp"
 #include "berylwing/gateway/placement.hpp"
@@ -59,7 +60,6 @@
     void applyEndpoint(const VersionedObject& object);
     void applyDomain(const VersionedObject& object);
     void requireLists();
-    [[nodiscard]] Task<void> registerHost();
     [[nodiscard]] Task<void> runMaintenance();
     /** Checks if the answer to a request can end before the exit, by the longest answer of late of its route. */
     [[nodiscard]] bool canEndBeforeExit(const GatewayRequest& request, const Route* route) const;
@@ -129,7 +129,7 @@
     void reload(const GatewaySettings& next);
 
     /** @brief Removes this host's entry from the store. @return Awaitable. */
-    [[nodiscard]] Task<void> unregisterHost();
+    [[nodiscard]] Task<void> unregisterHost() { return this->registration.stop(); }
 
     /** @brief Returns the bounds on callers. @return Bounds of the current plan; defaults without a plan. */
     [[nodiscard]] CallerBounds callerBounds() const;
@@ -175,6 +175,7 @@
     DecisionLog log;
     PlatformClient client;
     StoreEra storeEra;
+    HostRegistration registration;
     PlanLease lease;
     std::shared_ptr<const RoutingPlan> plan;
     EndpointDirectory directory;
--- a/test/berylwing/gateway/restored_store_test.cpp
+++ b/test/berylwing/gateway/restored_store_test.cpp
@@ -171,3 +171,35 @@
     fleet.advance(kPlanTimeout);
     CHECK(fleet.countHostsWithPlan(7) == kHosts);
 }
+
+TEST_CASE("Hosts write their entries again after a restore of the store to before their start", "[gateway][restore]")
+{
+    GatewayFleet fleet { 2, { "knox-a", "knox-b", "chatt-a" } };
+    const ObjectStore empty;
+    fleet.putPlan(1);
+    fleet.advance(kSettleTimeout);
+    fleet.platform.store.restore(empty);
+    fleet.advance(kSettleTimeout);
+    for (const auto& [address, host] : fleet.hosts) {
+        CAPTURE(host->settings.host);
+        const auto entry = fleet.platform.store.body(ObjectKind::Host, host->settings.host);
+        CHECK(nlohmann::json::parse(entry, nullptr, false).value("address", "") == address);
+    }
+}
+
+TEST_CASE(
+    "A host writes its entry again when a delayed removal by an earlier process took it away", "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    const auto& name = fleet.hosts.begin()->second->settings.host;
+    PlatformCall call;
+    call.operation = PlatformOperation::Get;
+    call.kind = ObjectKind::Host;
+    call.name = name;
+    call.expectedVersion = fleet.platform.store.apply(call).version;
+    call.operation = PlatformOperation::Remove;
+    CHECK(fleet.platform.store.apply(call).status == PlatformStatus::Ok);
+    fleet.advance(kSettleTimeout);
+    call.operation = PlatformOperation::Get;
+    CHECK(fleet.platform.store.apply(call).status == PlatformStatus::Ok);
+}
