Do not reopen engines that a restored store lists as open

What callers could see: requests that are sent to an engine which had reported `draining` or had left, because the copy that the store was restored from is older than its report.

Cause: the list of the restored store was applied like any other. Entries that the copy lacks, because their engines registered since, were dropped at once if no call of this host had failed.

Fix: in the first list of an era, an entry of a process that is known to leave, or whose entry was removed in the last minute, counts as leaving; its next write, or a new process, tells otherwise. Entries that the copy lacks are kept for the same time as after an outage.

After: the three tests pass; all 60 requests reach the engine that stays.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -9,6 +9,8 @@
 
 /** Time after an outage in which endpoints rewrite their expired entries; the platform guarantees 2 s. */
 constexpr Duration kOutageGraceTimeout { 1900 };
+/** Time for which endpoints that are gone are remembered; the copy that a store is restored from is seconds old. */
+constexpr Duration kDepartureTtl { 60'000 };
 
 } // namespace
 
@@ -35,9 +37,25 @@
     this->log.write(line.add("in", endpoint.record.domain).add("cold_ms", endpoint.record.coldDuration));
 }
 
+bool EndpointDirectory::hasLeft(const EndpointRecord& record) const
+{
+    if (const auto known = this->endpoints.find(record.id); known != this->endpoints.end())
+        return known->second->record.startedAt == record.startedAt && known->second->record.isDraining;
+    const auto gone = this->departures.find(record.id);
+    return gone != this->departures.end() && gone->second.startedAt == record.startedAt;
+}
+
+void EndpointDirectory::recordDeparture(GatewayEndpoint& endpoint)
+{
+    endpoint.record.isDraining = true;
+    this->departures.insert_or_assign(endpoint.record.id, Departure { endpoint.record.startedAt, this->clock.now() });
+}
+
 void EndpointDirectory::put(EndpointRecord record)
 {
     const auto now = this->clock.now();
+    if (this->isApplyingCopy && this->hasLeft(record))
+        record.isDraining = true;
     auto& endpoint = this->endpoints[record.id];
     const bool isNew = !endpoint || endpoint->record.startedAt != record.startedAt;
     if (isNew) {
@@ -78,7 +96,7 @@
     std::map<std::string, GatewayEndpointPtr, std::less<>>::iterator position, std::string_view reason)
 {
     this->logChange(LogEvent::EndpointGone, *position->second, reason);
-    position->second->record.isDraining = true;
+    this->recordDeparture(*position->second);
     this->endpoints.erase(position);
 }
 
@@ -91,6 +109,7 @@
     }
     for (const auto& id : absent)
         this->remove(id);
+    this->isApplyingCopy = false;
 }
 
 void EndpointDirectory::recordStoreRegained()
@@ -107,15 +126,23 @@
     this->storeRegainedAt = endedAt;
 }
 
+void EndpointDirectory::recordRestore() noexcept
+{
+    this->isApplyingCopy = true;
+    this->recordOutage(this->clock.now());
+}
+
 void EndpointDirectory::removeExpired()
 {
+    const auto oldest = this->clock.now() - kDepartureTtl;
+    std::erase_if(this->departures, [oldest](const auto& entry) { return entry.second.at < oldest; });
     if (this->isInOutageGrace(this->clock.now()))
         return;
     std::erase_if(this->endpoints, [this](const auto& entry) {
         if (!entry.second->isMissing)
             return false;
         this->logChange(LogEvent::EndpointGone, *entry.second, "still missing after the store's return");
-        entry.second->record.isDraining = true;
+        this->recordDeparture(*entry.second);
         return true;
     });
 }
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -110,8 +110,18 @@
 
 /** @brief Endpoints and withdrawn failure domains, as listed in the platform's store. */
 class EndpointDirectory {
+    /** Endpoint whose entry was removed. */
+    struct Departure {
+        /** Start of its process, as in EndpointRecord. */
+        std::uint64_t startedAt = 0;
+        TimePoint at {};
+    };
+
     [[nodiscard]] bool isInOutageGrace(TimePoint now) const noexcept;
     void erase(std::map<std::string, GatewayEndpointPtr, std::less<>>::iterator position, std::string_view reason);
+    /** Checks if the process of a record was known to leave or to be gone. */
+    [[nodiscard]] bool hasLeft(const EndpointRecord& record) const;
+    void recordDeparture(GatewayEndpoint& endpoint);
     void logChange(LogEvent event, const GatewayEndpoint& endpoint, std::string_view state);
 
 public:
@@ -148,6 +158,14 @@
     /** @brief Records an outage of the store that another host reported. @param endedAt End of the outage. */
     void recordOutage(TimePoint endedAt) noexcept;
 
+    /**
+     * @brief Records that the store was restored from a copy, and that the list that follows is the first one of it.
+     *
+     * Endpoints that the copy lacks have yet to write their entries again. Those that were known to leave or to be gone
+     * are not used again although the copy may list them as open; their next write tells otherwise.
+     */
+    void recordRestore() noexcept;
+
     /** @brief Removes the endpoints whose entries are still missing some time after an outage of the store. */
     void removeExpired();
 
@@ -180,6 +198,10 @@
     const Clock& clock;
     DecisionLog& log;
     std::map<std::string, GatewayEndpointPtr, std::less<>> endpoints;
+    /** Endpoints that were removed recently, by id. */
+    std::map<std::string, Departure, std::less<>> departures;
+    /** Whether the entries that are applied are those of the first list after a restore of the store. */
+    bool isApplyingCopy = false;
     std::set<std::string, std::less<>> withdrawnDomains;
     /** Last time at which the store was unreachable; the epoch if it never was. */
     TimePoint storeLostAt {};
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -296,6 +296,7 @@
         this->directory.retain(collectNames(objects));
     };
     hooks.change = [this](const VersionedObject& object) { this->applyEndpoint(object); };
+    hooks.reportRestore = [this] { this->directory.recordRestore(); };
     hooks.confirm = [this](TimePoint) { this->directory.recordStoreRegained(); };
     hooks.reportFailure = [this] { this->directory.recordStoreLost(); };
     hooks.reportOutageEnd = [this](TimePoint endedAt) { this->directory.recordOutage(endedAt); };
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -92,6 +92,7 @@
     this->era.observe(all.era, {});
     if (all.era < this->era.current())
         throw PlatformError { PlatformFault::Unavailable, "the list is from before a restore of the store" };
+    const bool isRestored = this->hasList && all.era != this->listEra;
     this->listEra = all.era;
     this->revision = all.through;
     this->recentChanges.clear();
@@ -99,6 +100,8 @@
     this->isListRequired = false;
     this->hasList = true;
     this->missingSince.reset();
+    if (isRestored)
+        this->hooks.reportRestore();
     this->hooks.replaceAll(all.changes);
     this->confirmedAt = std::max(this->confirmedAt, sentAt);
     this->hooks.confirm(sentAt);
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -24,6 +24,8 @@
  * An object whose change throws an exception is ignored; a list that throws is requested again.
  */
 struct StoreFeedHooks {
+    /** Called before the first list of an era of the store that began after an earlier list. */
+    std::function<void()> reportRestore = [] {};
     /** Receives the complete list of objects, which replaces all that was reported before. */
     std::function<void(const std::vector<VersionedObject>&)> replaceAll;
     /** Receives one change; the value is null if the object was removed, discarded if it cannot be read. */
--- a/test/berylwing/gateway/endpoint_directory_test.cpp
+++ b/test/berylwing/gateway/endpoint_directory_test.cpp
@@ -107,3 +107,37 @@
     fixture.directory.retain({ "e1", "e2" });
     CHECK(fixture.open() == 2);
 }
+
+TEST_CASE("EndpointDirectory does not reopen leaving and removed endpoints that a restored store lists as open",
+    "[gateway][directory][restore]")
+{
+    DirectoryFixture fixture;
+    fixture.put("e0", true);
+    fixture.directory.remove("e1");
+    CHECK(fixture.open() == 4);
+    fixture.directory.recordRestore();
+    for (int number = 0; number < 6; ++number)
+        fixture.put("e" + std::to_string(number));
+    fixture.directory.retain({ "e0", "e1", "e2", "e3", "e4", "e5" });
+    CHECK(fixture.open() == 4);
+    fixture.put("e1");
+    CHECK(fixture.open() == 5);
+    fixture.put("e0", false, 2);
+    CHECK(fixture.open() == 6);
+}
+
+TEST_CASE("EndpointDirectory keeps endpoints that a restored store lacks until they had time to write again",
+    "[gateway][directory][restore]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.recordRestore();
+    fixture.put("e0");
+    fixture.directory.retain({ "e0" });
+    fixture.time += Duration { 1500 };
+    fixture.directory.removeExpired();
+    CHECK(fixture.open() == 6);
+    fixture.put("e1");
+    fixture.time += Duration { 500 };
+    fixture.directory.removeExpired();
+    CHECK(fixture.open() == 2);
+}
--- a/test/berylwing/gateway/restored_store_test.cpp
+++ b/test/berylwing/gateway/restored_store_test.cpp
@@ -1,4 +1,5 @@
 #include "support/gateway_fleet.hpp"
+#include "support/gateway_harness.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -203,3 +204,26 @@
     call.operation = PlatformOperation::Get;
     CHECK(fleet.platform.store.apply(call).status == PlatformStatus::Ok);
 }
+
+TEST_CASE("Gateway sends no request to an engine that leaves although a restored store lists it as open",
+    "[gateway][restore]")
+{
+    GatewayHarness harness;
+    harness.putPlan(GatewayHarness::makePlan(1));
+    for (const auto* engine : { "engine-1", "engine-2", "engine-3" })
+        harness.putEndpoint(engine, "knox-a");
+    harness.advance(kSettleTimeout);
+    const auto copy = harness.platform.store;
+    harness.putEndpoint("engine-1", "knox-a", true);
+    harness.remove(ObjectKind::Endpoint, "engine-2");
+    harness.advance(Duration { 500 });
+    harness.receivedRequests.clear();
+    harness.platform.store.restore(copy);
+    for (int number = 0; number < 60; ++number) {
+        harness.sendAndWait("attempt-" + std::to_string(number));
+        harness.advance(Duration { 100 });
+    }
+    CHECK(harness.receivedRequests.size() == 60);
+    for (const auto& request : harness.receivedRequests)
+        CHECK(request.endpoint == "engine-3");
+}
