Keep domains withdrawn that a restored store has yet to list

What callers could see: requests in a failure domain whose withdrawal had been acknowledged, from a restore of the store to before the withdrawal until the operator writes it again.

Cause: the list of the restored store, which lacks the withdrawal, replaced what the host knew.

Fix: domains that were withdrawn before a restore stay so until their entry is written or removed again, for 5 s at most, the bound within which a withdrawal has to be in force. A domain that was returned since is withdrawn while the copy lists it, which is safe.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -9,6 +9,8 @@
 
 /** Time after an outage in which endpoints rewrite their expired entries; the platform guarantees 2 s. */
 constexpr Duration kOutageGraceTimeout { 1900 };
+/** Time after a restore of the store in which operators write again what its copy lacks. */
+constexpr Duration kRestoreGraceTimeout { 5000 };
 /** Time for which endpoints that are gone are remembered; the copy that a store is restored from is seconds old. */
 constexpr Duration kDepartureTtl { 60'000 };
 
@@ -132,6 +134,15 @@
     this->recordOutage(this->clock.now());
 }
 
+void EndpointDirectory::keepWithdrawnDomains()
+{
+    const auto now = this->clock.now();
+    if (now >= this->keptUntil)
+        this->keptDomains.clear();
+    this->keptDomains.insert(this->withdrawnDomains.begin(), this->withdrawnDomains.end());
+    this->keptUntil = now + kRestoreGraceTimeout;
+}
+
 void EndpointDirectory::removeExpired()
 {
     const auto oldest = this->clock.now() - kDepartureTtl;
@@ -153,11 +164,14 @@
         this->withdrawnDomains.insert(domain);
     else
         this->withdrawnDomains.erase(domain);
+    this->keptDomains.erase(domain);
 }
 
 bool EndpointDirectory::isAvailable(const GatewayEndpoint& endpoint) const
 {
-    return !endpoint.record.isDraining && !this->withdrawnDomains.contains(endpoint.record.domain);
+    const auto& domain = endpoint.record.domain;
+    const bool isKeptWithdrawn = this->keptDomains.contains(domain) && this->clock.now() < this->keptUntil;
+    return !endpoint.record.isDraining && !isKeptWithdrawn && !this->withdrawnDomains.contains(domain);
 }
 
 std::vector<GatewayEndpointPtr> EndpointDirectory::availableEndpoints(std::string_view service) const
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -166,6 +166,9 @@
      */
     void recordRestore() noexcept;
 
+    /** @brief Keeps the withdrawn domains for a while, until the restored store has their entries again. */
+    void keepWithdrawnDomains();
+
     /** @brief Removes the endpoints whose entries are still missing some time after an outage of the store. */
     void removeExpired();
 
@@ -203,6 +206,9 @@
     /** Whether the entries that are applied are those of the first list after a restore of the store. */
     bool isApplyingCopy = false;
     std::set<std::string, std::less<>> withdrawnDomains;
+    /** Domains that were withdrawn before a restore of the store, and the time until which they stay so. */
+    std::set<std::string, std::less<>> keptDomains;
+    TimePoint keptUntil {};
     /** Last time at which the store was unreachable; the epoch if it never was. */
     TimePoint storeLostAt {};
     TimePoint storeRegainedAt {};
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -309,6 +309,7 @@
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         this->directory.setWithdrawnDomains(collectNames(objects));
     };
+    hooks.reportRestore = [this] { this->directory.keepWithdrawnDomains(); };
     hooks.change = [this](const VersionedObject& object) { this->applyDomain(object); };
     return hooks;
 }
--- a/test/berylwing/gateway/endpoint_directory_test.cpp
+++ b/test/berylwing/gateway/endpoint_directory_test.cpp
@@ -141,3 +141,26 @@
     fixture.directory.removeExpired();
     CHECK(fixture.open() == 2);
 }
+
+TEST_CASE("EndpointDirectory keeps domains withdrawn that a restored store lacks, for a bounded time",
+    "[gateway][directory][restore]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.setDomainWithdrawn("knox-b", true);
+    fixture.directory.keepWithdrawnDomains();
+    fixture.directory.setWithdrawnDomains({});
+    CHECK(fixture.open() == 3);
+    SECTION("written again")
+    {
+        fixture.directory.setDomainWithdrawn("knox-b", true);
+        fixture.time += Duration { 60'000 };
+        CHECK(fixture.open() == 3);
+        fixture.directory.setDomainWithdrawn("knox-b", false);
+        CHECK(fixture.open() == 6);
+    }
+    SECTION("not written again")
+    {
+        fixture.time += Duration { 5000 };
+        CHECK(fixture.open() == 6);
+    }
+}
