Do not serve by the plan of a copy while another host has a newer one

What callers could see: 404 for an acknowledged route, or a revoked key that is accepted, at a host that starts after the store was restored from a copy and before the operator has written the newer plan again.

Cause: such a host knows nothing but the copy, and confirmed it.

Fix: digests carry the version of their sender's plan. A host extends the lease of its plan only while no live host of its group names a newer version. A host that has listed others waits 300 ms for their first digests, before it confirms its first plan; that much later it is ready after a start.

After: the test passes.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -72,6 +72,7 @@
     if (digest.is_delegate())
         this->usesForOwnGroup.appendTo(*digest.mutable_uses());
     digest.set_store_era(this->dependencies.storeEra.current());
+    digest.set_plan_version(this->dependencies.planVersion());
     for (auto* feed : this->dependencies.feeds) {
         if (digest.is_watcher() && feed->isCurrent())
             *digest.add_news() = feed->makeRecentNews();
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -33,6 +33,8 @@
     CrashQuarantine& crashes;
     EndpointRateLimits& rateLimits;
     StoreEra& storeEra;
+    /** Version of this host's routing plan; zero without one. */
+    std::function<std::uint64_t()> planVersion;
     /** Feeds whose news are relayed to other hosts. */
     std::vector<StoreFeed*> feeds;
     /** Sends a datagram to another host; delivery is not guaranteed. */
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -118,6 +118,9 @@
     /** @brief Checks if a recent digest of another host arrived. @param host Name of the host. @return True if so. */
     [[nodiscard]] bool isPeerLive(std::string_view host) const;
 
+    /** @brief Returns the highest version of a routing plan that a live peer has. @return Version; zero if unknown. */
+    [[nodiscard]] std::uint64_t newestPlanVersion() const;
+
     /** @brief Checks if this host or a live peer receives summaries of other groups. @return True if so. */
     [[nodiscard]] bool hasLiveOtherGroups() const;
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -41,6 +41,8 @@
 /** Time between two calls of a host without access to the store while the watcher of its group also retries. */
 constexpr Duration kProbedRetryInterval { 3000 };
 constexpr Duration kMaintenanceInterval { 100 };
+/** Time after which a host that has listed the others has heard each of them. */
+constexpr Duration kFirstDigestsTimeout { 300 };
 
 std::string logPrefix(const GatewaySettings& settings)
 {
@@ -141,7 +143,7 @@
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->fleet, this->roster, this->holders,
-        this->crashes, this->rateLimits, this->storeEra,
+        this->crashes, this->rateLimits, this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
         { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
         this->hostMetrics, this->log };
 }
@@ -279,7 +281,10 @@
             this->applyPlan(object);
     };
     hooks.change = [this](const VersionedObject& object) { this->applyPlan(object); };
-    hooks.confirm = [this](TimePoint when) { this->lease.confirm(when); };
+    hooks.confirm = [this](TimePoint when) {
+        this->planConfirmedAt = std::max(this->planConfirmedAt, when);
+        this->confirmPlan();
+    };
     hooks.isProbedByPeer = [this](TimePoint triedAt) {
         // A watcher that reaches the store but is not trusted does not retry on behalf of others.
         return this->fleet.isStoreProbed() && this->clock.now() < triedAt + kProbedRetryInterval;
@@ -324,6 +329,9 @@
         this->roster.retain(names);
         this->registration.applyList(names);
         this->logHostCount();
+        if (!this->hostsListedAt)
+            this->hostsListedAt = this->clock.now();
+        this->confirmPlan();
     };
     hooks.change = [this](const VersionedObject& object) {
         this->applyHost(object);
@@ -364,6 +372,16 @@
     }
 }
 
+void Gateway::confirmPlan()
+{
+    // A store that was restored from a copy may hold an older plan than the other hosts, which tell their versions.
+    const bool hasPeers = this->roster.names().size() > 1;
+    if (!this->hostsListedAt || (hasPeers && this->clock.now() < *this->hostsListedAt + kFirstDigestsTimeout))
+        return;
+    if (this->plan && this->plan->version() >= this->fleet.newestPlanVersion())
+        this->lease.confirm(this->planConfirmedAt);
+}
+
 void Gateway::requireLists()
 {
     for (auto* feed : { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed })
@@ -450,6 +468,7 @@
 {
     while (true) {
         this->logWatcher();
+        this->confirmPlan();
         this->logReadiness();
         this->directory.removeExpired();
         this->prober.startDueProbes();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -60,6 +60,8 @@
     void applyEndpoint(const VersionedObject& object);
     void applyDomain(const VersionedObject& object);
     void requireLists();
+    /** Extends the lease of the plan unless another host has a newer one. */
+    void confirmPlan();
     [[nodiscard]] Task<void> runMaintenance();
     /** Checks if the answer to a request can end before the exit, by the longest answer of late of its route. */
     [[nodiscard]] bool canEndBeforeExit(const GatewayRequest& request, const Route* route) const;
@@ -178,6 +180,10 @@
     HostRegistration registration;
     PlanLease lease;
     std::shared_ptr<const RoutingPlan> plan;
+    /** Time up to which the store is known to have held no other plan. */
+    TimePoint planConfirmedAt {};
+    /** Time of the first list of hosts. */
+    std::optional<TimePoint> hostsListedAt;
     EndpointDirectory directory;
     HostRoster roster;
     std::size_t loggedHostCount = 1;
--- a/test/berylwing/gateway/restored_store_test.cpp
+++ b/test/berylwing/gateway/restored_store_test.cpp
@@ -227,3 +227,20 @@
     for (const auto& request : harness.receivedRequests)
         CHECK(request.endpoint == "engine-3");
 }
+
+TEST_CASE("A host that starts with the plan of a copy does not serve by it while another host has a newer one",
+    "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    auto& started = *fleet.hosts.begin()->second;
+    fleet.putPlansUntil(5);
+    fleet.restore();
+    fleet.restart(started);
+    for (int check = 0; check < 30; ++check) {
+        fleet.advance(Duration { 100 });
+        CHECK_FALSE(started.gateway->isReady());
+    }
+    fleet.putPlan(5);
+    fleet.advance(kPlanTimeout);
+    CHECK(started.gateway->isReady());
+}
--- a/test/support/placement_fleet.cpp
+++ b/test/support/placement_fleet.cpp
@@ -56,7 +56,7 @@
         this->unseenRequests, this->entry.domain }
     , storeEra { this->metrics, this->log, [] {} }
     , exchange { { fleet.clock, this->entry.domain, this->entry.name, this->view, this->roster, this->promptCache,
-          this->crashes, this->rateLimits, this->storeEra, {},
+          this->crashes, this->rateLimits, this->storeEra, [] { return 0; }, {},
           [this, &fleet](const SocketAddress& to, const std::string& bytes) { fleet.deliver(*this, to, bytes); },
           this->metrics, this->log } }
 {
