--- a/test/berylwing/gateway/silent_endpoint_test.cpp
+++ b/test/berylwing/gateway/silent_endpoint_test.cpp
@@ -83,6 +83,7 @@
     SilentEndpointHarness harness { { "knox-a-1" } };
     harness.answerTime = Duration { 3000 };
     std::vector<std::shared_ptr<GatewayHarness::Answer>> answers;
+    answers.reserve(12);
     for (int request = 0; request < 12; ++request)
         answers.push_back(harness.sendRequest("call" + std::to_string(request), "/status/1"));
     harness.advance(Duration { 50 });
