Keep the hosts that a restored store has yet to list

What callers could see: for a second or two after a restore of the store, all hosts take too large shares of the retry budget, the cold rates and the limits of endpoints, and drop the digests of hosts that are not listed.

Cause: the first list of the restored store replaced the list of hosts, though the copy lacks each host that registered since it was made. Endpoints and withdrawn domains had a time to be written again, hosts had not.

Evidence: found by the review of the fix, by reading. The test restores the store to before the start of all hosts.

Fix: hosts that the first list of an era lacks stay listed for five seconds, or until their entry is read again; those that are still missing then are removed.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kMaintenanceInterval { 100 };
 /** Time after which a host that has listed the others has heard each of them. */
 constexpr Duration kFirstDigestsTimeout { 300 };
+/** Time in which hosts that a restored store lacks have written their entries again and the others have read them. */
+constexpr Duration kRegistrationTimeout { 5000 };
 
 std::string logPrefix(const GatewaySettings& settings)
 {
@@ -322,11 +324,15 @@
 StoreFeedHooks Gateway::makeHostHooks()
 {
     auto hooks = this->makeFeedHooks([] { return kHostWatchTimeout; });
+    hooks.reportRestore = [this] { this->isHostListRestored = true; };
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
         for (const auto& object : objects)
             this->applyHost(object);
         const auto names = collectNames(objects);
-        this->roster.retain(names);
+        if (std::exchange(this->isHostListRestored, false))
+            this->roster.keepMissing(names, this->clock.now() + kRegistrationTimeout);
+        else
+            this->roster.retain(names);
         this->registration.applyList(names);
         this->logHostCount();
         if (!this->hostsListedAt)
@@ -471,6 +477,8 @@
         this->confirmPlan();
         this->logReadiness();
         this->directory.removeExpired();
+        this->roster.removeMissing(this->clock.now());
+        this->logHostCount();
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -186,6 +186,8 @@
     std::optional<TimePoint> hostsListedAt;
     EndpointDirectory directory;
     HostRoster roster;
+    /** Whether the next list of hosts is the first one of a restored store. */
+    bool isHostListRestored = false;
     std::size_t loggedHostCount = 1;
     /** Host whose store watch this host relies on, as last logged; empty if this host watches the store itself. */
     std::string loggedWatcher;
--- a/src/berylwing/gateway/host_roster.cpp
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -32,6 +32,7 @@
     if (entry.name == this->own.name)
         return;
     auto name = entry.name;
+    this->missing.erase(name);
     this->hosts.insert_or_assign(std::move(name), std::move(entry));
     this->updateNames();
 }
@@ -47,10 +48,28 @@
 
 void HostRoster::retain(const std::set<std::string, std::less<>>& names)
 {
+    this->missing.clear();
     std::erase_if(this->hosts, [&names](const auto& host) { return !names.contains(host.first); });
     this->updateNames();
 }
 
+void HostRoster::keepMissing(const std::set<std::string, std::less<>>& names, TimePoint until)
+{
+    for (const auto& [name, entry] : this->hosts) {
+        if (!names.contains(name))
+            this->missing.insert(name);
+    }
+    this->missingUntil = until;
+}
+
+void HostRoster::removeMissing(TimePoint now)
+{
+    if (now < this->missingUntil)
+        return;
+    for (const auto& name : std::exchange(this->missing, {}))
+        this->remove(name);
+}
+
 bool HostRoster::isFirstFor(std::uint64_t key) const
 {
     return rendezvousRank(key, this->own.name, this->allNames) == 0;
--- a/src/berylwing/gateway/host_roster.hpp
+++ b/src/berylwing/gateway/host_roster.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/config/settings.hpp"
+#include "berylwing/core/clock.hpp"
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -41,6 +42,16 @@
     /** @brief Removes the hosts that are not in a complete list. @param names Hosts of the list. */
     void retain(const std::set<std::string, std::less<>>& names);
 
+    /**
+     * @brief Keeps the hosts that are not in the list of a restored store, which have yet to write their entries again.
+     * @param names Hosts of the list.
+     * @param until Time at which removeMissing() removes those that have not been put by then.
+     */
+    void keepMissing(const std::set<std::string, std::less<>>& names, TimePoint until);
+
+    /** @brief Removes the hosts that are still missing. @param now Current time. */
+    void removeMissing(TimePoint now);
+
     /** @brief Returns the names of all hosts. @return Names, including this host. */
     [[nodiscard]] const std::vector<std::string>& names() const noexcept { return this->allNames; }
 
@@ -66,6 +77,9 @@
 private:
     HostEntry own;
     std::map<std::string, HostEntry, std::less<>> hosts;
+    /** Hosts that a restored store lacks. */
+    std::set<std::string, std::less<>> missing;
+    TimePoint missingUntil {};
     std::vector<std::string> allNames;
     bool isSingleGroup = true;
 };
--- a/test/berylwing/gateway/restored_store_test.cpp
+++ b/test/berylwing/gateway/restored_store_test.cpp
@@ -244,3 +244,30 @@
     fleet.advance(kPlanTimeout);
     CHECK(started.gateway->isReady());
 }
+
+TEST_CASE(
+    "The shares of hosts do not grow while a restored store lacks the entries of other hosts", "[gateway][restore]")
+{
+    GatewayFleet fleet { 2, { "knox-a", "knox-b", "chatt-a" } };
+    const ObjectStore empty;
+    fleet.putPlan(1);
+    fleet.advance(kSettleTimeout);
+    for (const auto& [address, host] : fleet.hosts)
+        host->logText.clear();
+    const auto& lost = fleet.hosts.rbegin()->second;
+    SECTION("all write again")
+    {
+        fleet.platform.store.restore(empty);
+        fleet.advance(2 * kSettleTimeout);
+        CHECK(fleet.countHostsWithLog("\"hosts_counted\"") == 0);
+    }
+    SECTION("one is gone")
+    {
+        lost->isIsolated = true;
+        fleet.platform.unreachableHosts.insert(lost->settings.host);
+        fleet.platform.store.restore(empty);
+        fleet.advance(2 * kSettleTimeout);
+        CHECK(fleet.countHostsWithLog("\"hosts_counted\",\"hosts\":5") == kHosts - 1);
+        CHECK(fleet.countHostsWithLog("\"hosts_counted\",\"hosts\":4") == 0);
+    }
+}
