Do not take an earlier process of the copy for the running engine

What callers could see: requests that are sent to the address of an engine's earlier process (421 or unreachable), and a cold engine that gets the share of a warm one, until the engine's next heartbeat after a restore of the store.

Cause: an engine that started again under its id since the copy was made is listed with its earlier start. Another start was always taken for a later one.

Evidence: found by the review of the fix, by reading.

Fix: in the first list of an era, a record whose process started before the known one does not replace it; the endpoint counts as missing until it is written again. An earlier process of an endpoint that is gone is not used either.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -14,6 +14,12 @@
 /** Time for which endpoints that are gone are remembered; the copy that a store is restored from is seconds old. */
 constexpr Duration kDepartureTtl { 60'000 };
 
+/** Checks if a process started before another one; a start of zero is unknown. */
+bool isEarlier(std::uint64_t startedAt, std::uint64_t otherStartedAt)
+{
+    return startedAt != 0 && startedAt < otherStartedAt;
+}
+
 } // namespace
 
 void GatewayEndpoint::abortSilentCalls(TimePoint since)
@@ -44,7 +50,21 @@
     if (const auto known = this->endpoints.find(record.id); known != this->endpoints.end())
         return known->second->record.startedAt == record.startedAt && known->second->record.isDraining;
     const auto gone = this->departures.find(record.id);
-    return gone != this->departures.end() && gone->second.startedAt == record.startedAt;
+    return gone != this->departures.end()
+        && (gone->second.startedAt == record.startedAt || isEarlier(record.startedAt, gone->second.startedAt));
+}
+
+bool EndpointDirectory::adjustCopied(EndpointRecord& record)
+{
+    const auto known = this->endpoints.find(record.id);
+    if (known != this->endpoints.end() && isEarlier(record.startedAt, known->second->record.startedAt)) {
+        known->second->isMissing = true;
+        this->logChange(LogEvent::EndpointChanged, *known->second, "missing after a restore of the store");
+        return false;
+    }
+    if (this->hasLeft(record))
+        record.isDraining = true;
+    return true;
 }
 
 void EndpointDirectory::recordDeparture(GatewayEndpoint& endpoint)
@@ -56,8 +76,8 @@
 void EndpointDirectory::put(EndpointRecord record)
 {
     const auto now = this->clock.now();
-    if (this->isApplyingCopy && this->hasLeft(record))
-        record.isDraining = true;
+    if (this->isApplyingCopy && !this->adjustCopied(record))
+        return;
     auto& endpoint = this->endpoints[record.id];
     const bool isNew = !endpoint || endpoint->record.startedAt != record.startedAt;
     if (isNew) {
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -121,6 +121,8 @@
     void erase(std::map<std::string, GatewayEndpointPtr, std::less<>>::iterator position, std::string_view reason);
     /** Checks if the process of a record was known to leave or to be gone. */
     [[nodiscard]] bool hasLeft(const EndpointRecord& record) const;
+    /** Corrects a record of a copy by what is known since. @return False if it is that of an earlier process. */
+    [[nodiscard]] bool adjustCopied(EndpointRecord& record);
     void recordDeparture(GatewayEndpoint& endpoint);
     void logChange(LogEvent event, const GatewayEndpoint& endpoint, std::string_view state);
 
--- a/test/berylwing/gateway/endpoint_directory_test.cpp
+++ b/test/berylwing/gateway/endpoint_directory_test.cpp
@@ -164,3 +164,24 @@
         CHECK(fixture.open() == 6);
     }
 }
+
+TEST_CASE("EndpointDirectory does not take an earlier process of a restored store's copy for the running one",
+    "[gateway][directory][restore]")
+{
+    DirectoryFixture fixture;
+    fixture.put("e0", false, 2);
+    fixture.put("e1", false, 2);
+    fixture.directory.remove("e1");
+    const auto running = fixture.directory.all().at("e0");
+    fixture.directory.recordRestore();
+    for (int number = 0; number < 6; ++number)
+        fixture.put("e" + std::to_string(number));
+    fixture.directory.retain({ "e0", "e1", "e2", "e3", "e4", "e5" });
+    CHECK(fixture.directory.all().at("e0") == running);
+    CHECK(fixture.open() == 4);
+    fixture.put("e0", false, 2);
+    CHECK(fixture.directory.all().at("e0") == running);
+    CHECK(fixture.open() == 5);
+    fixture.put("e1", false, 3);
+    CHECK(fixture.open() == 6);
+}
