Do not make warm endpoints cold by the copy of a restored store

What callers could see: refusals and lost capacity for some seconds after a restore of the store that follows a start of engines, since warm engines get only the rate of cold ones.

Cause: the copy tells how long an engine stayed cold when the copy was made; the time was counted from the restore.

Fix: in the first list of an era the time that is left of a known process's warm-up is kept as it is.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -64,6 +64,9 @@
     }
     if (this->hasLeft(record))
         record.isDraining = true;
+    // The time that is left of a warm-up is as old as the copy.
+    if (known != this->endpoints.end() && known->second->record.startedAt == record.startedAt)
+        record.coldDuration = {};
     return true;
 }
 
--- a/test/berylwing/gateway/endpoint_directory_test.cpp
+++ b/test/berylwing/gateway/endpoint_directory_test.cpp
@@ -16,7 +16,7 @@
             this->put("e" + std::to_string(number));
     }
 
-    void put(const std::string& id, bool isDraining = false, std::uint64_t startedAt = 1)
+    void put(const std::string& id, bool isDraining = false, std::uint64_t startedAt = 1, Duration coldDuration = {})
     {
         EndpointRecord record;
         record.id = id;
@@ -24,6 +24,7 @@
         record.domain = id < "e3" ? "knox-a" : "knox-b";
         record.isDraining = isDraining;
         record.startedAt = startedAt;
+        record.coldDuration = coldDuration;
         this->directory.put(std::move(record));
     }
 
@@ -185,3 +186,15 @@
     fixture.put("e1", false, 3);
     CHECK(fixture.open() == 6);
 }
+
+TEST_CASE(
+    "EndpointDirectory does not make a warm endpoint cold by a restored store's copy", "[gateway][directory][restore]")
+{
+    DirectoryFixture fixture;
+    fixture.directory.recordRestore();
+    fixture.put("e0", false, 1, Duration { 8000 });
+    fixture.directory.retain({ "e0", "e1", "e2", "e3", "e4", "e5" });
+    CHECK_FALSE(fixture.directory.all().at("e0")->isCold(fixture.time));
+    fixture.put("e0", false, 1, Duration { 8000 });
+    CHECK(fixture.directory.all().at("e0")->isCold(fixture.time));
+}
