Remember the newest plan that another host has named

What callers could see: 404 for an acknowledged route, or a revoked key that is accepted, at a host that starts with the plan of a restored store's copy.

Cause: only hosts heard within the last 1.2 s were asked for the newest plan. When those that have it fall silent, the older plan was vouched for.

Evidence: found by the review of the fix, by reading.

Fix: versions of plans only rise, so the highest version that a process has heard holds for as long as it runs.

--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -38,6 +38,7 @@
     const bool isNew = digest.incarnation() != peer.digest.incarnation();
     peer.digest = std::move(digest);
     peer.receivedAt = this->clock.now();
+    this->newestPlan = std::max(this->newestPlan, peer.digest.plan_version());
     this->updateDirectoryLoads();
     return isNew;
 }
@@ -142,16 +143,6 @@
     return found != this->peers.end() && this->isLive(found->second);
 }
 
-std::uint64_t FleetView::newestPlanVersion() const
-{
-    std::uint64_t newest = 0;
-    for (const auto& [host, peer] : this->peers) {
-        if (this->isLive(peer))
-            newest = std::max(newest, peer.digest.plan_version());
-    }
-    return newest;
-}
-
 bool FleetView::hasLiveOtherGroups() const
 {
     return this->hasSummaries() || std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -118,8 +118,8 @@
     /** @brief Checks if a recent digest of another host arrived. @param host Name of the host. @return True if so. */
     [[nodiscard]] bool isPeerLive(std::string_view host) const;
 
-    /** @brief Returns the highest version of a routing plan that a live peer has. @return Version; zero if unknown. */
-    [[nodiscard]] std::uint64_t newestPlanVersion() const;
+    /** @brief Returns the highest version of a routing plan that a peer has named. @return Version; zero if unknown. */
+    [[nodiscard]] std::uint64_t newestPlanVersion() const noexcept { return this->newestPlan; }
 
     /** @brief Checks if this host or a live peer receives summaries of other groups. @return True if so. */
     [[nodiscard]] bool hasLiveOtherGroups() const;
@@ -139,6 +139,7 @@
     std::uint64_t incarnation;
     std::uint64_t sequence = 0;
     bool isStoreReachable = true;
+    std::uint64_t newestPlan = 0;
     std::map<std::string, Peer, std::less<>> peers;
     /** Last summary of each other group, by failure domain. */
     std::map<std::string, Summary, std::less<>> summaries;
--- a/test/berylwing/gateway/restored_store_test.cpp
+++ b/test/berylwing/gateway/restored_store_test.cpp
@@ -245,6 +245,25 @@
     CHECK(started.gateway->isReady());
 }
 
+TEST_CASE("A host that has heard of a newer plan than that of the copy waits for it though the others fall silent",
+    "[gateway][restore]")
+{
+    RestoredFleet fleet;
+    auto& started = *fleet.hosts.begin()->second;
+    fleet.putPlansUntil(5);
+    fleet.restore();
+    fleet.restart(started);
+    fleet.advance(Duration { 1000 });
+    started.isIsolated = true;
+    for (int check = 0; check < 30; ++check) {
+        fleet.advance(Duration { 100 });
+        CHECK_FALSE(started.gateway->isReady());
+    }
+    fleet.putPlan(5);
+    fleet.advance(kLateRetryTimeout);
+    CHECK(started.gateway->isReady());
+}
+
 TEST_CASE(
     "The shares of hosts do not grow while a restored store lacks the entries of other hosts", "[gateway][restore]")
 {
