--- a/src/berylwing/core/json_text.cpp
+++ b/src/berylwing/core/json_text.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/core/json_text.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <spdlog/spdlog.h>
 
 namespace berylwing {
@@ -194,7 +195,7 @@
         // Two to the power of 64, the first number that does not fit.
         constexpr double kEnd = 18446744073709551616.0;
         const auto decimal = value.get<double>();
-        if (!(decimal >= 0 && decimal < kEnd))
+        if (std::isnan(decimal) || decimal < 0 || decimal >= kEnd)
             return std::nullopt;
         number = static_cast<std::uint64_t>(decimal);
     } else {
