--- a/src/berylwing/client/load_audit.cpp
+++ b/src/berylwing/client/load_audit.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 namespace berylwing {
@@ -83,6 +84,10 @@
     const RequestId request { host, line.text("request") };
     if (isEvent(event, LogEvent::Started)) {
         this->endRequestsOf(host);
+    } else if (isEvent(event, LogEvent::EndpointsListed)) {
+        std::istringstream ids { line.text("endpoints") };
+        for (std::string id; ids >> id;)
+            this->held[service].try_emplace(id, 0);
     } else if (isEvent(event, LogEvent::EndpointSeen)) {
         this->held[service].try_emplace(endpoint, 0);
     } else if (isEvent(event, LogEvent::EndpointGone)) {
--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kRestoreGraceTimeout { 5000 };
 /** Time for which endpoints that are gone are remembered; the copy that a store is restored from is seconds old. */
 constexpr Duration kDepartureTtl { 60'000 };
+/** Bytes of the ids in one line about the first list. */
+constexpr std::size_t kMaxListTextBytes = 2000;
 
 /** Checks if a process started before another one; a start of zero is unknown. */
 bool isEarlier(std::uint64_t startedAt, std::uint64_t otherStartedAt)
@@ -86,7 +88,8 @@
     if (isNew) {
         endpoint = new GatewayEndpoint { std::move(record) };
         endpoint->coldUntil = now + endpoint->record.coldDuration;
-        this->logChange(LogEvent::EndpointSeen, *endpoint, endpoint->record.isDraining ? "leaving" : "open");
+        if (!this->isFirstList)
+            this->logChange(LogEvent::EndpointSeen, *endpoint, endpoint->record.isDraining ? "leaving" : "open");
         return;
     }
     endpoint->isMissing = false;
@@ -135,6 +138,28 @@
     for (const auto& id : absent)
         this->remove(id);
     this->isApplyingCopy = false;
+    if (std::exchange(this->isFirstList, false))
+        this->logFirstList();
+}
+
+void EndpointDirectory::logFirstList()
+{
+    std::map<std::pair<std::string, std::string_view>, std::vector<std::string>> lines;
+    const auto now = this->clock.now();
+    for (const auto& [id, endpoint] : this->endpoints) {
+        const std::string_view state
+            = endpoint->record.isDraining ? "leaving" : (endpoint->isCold(now) ? "cold" : "open");
+        auto& texts = lines[{ endpoint->record.service, state }];
+        if (texts.empty() || texts.back().size() + id.size() >= kMaxListTextBytes)
+            texts.emplace_back();
+        texts.back() += (texts.back().empty() ? "" : " ") + id;
+    }
+    for (const auto& [key, texts] : lines) {
+        for (const auto& text : texts) {
+            LogLine line { LogEvent::EndpointsListed };
+            this->log.write(line.add("service", key.first).add("state", key.second).add("endpoints", text));
+        }
+    }
 }
 
 void EndpointDirectory::recordStoreRegained()
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -125,6 +125,8 @@
     [[nodiscard]] bool adjustCopied(EndpointRecord& record);
     void recordDeparture(GatewayEndpoint& endpoint);
     void logChange(LogEvent event, const GatewayEndpoint& endpoint, std::string_view state);
+    /** Logs the endpoints of the first list, in lines that each hold many of them. */
+    void logFirstList();
 
 public:
     /** @brief Creates an empty directory. @param hostClock Clock of the host. @param decisionLog Log of the host. */
@@ -148,6 +150,9 @@
     /** @brief Removes an endpoint whose entry became invalid, also after an outage of the store. @param id Endpoint. */
     void reject(const std::string& id);
 
+    /** @brief Begins the first complete list, whose endpoints are logged together by retain(). */
+    void beginFirstList() noexcept { this->isFirstList = true; }
+
     /** @brief Removes the endpoints that are not in a complete list. @param ids Endpoints of the list. */
     void retain(const std::set<std::string, std::less<>>& ids);
 
@@ -207,6 +212,8 @@
     std::map<std::string, Departure, std::less<>> departures;
     /** Whether the entries that are applied are those of the first list after a restore of the store. */
     bool isApplyingCopy = false;
+    /** Whether the entries that are applied are those of the first list. */
+    bool isFirstList = false;
     std::set<std::string, std::less<>> withdrawnDomains;
     /** Domains that were withdrawn before a restore of the store, and the time until which they stay so. */
     std::set<std::string, std::less<>> keptDomains;
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/config/catalog.hpp"
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/enum_names.hpp"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,10 +23,66 @@
     WatchKind,
 };
 
+/** @brief Names of the operations in logs and metrics. */
+inline constexpr EnumNames<PlatformOperation, 7> kPlatformOperationNames { {
+    "get",
+    "put",
+    "remove",
+    "watch",
+    "hosts",
+    "list",
+    "watch_kind",
+} };
+
+/** @brief Reasons for which a host calls the object API. */
+enum class PlatformCallReason {
+    /** Reads or writes an object on demand. */
+    Access,
+    /** Writes or removes the host's own entry. */
+    Registration,
+    /** First list after the start of the process. */
+    Start,
+    /** List of a store that was restored from a copy. */
+    Restore,
+    /** List because the store has dropped the changes that are missing. */
+    HistoryLost,
+    /** List because an object could not be applied. */
+    ListRejected,
+    /** Watch of the host that watches for its group. */
+    Watch,
+    /** Short watch after a change, which confirms that there is no newer one. */
+    Confirmation,
+    /** Watch for changes that the watcher's news omitted. */
+    MissedNews,
+    /** Watch because no news have arrived recently, although the watcher is up to date. */
+    NoNews,
+    /** Watch because no other host is known to watch, or its confirmations are too old. */
+    NoWatcher,
+    /** Repetition of a call that has failed. */
+    Retry,
+};
+
+/** @brief Names of the reasons in logs and metrics. */
+inline constexpr EnumNames<PlatformCallReason, 12> kPlatformCallReasonNames { {
+    "access",
+    "registration",
+    "start",
+    "restore",
+    "history_lost",
+    "list_rejected",
+    "watch",
+    "confirmation",
+    "missed_news",
+    "no_news",
+    "no_watcher",
+    "retry",
+} };
+
 /** @brief Request to the object API. */
 struct PlatformCall {
     PlatformOperation operation = PlatformOperation::Get;
     ObjectKind kind = ObjectKind::Contract;
+    PlatformCallReason reason = PlatformCallReason::Access;
     std::string name;
     std::string body;
     /** Version that the object must have for a write; zero if it must not exist yet. */
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -58,15 +58,17 @@
 
 Task<PlatformReply> PlatformClient::call(PlatformCall call)
 {
-    this->metrics.addPlatformCall();
+    this->metrics.addPlatformCall(
+        kObjectKindNames[call.kind], kPlatformOperationNames[call.operation], kPlatformCallReasonNames[call.reason]);
     if (call.timeout == Duration {})
         call.timeout = kCallTimeout;
     co_return co_await this->transport(call);
 }
 
-Task<std::optional<StoredObject>> PlatformClient::get(ObjectKind kind, std::string name)
+Task<std::optional<StoredObject>> PlatformClient::get(ObjectKind kind, std::string name, PlatformCallReason reason)
 {
     PlatformCall request;
+    request.reason = reason;
     request.operation = PlatformOperation::Get;
     request.kind = kind;
     request.name = std::move(name);
@@ -76,10 +78,11 @@
     co_return StoredObject { reply.version, parseBody(reply.body) };
 }
 
-Task<std::uint64_t> PlatformClient::put(
-    ObjectKind kind, std::string name, const nlohmann::json& value, std::uint64_t expectedVersion)
+Task<std::uint64_t> PlatformClient::put(ObjectKind kind, std::string name, const nlohmann::json& value,
+    std::uint64_t expectedVersion, PlatformCallReason reason)
 {
     PlatformCall request;
+    request.reason = reason;
     request.operation = PlatformOperation::Put;
     request.kind = kind;
     request.name = std::move(name);
@@ -91,9 +94,11 @@
     co_return reply.version;
 }
 
-Task<std::uint64_t> PlatformClient::remove(ObjectKind kind, std::string name, std::uint64_t expectedVersion)
+Task<std::uint64_t> PlatformClient::remove(
+    ObjectKind kind, std::string name, std::uint64_t expectedVersion, PlatformCallReason reason)
 {
     PlatformCall request;
+    request.reason = reason;
     request.operation = PlatformOperation::Remove;
     request.kind = kind;
     request.name = std::move(name);
@@ -115,23 +120,25 @@
     co_return readBatch(reply.body);
 }
 
-Task<WatchBatch> PlatformClient::list(ObjectKind kind, std::string afterName, bool allowStale)
+Task<WatchBatch> PlatformClient::list(
+    ObjectKind kind, std::string afterName, bool allowStale, PlatformCallReason reason)
 {
     PlatformCall request;
     request.operation = PlatformOperation::List;
     request.kind = kind;
     request.afterName = std::move(afterName);
     request.allowStale = allowStale;
+    request.reason = reason;
     auto reply = co_await this->call(std::move(request));
     reply.batch.era = reply.era;
     co_return std::move(reply.batch);
 }
 
-Task<WatchBatch> PlatformClient::listAll(ObjectKind kind, bool allowStale)
+Task<WatchBatch> PlatformClient::listAll(ObjectKind kind, bool allowStale, PlatformCallReason reason)
 {
-    auto all = co_await this->list(kind, {}, allowStale);
+    auto all = co_await this->list(kind, {}, allowStale, reason);
     while (all.hasMore && !all.changes.empty()) {
-        auto page = co_await this->list(kind, all.changes.back().name, allowStale);
+        auto page = co_await this->list(kind, all.changes.back().name, allowStale, reason);
         if (page.era != all.era)
             throw PlatformError { PlatformFault::HistoryGone, "the store was restored between two pages", page.era };
         all.hasMore = page.hasMore && !page.changes.empty();
@@ -140,7 +147,8 @@
     co_return all;
 }
 
-Task<WatchBatch> PlatformClient::watchKind(ObjectKind kind, std::uint64_t after, Duration wait)
+Task<WatchBatch> PlatformClient::watchKind(
+    ObjectKind kind, std::uint64_t after, Duration wait, PlatformCallReason reason)
 {
     PlatformCall request;
     request.operation = PlatformOperation::WatchKind;
@@ -148,6 +156,7 @@
     request.after = after;
     request.wait = wait;
     request.timeout = wait + kKindWatchReplyTimeout;
+    request.reason = reason;
     auto reply = co_await this->call(std::move(request));
     reply.batch.era = reply.era;
     co_return std::move(reply.batch);
--- a/src/berylwing/store/platform_client.hpp
+++ b/src/berylwing/store/platform_client.hpp
@@ -30,10 +30,12 @@
      * @brief Reads an object.
      * @param kind Kind of the object.
      * @param name Name of the object.
+     * @param reason Reason of the call.
      * @return Object, or nothing if it does not exist.
      * @throws PlatformError If the platform does not respond.
      */
-    [[nodiscard]] Task<std::optional<StoredObject>> get(ObjectKind kind, std::string name);
+    [[nodiscard]] Task<std::optional<StoredObject>> get(
+        ObjectKind kind, std::string name, PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Writes an object if it has the expected version.
@@ -41,21 +43,24 @@
      * @param name Name of the object.
      * @param value New document.
      * @param expectedVersion Version to replace; zero to create the object.
+     * @param reason Reason of the call.
      * @return Version of the written object.
      * @throws PlatformError With Conflict if the object has another version.
      */
-    [[nodiscard]] Task<std::uint64_t> put(
-        ObjectKind kind, std::string name, const nlohmann::json& value, std::uint64_t expectedVersion);
+    [[nodiscard]] Task<std::uint64_t> put(ObjectKind kind, std::string name, const nlohmann::json& value,
+        std::uint64_t expectedVersion, PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Removes an object if it has the expected version.
      * @param kind Kind of the object.
      * @param name Name of the object.
      * @param expectedVersion Version to remove.
+     * @param reason Reason of the call.
      * @return Revision of the removal.
      * @throws PlatformError With Conflict if the object has another version.
      */
-    [[nodiscard]] Task<std::uint64_t> remove(ObjectKind kind, std::string name, std::uint64_t expectedVersion);
+    [[nodiscard]] Task<std::uint64_t> remove(ObjectKind kind, std::string name, std::uint64_t expectedVersion,
+        PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Waits for changes of configuration objects of all kinds.
@@ -71,29 +76,35 @@
      * @param kind Kind of the objects.
      * @param afterName Name after which the page starts; empty for the first page.
      * @param allowStale Whether the page may be a few seconds old.
+     * @param reason Reason of the call.
      * @return Objects in the order of their names.
      * @throws PlatformError If the platform does not respond.
      */
-    [[nodiscard]] Task<WatchBatch> list(ObjectKind kind, std::string afterName, bool allowStale);
+    [[nodiscard]] Task<WatchBatch> list(ObjectKind kind, std::string afterName, bool allowStale,
+        PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Reads all objects of a kind, page by page.
      * @param kind Kind of the objects.
      * @param allowStale Whether the pages may be a few seconds old.
+     * @param reason Reason of the calls.
      * @return Objects, complete up to the revision of the first page; a watch from there returns the later changes.
      * @throws PlatformError If the platform does not respond; with HistoryGone if it was restored between two pages.
      */
-    [[nodiscard]] Task<WatchBatch> listAll(ObjectKind kind, bool allowStale);
+    [[nodiscard]] Task<WatchBatch> listAll(
+        ObjectKind kind, bool allowStale, PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Waits for changes of the objects of a kind.
      * @param kind Kind of the objects.
      * @param after Revision after which changes are returned.
      * @param wait Maximum time to wait.
+     * @param reason Reason of the call.
      * @return Changes in the order of their revisions, none after a timeout; the value of a removed object is null.
      * @throws PlatformError With HistoryGone if the platform has dropped the changes after that revision.
      */
-    [[nodiscard]] Task<WatchBatch> watchKind(ObjectKind kind, std::uint64_t after, Duration wait);
+    [[nodiscard]] Task<WatchBatch> watchKind(
+        ObjectKind kind, std::uint64_t after, Duration wait, PlatformCallReason reason = PlatformCallReason::Access);
 
     /**
      * @brief Reads the list of hosts, which is updated with a delay.
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -19,12 +19,14 @@
     DependencyLost,
     DependencyRegained,
     HistoryLost,
+    StoreCalled,
     StoreEraAdvanced,
     RolesChanged,
     WatcherChanged,
     PlanTaken,
     PlanRejected,
     ObjectRejected,
+    EndpointsListed,
     EndpointSeen,
     EndpointChanged,
     EndpointGone,
@@ -49,7 +51,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 35> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 37> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -58,12 +60,14 @@
     "dependency_lost",
     "dependency_regained",
     "history_lost",
+    "store_called",
     "store_era_advanced",
     "roles_changed",
     "watcher_changed",
     "plan_taken",
     "plan_rejected",
     "object_rejected",
+    "endpoints_listed",
     "endpoint_seen",
     "endpoint_changed",
     "endpoint_gone",
--- a/src/berylwing/telemetry/metrics.cpp
+++ b/src/berylwing/telemetry/metrics.cpp
@@ -49,7 +49,10 @@
     , incidents { makeCounters(*this->registry, "berylwing_incidents_total", "Events of the fleet.", kIncidentNames) }
     , requests { makeCounter(*this->registry, "berylwing_requests_total", "Accepted requests.") }
     , controlByteCount { makeCounter(*this->registry, "berylwing_control_bytes_total", "Bytes sent for control.") }
-    , platformCallCount { makeCounter(*this->registry, "berylwing_platform_calls_total", "Calls to the platform.") }
+    , platformCallCounts { prometheus::BuildCounter()
+                               .Name("berylwing_platform_calls_total")
+                               .Help("Calls to the platform.")
+                               .Register(*this->registry) }
     , relayedChunks { makeCounter(*this->registry, "berylwing_relayed_chunks_total", "Relayed chunks of answers.") }
     , inFlight { makeGauge(*this->registry, "berylwing_in_flight", "Requests in flight at owned endpoints.") }
     , storeEra { makeGauge(*this->registry, "berylwing_store_era", "Latest known era of the store.") }
@@ -77,8 +80,6 @@
 
 std::uint64_t Metrics::controlBytes() const { return readCounter(this->controlByteCount); }
 
-std::uint64_t Metrics::platformCalls() const { return readCounter(this->platformCallCount); }
-
 std::string Metrics::serialize() const { return prometheus::TextSerializer {}.Serialize(this->registry->Collect()); }
 
 void Metrics::add(Refusal reason) { this->refusals[static_cast<std::size_t>(reason)]->Increment(); }
@@ -91,7 +92,14 @@
 
 void Metrics::addControlBytes(std::size_t bytes) { this->controlByteCount->Increment(static_cast<double>(bytes)); }
 
-void Metrics::addPlatformCall() { this->platformCallCount->Increment(); }
+void Metrics::addPlatformCall(std::string_view kind, std::string_view operation, std::string_view reason)
+{
+    ++this->platformCallTotal;
+    this->platformCallCounts
+        .Add({ { "kind", std::string { kind } }, { "operation", std::string { operation } },
+            { "reason", std::string { reason } } })
+        .Increment();
+}
 
 void Metrics::addRelayedChunk() { this->relayedChunks->Increment(); }
 
--- a/src/berylwing/telemetry/metrics.hpp
+++ b/src/berylwing/telemetry/metrics.hpp
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <memory>
 #include <prometheus/counter.h>
+#include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <string_view>
 
 namespace berylwing {
 
@@ -34,7 +36,7 @@
     [[nodiscard]] std::uint64_t controlBytes() const;
 
     /** @brief Returns the number of platform calls. @return Calls so far. */
-    [[nodiscard]] std::uint64_t platformCalls() const;
+    [[nodiscard]] std::uint64_t platformCalls() const noexcept { return this->platformCallTotal; }
 
     /** @brief Serializes all metrics. @return Text in the Prometheus exposition format. */
     [[nodiscard]] std::string serialize() const;
@@ -54,8 +56,13 @@
     /** @brief Counts control traffic between hosts. @param bytes Bytes sent. */
     void addControlBytes(std::size_t bytes);
 
-    /** @brief Counts a call to the platform. */
-    void addPlatformCall();
+    /**
+     * @brief Counts a call to the platform.
+     * @param kind Kind of the objects.
+     * @param operation Operation.
+     * @param reason Reason of the call.
+     */
+    void addPlatformCall(std::string_view kind, std::string_view operation, std::string_view reason);
 
     /** @brief Counts a relayed chunk of a response. */
     void addRelayedChunk();
@@ -80,7 +87,8 @@
     Counters<kIncidentNames.size()> incidents;
     prometheus::Counter* requests;
     prometheus::Counter* controlByteCount;
-    prometheus::Counter* platformCallCount;
+    prometheus::Family<prometheus::Counter>& platformCallCounts;
+    std::uint64_t platformCallTotal = 0;
     prometheus::Counter* relayedChunks;
     prometheus::Gauge* inFlight;
     prometheus::Gauge* storeEra;
