--- a/src/berylwing/config/settings.hpp
+++ b/src/berylwing/config/settings.hpp
@@ -23,6 +23,9 @@
 struct SocketAddress {
     std::string address;
     std::uint16_t port = 0;
+
+    /** @brief Compares two addresses. @return True if they are equal. */
+    [[nodiscard]] bool operator==(const SocketAddress&) const = default;
 };
 
 /**
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
+#include <limits>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -9,18 +10,29 @@
 
 namespace {
 
-/** Interval between digests; even a busy host sends only one or two requests to an endpoint in it. */
+/** Shortest interval between digests; even a busy host sends only one or two requests to an endpoint in it. */
 constexpr Duration kDigestInterval { 200 };
-/** Interval between summaries for other groups, whose loads matter less than those of the own group. */
+/** Shortest interval between summaries for other groups, whose loads matter less than those of the own group. */
 constexpr Duration kSummaryInterval { 400 };
 /** Maximum bytes per millisecond that a host sends in digests: the control traffic allowed at the target fleet size. */
 constexpr Duration::rep kMaxHostBytesPerMs = 12;
-/** The same for a delegate, of which a group has two: a tenth of the slowest network link of the users' hosts. */
-constexpr Duration::rep kMaxDelegateBytesPerMs = 125;
+/** The same for the digests of a delegate, of which a group has two: with its summaries a tenth of the slowest link. */
+constexpr Duration::rep kMaxDelegateBytesPerMs = 83;
+/** Maximum bytes per millisecond that a delegate sends in summaries. */
+constexpr Duration::rep kMaxSummaryBytesPerMs = 42;
 /** Bytes of the Ethernet, IP and UDP headers of a datagram. */
 constexpr std::size_t kDatagramOverhead = 42;
 /** Time without a summary after which a host no longer counts as a delegate of its group. */
 constexpr Duration kSummarySenderTimeout { 3000 };
+/** Longest interval between news for which a host waits instead of calling the store. */
+constexpr std::uint64_t kMaxNewsIntervalMs = 1000;
+/** Time in which a host that has introduced itself writes its entry and the others read it. */
+constexpr Duration kIntroductionTimeout { 5000 };
+
+Duration sendTime(std::size_t bytes, Duration::rep bytesPerMs)
+{
+    return Duration { static_cast<Duration::rep>(bytes) / bytesPerMs };
+}
 
 } // namespace
 
@@ -28,6 +40,7 @@
     : dependencies { std::move(exchangeDependencies) }
     , usesForOtherGroups { this->dependencies.clock }
     , usesForOwnGroup { this->dependencies.clock }
+    , summaryInterval { kSummaryInterval }
 {
 }
 
@@ -40,13 +53,23 @@
         auto digest = this->makeDigest();
         const bool isDelegate = digest.is_delegate();
         this->logRoleChange(digest);
-        auto sent = this->sendDigest(std::move(digest));
-        if (isDelegate)
-            sent += this->sendSummaries();
+        digest.set_interval_ms(static_cast<std::uint64_t>(this->digestInterval.count()));
+        const auto sent = this->sendDigest(std::move(digest));
         this->dependencies.metrics.addControlBytes(sent);
         const auto rate = isDelegate ? kMaxDelegateBytesPerMs : kMaxHostBytesPerMs;
-        const Duration pause { static_cast<Duration::rep>(sent) / rate };
-        co_await this->dependencies.clock.sleepFor(std::max(kDigestInterval, pause));
+        this->digestInterval = std::max(kDigestInterval, sendTime(sent, rate));
+        co_await this->dependencies.clock.sleepFor(this->digestInterval);
+    }
+}
+
+Task<void> FleetExchange::runSummaries()
+{
+    while (true) {
+        // A host that starts takes itself for a delegate until it has heard the others of its group.
+        co_await this->dependencies.clock.sleepFor(this->summaryInterval);
+        const auto sent = this->dependencies.fleet.isDelegate() ? this->sendSummaries() : 0;
+        this->dependencies.metrics.addControlBytes(sent);
+        this->summaryInterval = std::max(kSummaryInterval, sendTime(sent, kMaxSummaryBytesPerMs));
     }
 }
 
@@ -96,6 +119,10 @@
         // Protobuf merges concatenated messages, so only the echo has to be serialized for each peer.
         wire::FleetMessage own;
         *own.mutable_digest()->mutable_echo() = this->dependencies.fleet.makeEcho(peer.name);
+        if (this->dependencies.isJoining() && !this->dependencies.fleet.isKnownTo(peer.name)) {
+            own.mutable_digest()->set_domain(this->dependencies.domain);
+            own.mutable_digest()->set_port(this->dependencies.port);
+        }
         const auto bytes = common + own.SerializeAsString();
         sent += this->send(peer, bytes);
     }
@@ -108,30 +135,29 @@
     return bytes.size() + kDatagramOverhead;
 }
 
-std::vector<HostEntry> FleetExchange::findDelegates(const std::string& domain) const
+std::vector<HostEntry> FleetExchange::findDelegates(const std::vector<HostEntry>& members) const
 {
-    auto hosts = this->dependencies.roster.likelyDelegates(domain);
     const auto oldest = this->dependencies.clock.now() - kSummarySenderTimeout;
-    for (const auto& [name, receivedAt] : this->summarySenders) {
-        const auto* entry = this->dependencies.roster.find(name);
-        const bool isListed = std::any_of(
-            hosts.begin(), hosts.end(), [&sender = name](const HostEntry& host) { return host.name == sender; });
-        if (entry != nullptr && entry->domain == domain && receivedAt > oldest && !isListed)
-            hosts.push_back(*entry);
+    std::vector<HostEntry> delegates;
+    for (const auto& member : members) {
+        const auto found = this->summarySenders.find(member.name);
+        const bool isKnown = found != this->summarySenders.end() && found->second > oldest;
+        if (isKnown || delegates.size() < kDelegateCount)
+            delegates.push_back(member);
     }
-    return hosts;
+    return delegates;
 }
 
 std::size_t FleetExchange::sendSummaries()
 {
     const auto groups = this->dependencies.roster.otherGroups();
-    const auto now = this->dependencies.clock.now();
-    if (groups.empty() || now < this->summariesSentAt + kSummaryInterval)
+    if (groups.empty())
         return 0;
-    this->summariesSentAt = now;
     wire::FleetMessage message;
     auto& summary = *message.mutable_summary();
+    summary.set_group(this->dependencies.roster.ownGroup());
     summary.set_domain(this->dependencies.domain);
+    summary.set_interval_ms(static_cast<std::uint64_t>(this->summaryInterval.count()));
     summary.set_host(this->dependencies.host);
     *summary.mutable_loads() = this->dependencies.fleet.makeGroupLoads();
     summary.set_loads_age_ms(static_cast<std::uint64_t>(this->dependencies.fleet.groupLoadAge().count()));
@@ -141,19 +167,46 @@
         this->dependencies.crashes.appendTo(*summary.mutable_crash_report(), CrashQuarantine::Scope::All);
     this->dependencies.rateLimits.appendTo(*summary.mutable_limit_report(), true);
     const auto bytes = message.SerializeAsString();
+    std::vector<std::vector<HostEntry>> recipients;
+    std::size_t recipientCount = 0;
+    for (const auto& [group, members] : groups) {
+        recipients.push_back(this->findDelegates(members));
+        recipientCount += recipients.back().size();
+    }
+    // If there are too many groups, each summary goes to one delegate of a group. The delegates of this group take
+    // turns, so that each of the others hears one of them.
+    const bool isTurned = sendTime(recipientCount * bytes.size(), kMaxSummaryBytesPerMs) > kSummaryInterval;
+    const std::size_t turn = this->summaryTurn++ + (this->isWatcher ? 0 : 1);
     std::size_t sent = 0;
-    for (const auto& domain : groups) {
-        for (const auto& host : this->findDelegates(domain))
-            sent += this->send(host, bytes);
+    for (const auto& delegates : recipients) {
+        if (isTurned) {
+            sent += this->send(delegates.at(turn % delegates.size()), bytes);
+            continue;
+        }
+        for (const auto& delegate : delegates)
+            sent += this->send(delegate, bytes);
     }
     return sent;
 }
 
+void FleetExchange::introduceSender(const std::string& address, const wire::Digest& digest)
+{
+    constexpr std::uint32_t kMaxPort = std::numeric_limits<std::uint16_t>::max();
+    if (digest.domain().empty() || digest.port() == 0 || digest.port() > kMaxPort)
+        return;
+    const SocketAddress source { address, static_cast<std::uint16_t>(digest.port()) };
+    this->dependencies.roster.introduce(
+        { digest.host(), digest.domain(), source }, this->dependencies.clock.now() + kIntroductionTimeout);
+}
+
 void FleetExchange::receive(const std::string& address, std::string_view bytes)
 {
-    const auto* sender = this->dependencies.roster.findByAddress(address);
     wire::FleetMessage message;
-    if (sender == nullptr || !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    const bool isReadable = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+    if (isReadable && message.has_digest())
+        this->introduceSender(address, message.digest());
+    const auto* sender = this->dependencies.roster.findByAddress(address);
+    if (sender == nullptr || !isReadable) {
         spdlog::debug(
             "ignored a message of {} bytes from {}: unknown sender or invalid encoding", bytes.size(), address);
         return;
@@ -163,7 +216,7 @@
         this->handleDigest(std::move(*message.mutable_digest()));
     }
     if (message.has_news())
-        this->handleNews(message.news(), this->dependencies.fleet.earliestSendTime(message.digest()));
+        this->handleNews(message.news(), this->dependencies.fleet.earliestSendTime(message.digest()), {});
     if (message.has_summary() && message.summary().host() == sender->name)
         this->handleSummary(message.summary());
 }
@@ -178,8 +231,9 @@
     const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
     this->dependencies.storeEra.observe(digest.store_era(), digest.host());
     if (digest.reaches_store()) {
+        const auto interval = std::min(digest.interval_ms(), kMaxNewsIntervalMs);
         for (const auto& news : digest.news())
-            this->handleNews(news, sentAt);
+            this->handleNews(news, sentAt, Duration { static_cast<Duration::rep>(interval) });
     }
     const auto isNew = this->dependencies.fleet.applyDigest(std::move(digest));
     if (isNew && *isNew)
@@ -193,10 +247,10 @@
     return found == this->dependencies.feeds.end() ? nullptr : *found;
 }
 
-void FleetExchange::handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
+void FleetExchange::handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval)
 {
     if (auto* feed = this->findFeed(news.kind()))
-        feed->receiveNews(news, sentAt);
+        feed->receiveNews(news, sentAt, interval);
 }
 
 void FleetExchange::handleNewsRequests(const HostEntry& sender, const wire::Digest& digest)
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -27,6 +27,8 @@
     /** Failure domain of this host. */
     std::string domain;
     std::string host;
+    /** Port of this host's messages. */
+    std::uint16_t port = 0;
     FleetView& fleet;
     HostRoster& roster;
     PromptCacheIndex& holders;
@@ -35,6 +37,8 @@
     StoreEra& storeEra;
     /** Version of this host's routing plan; zero without one. */
     std::function<std::uint64_t()> planVersion;
+    /** Checks if this host introduces itself to others that may not have read its entry in the store yet. */
+    std::function<bool()> isJoining;
     /** Feeds whose news are relayed to other hosts. */
     std::vector<StoreFeed*> feeds;
     /** Sends a datagram to another host; delivery is not guaranteed. */
@@ -46,9 +50,10 @@
 /**
  * @brief Exchanges digests between the hosts of a group, and summaries between the delegates of different groups.
  *
- * A group is a failure domain, or the whole fleet if it is small. Each host sends its loads to its group in a digest.
- * The watcher, which watches the platform's store for the group, adds the changes that it sees as store news. Delegates
- * send the loads of their group to the delegates of other groups, and add the loads of those groups to their digests.
+ * A group is a part of a failure domain, or the whole fleet if it is small. Each host sends its loads to its group in a
+ * digest. The watcher, which watches the platform's store for the group, adds the changes that it sees as store news.
+ * Delegates send the loads of their group to the delegates of other groups, and add the loads of those groups to their
+ * digests.
  */
 class FleetExchange {
     [[nodiscard]] wire::Digest makeDigest();
@@ -56,10 +61,13 @@
     [[nodiscard]] std::size_t sendSummaries();
     /** Sends a message. @return Bytes on the wire, with the headers of the datagram. */
     std::size_t send(const HostEntry& host, const std::string& bytes) const;
-    [[nodiscard]] std::vector<HostEntry> findDelegates(const std::string& domain) const;
+    /** Returns the delegates of a group that have sent summaries, and its probable delegates. */
+    [[nodiscard]] std::vector<HostEntry> findDelegates(const std::vector<HostEntry>& members) const;
+    /** Adds the sender of a digest to the roster if it has described itself because this host may not know it. */
+    void introduceSender(const std::string& address, const wire::Digest& digest);
     void handleDigest(wire::Digest digest);
     void handleSummary(const wire::GroupSummary& summary);
-    void handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt);
+    void handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval);
     void handleNewsRequests(const HostEntry& sender, const wire::Digest& digest);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
     void logRoleChange(const wire::Digest& digest);
@@ -68,9 +76,12 @@
     /** @brief Creates an exchange; run() starts it. @param exchangeDependencies Components of the host. */
     explicit FleetExchange(FleetExchangeDependencies exchangeDependencies);
 
-    /** @brief Sends messages until the host stops. @return Awaitable that never completes. */
+    /** @brief Sends digests until the host stops. @return Awaitable that never completes. */
     [[nodiscard]] Task<void> run();
 
+    /** @brief Sends summaries while this host is a delegate. @return Awaitable that never completes. */
+    [[nodiscard]] Task<void> runSummaries();
+
     /** @brief Handles a message of another host. @param address Address of the sender. @param bytes Message. */
     void receive(const std::string& address, std::string_view bytes);
 
@@ -82,7 +93,10 @@
     AnnouncementQueue usesForOwnGroup;
     /** Time of the last summary from each host, by name. */
     std::map<std::string, TimePoint, std::less<>> summarySenders;
-    TimePoint summariesSentAt {};
+    /** Time until the next digest, and until the next summaries. */
+    Duration digestInterval {};
+    Duration summaryInterval;
+    std::size_t summaryTurn = 0;
     /** Roles of this host in its last digest. */
     bool isDelegate = false;
     bool isWatcher = false;
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -2,7 +2,6 @@
 
 #include "berylwing/core/hash.hpp"
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace berylwing {
@@ -14,14 +13,23 @@
 /** Time without a digest after which another host replaces a watcher or delegate. A leaving
  * endpoint may be used for two seconds, within which the replacement has to learn of it and report it. */
 constexpr Duration kDelegateTimeout { 1200 };
+/** Number of intervals after which a sender that needs longer ones counts as silent; a single digest may be lost. */
+constexpr int kMissedIntervals = 3;
+
+Duration intervalOf(std::uint64_t milliseconds)
+{
+    constexpr std::uint64_t kMaxIntervalMs = 10'000;
+    return Duration { static_cast<Duration::rep>(std::min(milliseconds, kMaxIntervalMs)) };
+}
 
 } // namespace
 
-FleetView::FleetView(
-    const Clock& hostClock, EndpointDirectory& endpointDirectory, std::string ownName, std::uint64_t ownIncarnation)
+FleetView::FleetView(const Clock& hostClock, EndpointDirectory& endpointDirectory, std::string ownName,
+    std::string ownDomain, std::uint64_t ownIncarnation)
     : clock { hostClock }
     , directory { endpointDirectory }
     , name { std::move(ownName) }
+    , domain { std::move(ownDomain) }
     , rank { hashText(this->name) }
     , incarnation { ownIncarnation }
 {
@@ -32,10 +40,15 @@
     if (digest.host() == this->name)
         return std::nullopt;
     auto& peer = this->peers[digest.host()];
-    const auto known = std::make_tuple(peer.digest.incarnation(), peer.digest.sequence());
-    if (std::make_tuple(digest.incarnation(), digest.sequence()) <= known)
-        return std::nullopt;
     const bool isNew = digest.incarnation() != peer.digest.incarnation();
+    const bool isOutdated
+        = isNew ? digest.incarnation() == peer.formerIncarnation : digest.sequence() <= peer.digest.sequence();
+    if (isOutdated)
+        return std::nullopt;
+    if (peer.receivedAt == TimePoint {})
+        peer.rank = hashText(digest.host());
+    if (isNew)
+        peer.formerIncarnation = peer.digest.incarnation();
     peer.digest = std::move(digest);
     peer.receivedAt = this->clock.now();
     this->newestPlan = std::max(this->newestPlan, peer.digest.plan_version());
@@ -46,7 +59,8 @@
 void FleetView::applySummary(const wire::GroupSummary& summary)
 {
     const Duration loadsAge { static_cast<Duration::rep>(summary.loads_age_ms()) };
-    this->summaries.insert_or_assign(summary.domain(), Summary { summary.loads(), this->clock.now(), loadsAge });
+    this->summaries.insert_or_assign(summary.group(),
+        Summary { summary.loads(), this->clock.now(), loadsAge, summary.domain(), intervalOf(summary.interval_ms()) });
     this->updateDirectoryLoads();
 }
 
@@ -67,7 +81,8 @@
     if (!this->isDelegate())
         return digest;
     digest.set_is_delegate(true);
-    for (const auto& [endpoint, load] : this->hasSummaries() ? this->otherGroupLoads() : Loads {})
+    digest.set_hears_other_domains(this->hasSummaryOfOtherDomain());
+    for (const auto& [endpoint, load] : this->usesSummaries() ? this->otherGroupLoads() : Loads {})
         appendLoad(*digest.mutable_elsewhere(), endpoint, load);
     digest.set_elsewhere_age_ms(static_cast<std::uint64_t>(this->otherGroupLoadAge().count()));
     return digest;
@@ -110,7 +125,17 @@
     return TimePoint { Duration { static_cast<Duration::rep>(echoed) } };
 }
 
-bool FleetView::isLive(const Peer& peer) const { return this->clock.now() < peer.receivedAt + kDelegateTimeout; }
+bool FleetView::isKnownTo(std::string_view host) const
+{
+    const auto found = this->peers.find(host);
+    return found != this->peers.end() && this->earliestSendTime(found->second.digest).has_value();
+}
+
+bool FleetView::isLive(const Peer& peer) const
+{
+    const auto timeout = std::max(kDelegateTimeout, kMissedIntervals * intervalOf(peer.digest.interval_ms()));
+    return this->clock.now() < peer.receivedAt + timeout;
+}
 
 std::size_t FleetView::countHigherRankedPeers() const
 {
@@ -120,7 +145,7 @@
             return false;
         if (peer.digest.reaches_store() != this->isStoreReachable)
             return peer.digest.reaches_store();
-        return hashText(entry.first) < this->rank;
+        return peer.rank < this->rank;
     });
     return static_cast<std::size_t>(count);
 }
@@ -143,11 +168,24 @@
     return found != this->peers.end() && this->isLive(found->second);
 }
 
-bool FleetView::hasLiveOtherGroups() const
+bool FleetView::usesSummaries() const
 {
-    return this->hasSummaries() || std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
-        return entry.second.digest.has_elsewhere() && this->isLive(entry.second);
-    });
+    // A host that is no delegate any more still has the last summaries that it received.
+    return !this->summaries.empty() && (this->isDelegate() || this->findLatestElsewhere() == nullptr);
+}
+
+bool FleetView::hasSummaryOfOtherDomain() const
+{
+    return std::any_of(this->summaries.begin(), this->summaries.end(),
+        [this](const auto& entry) { return entry.second.domain != this->domain; });
+}
+
+bool FleetView::hasLiveOtherDomains() const
+{
+    return this->hasSummaryOfOtherDomain()
+        || std::any_of(this->peers.begin(), this->peers.end(), [this](const auto& entry) {
+               return entry.second.digest.hears_other_domains() && this->isLive(entry.second);
+           });
 }
 
 bool FleetView::isStoreProbed() const
@@ -158,9 +196,16 @@
 
 void FleetView::dropExpired()
 {
-    const auto oldest = this->clock.now() - kDigestTtl;
-    const auto isSilent = [oldest](const auto& entry) { return entry.second.receivedAt < oldest; };
-    if (std::erase_if(this->peers, isSilent) + std::erase_if(this->summaries, isSilent) > 0)
+    const auto now = this->clock.now();
+    const auto isExpired = [now](TimePoint receivedAt, Duration interval) {
+        return receivedAt + std::max(kDigestTtl, kMissedIntervals * interval) < now;
+    };
+    const auto silentPeers = std::erase_if(this->peers, [&](const auto& entry) {
+        return isExpired(entry.second.receivedAt, intervalOf(entry.second.digest.interval_ms()));
+    });
+    const auto silentGroups = std::erase_if(
+        this->summaries, [&](const auto& entry) { return isExpired(entry.second.receivedAt, entry.second.interval); });
+    if (silentPeers + silentGroups > 0)
         this->updateDirectoryLoads();
 }
 
@@ -184,7 +229,7 @@
 FleetView::Loads FleetView::otherGroupLoads() const
 {
     Loads totals;
-    if (this->hasSummaries()) {
+    if (this->usesSummaries()) {
         for (const auto& [domain, summary] : this->summaries)
             addLoads(totals, summary.loads);
         return totals;
@@ -214,7 +259,7 @@
 
 Duration FleetView::otherGroupLoadAge() const
 {
-    if (!this->hasSummaries()) {
+    if (!this->usesSummaries()) {
         const auto* latest = this->findLatestElsewhere();
         if (latest == nullptr)
             return {};
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -23,8 +23,12 @@
  */
 class FleetView {
     struct Peer {
+        /** Hash of the name, as in `rank` of this host. */
+        std::uint64_t rank = 0;
         wire::Digest digest;
         TimePoint receivedAt {};
+        /** Process that the sender of the digest has replaced. Incarnations have no order: clocks can be set back. */
+        std::uint64_t formerIncarnation = 0;
     };
 
     struct Summary {
@@ -32,6 +36,9 @@
         TimePoint receivedAt {};
         /** Age of the loads when the summary was sent. */
         Duration loadsAge {};
+        std::string domain;
+        /** Time until the sender's next summary. */
+        Duration interval {};
     };
 
     /** Load of one endpoint. */
@@ -51,7 +58,9 @@
     [[nodiscard]] bool isLive(const Peer& peer) const;
     [[nodiscard]] bool isLiveWatcher(const Peer& peer, bool canReachStore) const;
     [[nodiscard]] std::size_t countHigherRankedPeers() const;
-    [[nodiscard]] bool hasSummaries() const { return !this->summaries.empty(); }
+    /** Checks if the loads of other groups come from their summaries, not from the digest of a delegate. */
+    [[nodiscard]] bool usesSummaries() const;
+    [[nodiscard]] bool hasSummaryOfOtherDomain() const;
     void updateDirectoryLoads();
 
 public:
@@ -60,9 +69,10 @@
      * @param hostClock Clock of the host.
      * @param endpointDirectory Endpoints whose loads from other hosts the view updates.
      * @param ownName Name of this host.
-     * @param ownIncarnation Start time of this process in milliseconds since 1970.
+     * @param ownDomain Failure domain of this host.
+     * @param ownIncarnation Identifier of this process, unlike those of earlier processes of the host.
      */
-    FleetView(const Clock& hostClock, EndpointDirectory& endpointDirectory, std::string ownName,
+    FleetView(const Clock& hostClock, EndpointDirectory& endpointDirectory, std::string ownName, std::string ownDomain,
         std::uint64_t ownIncarnation);
 
     /**
@@ -103,6 +113,12 @@
      */
     [[nodiscard]] std::optional<TimePoint> earliestSendTime(const wire::Digest& digest) const;
 
+    /**
+     * @brief Checks if a peer has received a digest of this process. @param host Name of the peer.
+     * @return False also if no recent digest of the peer has arrived.
+     */
+    [[nodiscard]] bool isKnownTo(std::string_view host) const;
+
     /** @brief Sets whether this host's calls to the store succeed. @param isReached Whether they succeed. */
     void setStoreReachable(bool isReached) noexcept { this->isStoreReachable = isReached; }
 
@@ -121,8 +137,8 @@
     /** @brief Returns the highest version of a routing plan that a peer has named. @return Version; zero if unknown. */
     [[nodiscard]] std::uint64_t newestPlanVersion() const noexcept { return this->newestPlan; }
 
-    /** @brief Checks if this host or a live peer receives summaries of other groups. @return True if so. */
-    [[nodiscard]] bool hasLiveOtherGroups() const;
+    /** @brief Checks if this host or a live peer receives summaries of groups in other domains. @return True if so. */
+    [[nodiscard]] bool hasLiveOtherDomains() const;
 
     /** @brief Checks if a live watcher probes a store that it cannot reach. @return True if there is one. */
     [[nodiscard]] bool isStoreProbed() const;
@@ -134,6 +150,7 @@
     const Clock& clock;
     EndpointDirectory& directory;
     std::string name;
+    std::string domain;
     /** Hash of the name, by which hosts are ranked; the lowest comes first. */
     std::uint64_t rank;
     std::uint64_t incarnation;
@@ -141,7 +158,7 @@
     bool isStoreReachable = true;
     std::uint64_t newestPlan = 0;
     std::map<std::string, Peer, std::less<>> peers;
-    /** Last summary of each other group, by failure domain. */
+    /** Last summary of each other group, by the group's name. */
     std::map<std::string, Summary, std::less<>> summaries;
 };
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -45,6 +45,10 @@
 constexpr Duration kFirstDigestsTimeout { 300 };
 /** Time in which hosts that a restored store lacks have written their entries again and the others have read them. */
 constexpr Duration kRegistrationTimeout { 5000 };
+/** Time for which a host that starts waits for the store to acknowledge its entry before it lists the others. */
+constexpr Duration kFirstRegistrationTimeout { 300 };
+/** Time in which a host that starts hears the watcher of its group. */
+constexpr Duration kFirstNewsTimeout { 800 };
 
 std::string logPrefix(const GatewaySettings& settings)
 {
@@ -97,7 +101,7 @@
     , lease { hostClock, gatewaySettings.planLease - kLeaseMargin, gatewaySettings.changeDeadlines.plan - kLeaseMargin }
     , directory { hostClock, this->log }
     , roster { { gatewaySettings.host, gatewaySettings.domain, gatewaySettings.digests } }
-    , fleet { hostClock, this->directory, gatewaySettings.host, dependencies.incarnation }
+    , fleet { hostClock, this->directory, gatewaySettings.host, gatewaySettings.domain, dependencies.incarnation }
     , isolationDetector { this->directory, this->roster, this->fleet, gatewaySettings.domain }
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , rateLimits { hostClock, this->directory, this->log, gatewaySettings.host,
@@ -144,23 +148,39 @@
 FleetExchangeDependencies Gateway::makeExchangeDependencies(
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
-    return { this->clock, this->settings.domain, this->settings.host, this->fleet, this->roster, this->holders,
-        this->crashes, this->rateLimits, this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
+    return { this->clock, this->settings.domain, this->settings.host, this->settings.digests.port, this->fleet,
+        this->roster, this->holders, this->crashes, this->rateLimits, this->storeEra,
+        [this] { return this->plan ? this->plan->version() : 0; }, [this] { return this->registration.isWanted(); },
         { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
         this->hostMetrics, this->log };
 }
 
 void Gateway::start()
 {
+    this->startedAt = this->clock.now();
     this->log.write(LogLine { LogEvent::Started });
     const auto& executor = this->clock.executor();
     spawn(executor, "plan feed", this->planFeed.run());
     spawn(executor, "endpoint feed", this->endpointFeed.run());
     spawn(executor, "domain feed", this->domainFeed.run());
-    spawn(executor, "host feed", this->hostFeed.run());
+    spawn(executor, "host feed", this->runHostFeed());
     spawn(executor, "host entry", this->registration.run());
     spawn(executor, "maintenance", this->runMaintenance());
     spawn(executor, "digests", this->exchange.run());
+    spawn(executor, "summaries", this->exchange.runSummaries());
+}
+
+Task<void> Gateway::runHostFeed()
+{
+    // Of two hosts that start together at least one then finds the other in its list, and introduces itself to it.
+    co_await this->registration.waitUntilWritten(this->clock.now() + kFirstRegistrationTimeout);
+    co_await this->hostFeed.run();
+}
+
+bool Gateway::isWatcherAwaited() const
+{
+    const bool mayHavePeers = !this->hostsListedAt || this->roster.names().size() > 1;
+    return mayHavePeers && this->clock.now() < this->startedAt + kFirstNewsTimeout;
 }
 
 std::string_view Gateway::unreadyReason() const
@@ -269,6 +289,8 @@
 StoreFeedHooks Gateway::makeFeedHooks(std::function<Duration()> watcherTtl)
 {
     StoreFeedHooks hooks;
+    hooks.isWatcher = [this] { return this->fleet.isWatcher(); };
+    hooks.isWatcherAwaited = [this] { return this->isWatcherAwaited(); };
     hooks.isWatchedByPeer = [this, ttl = std::move(watcherTtl)] { return this->isWatchedByPeer(ttl()); };
     // While the store is unreachable only the plan feed retries; the other feeds wait for it.
     hooks.isProbedByPeer = [this](TimePoint) { return !this->planFeed.isStoreReachable(); };
@@ -289,7 +311,8 @@
     };
     hooks.isProbedByPeer = [this](TimePoint triedAt) {
         // A watcher that reaches the store but is not trusted does not retry on behalf of others.
-        return this->fleet.isStoreProbed() && this->clock.now() < triedAt + kProbedRetryInterval;
+        const bool isWatched = this->fleet.isStoreProbed() || this->isWatchedByPeer(this->watcherTtl());
+        return isWatched && this->clock.now() < triedAt + kProbedRetryInterval;
     };
     return hooks;
 }
@@ -298,6 +321,8 @@
 {
     auto hooks = this->makeFeedHooks([this] { return this->watcherTtl(); });
     hooks.replaceAll = [this](const std::vector<VersionedObject>& objects) {
+        if (this->directory.all().empty())
+            this->directory.beginFirstList();
         for (const auto& object : objects)
             this->applyEndpoint(object);
         this->directory.retain(collectNames(objects));
@@ -339,10 +364,7 @@
             this->hostsListedAt = this->clock.now();
         this->confirmPlan();
     };
-    hooks.change = [this](const VersionedObject& object) {
-        this->applyHost(object);
-        this->logHostCount();
-    };
+    hooks.change = [this](const VersionedObject& object) { this->applyHost(object); };
     return hooks;
 }
 
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -56,6 +56,10 @@
     [[nodiscard]] StoreFeedHooks makeHostHooks();
     [[nodiscard]] bool isWatchedByPeer(Duration ttl) const;
     [[nodiscard]] Duration watcherTtl() const;
+    /** Registers this host, then follows the list of hosts. */
+    [[nodiscard]] Task<void> runHostFeed();
+    /** Checks if this host has just started and may yet hear the watcher of its group. */
+    [[nodiscard]] bool isWatcherAwaited() const;
     void applyPlan(const VersionedObject& object);
     void applyEndpoint(const VersionedObject& object);
     void applyDomain(const VersionedObject& object);
@@ -182,6 +186,7 @@
     std::shared_ptr<const RoutingPlan> plan;
     /** Time up to which the store is known to have held no other plan. */
     TimePoint planConfirmedAt {};
+    TimePoint startedAt {};
     /** Time of the first list of hosts. */
     std::optional<TimePoint> hostsListedAt;
     EndpointDirectory directory;
--- a/src/berylwing/gateway/host_registration.cpp
+++ b/src/berylwing/gateway/host_registration.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/host_registration.hpp"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -7,7 +8,9 @@
 
 namespace {
 
-constexpr Duration kRetryDelay { 500 };
+constexpr Duration kMinRetryDelay { 500 };
+/** Longest retry delay; meanwhile the host introduces itself to the hosts that it knows. */
+constexpr Duration kMaxRetryDelay { 2000 };
 
 } // namespace
 
@@ -23,6 +26,7 @@
 
 Task<void> HostRegistration::run()
 {
+    auto retryDelay = kMinRetryDelay;
     while (!this->isStopping) {
         if (this->isRegistered) {
             co_await this->changed.waitUntil(TimePoint::max());
@@ -31,28 +35,41 @@
         bool hasFailed = false;
         try {
             this->isRegistered = true;
-            co_await this->client.put(ObjectKind::Host, this->name, this->description, 0);
+            co_await this->client.put(
+                ObjectKind::Host, this->name, this->description, 0, PlatformCallReason::Registration);
         } catch (const PlatformError& error) {
             // The entry of an earlier start of this host serves as well.
             hasFailed = error.fault() != PlatformFault::Conflict;
             if (hasFailed)
                 spdlog::debug("cannot register host in the store, retrying: {}", error.what());
         }
-        if (!hasFailed)
+        if (!hasFailed) {
+            retryDelay = kMinRetryDelay;
+            this->hasBeenWritten = true;
+            this->changed.notifyAll();
             continue;
+        }
         this->isRegistered = false;
-        co_await this->clock.sleepFor(kRetryDelay);
+        co_await this->clock.sleepFor(retryDelay);
+        retryDelay = std::min(2 * retryDelay, kMaxRetryDelay);
     }
 }
 
+Task<void> HostRegistration::waitUntilWritten(TimePoint deadline)
+{
+    while (!this->hasBeenWritten && this->clock.now() < deadline)
+        co_await this->changed.waitUntil(deadline);
+}
+
 Task<void> HostRegistration::stop()
 {
     this->isStopping = true;
     this->changed.notifyAll();
     try {
-        const auto object = co_await this->client.get(ObjectKind::Host, this->name);
+        const auto object = co_await this->client.get(ObjectKind::Host, this->name, PlatformCallReason::Registration);
         if (object)
-            co_await this->client.remove(ObjectKind::Host, this->name, object->version);
+            co_await this->client.remove(
+                ObjectKind::Host, this->name, object->version, PlatformCallReason::Registration);
     } catch (const PlatformError& error) {
         // With a stale entry the other hosts use smaller shares of the fleet-wide limits, which is safe.
         spdlog::info("cannot remove host entry from the store: {}", error.what());
--- a/src/berylwing/gateway/host_registration.hpp
+++ b/src/berylwing/gateway/host_registration.hpp
@@ -31,6 +31,12 @@
     /** @brief Writes the entry, and again each time that it has vanished. @return Awaitable; completes after stop(). */
     [[nodiscard]] Task<void> run();
 
+    /** @brief Waits until the entry has been written. @param deadline Time at which the wait ends anyway. */
+    [[nodiscard]] Task<void> waitUntilWritten(TimePoint deadline);
+
+    /** @brief Checks if the host is to be in the list of hosts. @return False after stop(). */
+    [[nodiscard]] bool isWanted() const noexcept { return !this->isStopping; }
+
     /** @brief Removes the entry, and no longer writes it. @return Awaitable. */
     [[nodiscard]] Task<void> stop();
 
@@ -48,6 +54,8 @@
     Event changed;
     /** Whether the store has acknowledged the entry and it has not been seen to be missing since. */
     bool isRegistered = false;
+    /** Whether the store has acknowledged the entry at least once. */
+    bool hasBeenWritten = false;
     bool isStopping = false;
 };
 
--- a/src/berylwing/gateway/host_roster.cpp
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -8,66 +8,126 @@
 
 namespace {
 
-/** Fleet size up to which each host sends its digests to all others; a group of a larger fleet has some 17 hosts. */
+/** Fleet size up to which each host sends its digests to all others. */
 constexpr std::size_t kMaxSingleGroupHosts = 18;
+/** Mean size of the groups of a domain above which there are twice as many groups. */
+constexpr std::size_t kMaxGroupHosts = 32;
+/** Seed that makes the groups independent of the order in which the hosts of a group get roles. */
+constexpr std::uint64_t kGroupSeed = 1;
+
+bool isReachable(const HostEntry& entry) { return !entry.address.address.empty(); }
 
 } // namespace
 
 HostRoster::HostRoster(HostEntry ownEntry)
     : own { std::move(ownEntry) }
+    , allNames { this->own.name }
+{
+    ++this->domainSizes[this->own.domain];
+}
+
+bool HostRoster::isSingleGroup() const noexcept { return this->allNames.size() <= kMaxSingleGroupHosts; }
+
+std::size_t HostRoster::groupCount(std::string_view domain) const
+{
+    const auto found = this->domainSizes.find(domain);
+    const auto size = found == this->domainSizes.end() ? 0 : found->second;
+    std::size_t count = 1;
+    while (size > count * kMaxGroupHosts)
+        count *= 2;
+    return count;
+}
+
+std::string HostRoster::groupOf(const HostEntry& entry) const
 {
-    this->updateNames();
+    if (this->isSingleGroup())
+        return {};
+    const auto count = this->groupCount(entry.domain);
+    // Twice as many groups divide each of the former ones, so that few hosts change their peers.
+    const auto index = hashText(entry.name, kGroupSeed) % count;
+    return count == 1 ? entry.domain : entry.domain + "/" + std::to_string(index) + "of" + std::to_string(count);
 }
 
-void HostRoster::updateNames()
+void HostRoster::add(HostEntry entry)
 {
-    this->allNames = { this->own.name };
-    for (const auto& [name, entry] : this->hosts)
-        this->allNames.push_back(name);
-    this->isSingleGroup = this->allNames.size() <= kMaxSingleGroupHosts;
+    if (const auto known = this->hosts.find(entry.name); known != this->hosts.end()) {
+        if (known->second == entry)
+            return;
+        this->erase(known);
+    }
+    this->allNames.push_back(entry.name);
+    if (isReachable(entry)) {
+        ++this->domainSizes[entry.domain];
+        this->namesByAddress.insert_or_assign(entry.address.address, entry.name);
+    }
+    auto name = entry.name;
+    this->hosts.emplace(std::move(name), std::move(entry));
+}
+
+void HostRoster::erase(std::map<std::string, HostEntry, std::less<>>::iterator position)
+{
+    const auto& entry = position->second;
+    if (isReachable(entry)) {
+        --this->domainSizes[entry.domain];
+        // Another host may have taken over the address.
+        const auto found = this->namesByAddress.find(entry.address.address);
+        if (found != this->namesByAddress.end() && found->second == entry.name)
+            this->namesByAddress.erase(found);
+    }
+    std::erase(this->allNames, entry.name);
+    this->hosts.erase(position);
 }
 
 void HostRoster::put(HostEntry entry)
 {
     if (entry.name == this->own.name)
         return;
-    auto name = entry.name;
-    this->missing.erase(name);
-    this->hosts.insert_or_assign(std::move(name), std::move(entry));
-    this->updateNames();
+    this->missing.erase(entry.name);
+    this->add(std::move(entry));
 }
 
-void HostRoster::remove(std::string_view name)
+void HostRoster::introduce(HostEntry entry, TimePoint until)
 {
-    const auto found = this->hosts.find(name);
-    if (found == this->hosts.end())
+    if (entry.name == this->own.name || this->hosts.contains(entry.name))
         return;
-    this->hosts.erase(found);
-    this->updateNames();
+    this->missing.insert_or_assign(entry.name, until);
+    this->add(std::move(entry));
+}
+
+void HostRoster::remove(std::string_view name)
+{
+    if (const auto found = this->hosts.find(name); found != this->hosts.end())
+        this->erase(found);
 }
 
 void HostRoster::retain(const std::set<std::string, std::less<>>& names)
 {
-    this->missing.clear();
-    std::erase_if(this->hosts, [&names](const auto& host) { return !names.contains(host.first); });
-    this->updateNames();
+    std::erase_if(this->missing, [&names](const auto& entry) { return names.contains(entry.first); });
+    for (auto position = this->hosts.begin(); position != this->hosts.end();) {
+        const auto current = position++;
+        // A host that has introduced itself may have written its entry after the list was made.
+        if (!names.contains(current->first) && !this->missing.contains(current->first))
+            this->erase(current);
+    }
 }
 
 void HostRoster::keepMissing(const std::set<std::string, std::less<>>& names, TimePoint until)
 {
     for (const auto& [name, entry] : this->hosts) {
         if (!names.contains(name))
-            this->missing.insert(name);
+            this->missing.insert_or_assign(name, until);
     }
-    this->missingUntil = until;
 }
 
 void HostRoster::removeMissing(TimePoint now)
 {
-    if (now < this->missingUntil)
-        return;
-    for (const auto& name : std::exchange(this->missing, {}))
-        this->remove(name);
+    for (auto position = this->missing.begin(); position != this->missing.end();) {
+        const auto current = position++;
+        if (now < current->second)
+            continue;
+        this->remove(current->first);
+        this->missing.erase(current);
+    }
 }
 
 bool HostRoster::isFirstFor(std::uint64_t key) const
@@ -78,35 +138,36 @@
 std::vector<HostEntry> HostRoster::groupMembers() const
 {
     std::vector<HostEntry> members;
+    const auto group = this->ownGroup();
     for (const auto& [name, entry] : this->hosts) {
-        const bool isMember = this->isSingleGroup || entry.domain == this->own.domain;
-        if (isMember && !entry.address.address.empty())
+        const bool canBeMember = this->isSingleGroup() || entry.domain == this->own.domain;
+        if (canBeMember && isReachable(entry) && this->groupOf(entry) == group)
             members.push_back(entry);
     }
     return members;
 }
 
-std::set<std::string> HostRoster::otherGroups() const
+std::map<std::string, std::vector<HostEntry>> HostRoster::otherGroups() const
 {
-    std::set<std::string> domains;
+    std::map<std::string, std::vector<HostEntry>> groups;
+    const auto ownName = this->ownGroup();
     for (const auto& [name, entry] : this->hosts) {
-        if (!this->isSingleGroup && entry.domain != this->own.domain && !entry.address.address.empty())
-            domains.insert(entry.domain);
+        if (!isReachable(entry))
+            continue;
+        if (auto group = this->groupOf(entry); group != ownName)
+            groups[std::move(group)].push_back(entry);
+    }
+    for (auto& [group, members] : groups) {
+        std::sort(members.begin(), members.end(),
+            [](const HostEntry& left, const HostEntry& right) { return hashText(left.name) < hashText(right.name); });
     }
-    return domains;
+    return groups;
 }
 
-std::vector<HostEntry> HostRoster::likelyDelegates(std::string_view domain) const
+bool HostRoster::hasOtherDomains() const
 {
-    std::vector<HostEntry> members;
-    for (const auto& [name, entry] : this->hosts) {
-        if (entry.domain == domain && !entry.address.address.empty())
-            members.push_back(entry);
-    }
-    std::sort(members.begin(), members.end(),
-        [](const HostEntry& left, const HostEntry& right) { return hashText(left.name) < hashText(right.name); });
-    members.resize(std::min(members.size(), kDelegateCount));
-    return members;
+    return std::any_of(this->domainSizes.begin(), this->domainSizes.end(),
+        [this](const auto& domain) { return domain.first != this->own.domain && domain.second > 0; });
 }
 
 const HostEntry* HostRoster::find(std::string_view name) const
@@ -117,9 +178,8 @@
 
 const HostEntry* HostRoster::findByAddress(std::string_view address) const
 {
-    const auto found = std::find_if(this->hosts.begin(), this->hosts.end(),
-        [address](const auto& host) { return host.second.address.address == address; });
-    return found == this->hosts.end() ? nullptr : &found->second;
+    const auto found = this->namesByAddress.find(std::string { address });
+    return found == this->namesByAddress.end() ? nullptr : this->find(found->second);
 }
 
 } // namespace berylwing
--- a/src/berylwing/gateway/host_roster.hpp
+++ b/src/berylwing/gateway/host_roster.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace berylwing {
@@ -18,16 +19,24 @@
     std::string domain;
     /** Address for messages to the host; empty if the entry is invalid. */
     SocketAddress address;
+
+    /** @brief Compares two entries. @return True if they are equal. */
+    [[nodiscard]] bool operator==(const HostEntry&) const = default;
 };
 
 /**
  * @brief Hosts of the fleet and the groups in which they exchange digests.
  *
- * A small fleet is a single group. In a larger one each failure domain is a group, so that the traffic of a host does
- * not grow with the fleet and a partitioned domain keeps working on its own.
+ * A small fleet is a single group. In a larger one each failure domain is a group, so that a partitioned domain keeps
+ * working on its own. Large domains are divided into two, four or more groups by the hashes of the hosts' names, so
+ * that the traffic of a host does not grow with the fleet.
  */
 class HostRoster {
-    void updateNames();
+    void add(HostEntry entry);
+    void erase(std::map<std::string, HostEntry, std::less<>>::iterator position);
+    [[nodiscard]] bool isSingleGroup() const noexcept;
+    /** Returns the number of groups of a domain. */
+    [[nodiscard]] std::size_t groupCount(std::string_view domain) const;
 
 public:
     /** @brief Creates a roster that contains only this host. @param ownEntry This host. */
@@ -36,6 +45,13 @@
     /** @brief Adds or updates a host. @param entry Entry in the store; ignored if it is this host's own. */
     void put(HostEntry entry);
 
+    /**
+     * @brief Adds a host that has sent a message before its entry was read.
+     * @param entry Entry as the host has described it; ignored if a host of that name is known.
+     * @param until Time at which removeMissing() removes the host if its entry has not been put by then.
+     */
+    void introduce(HostEntry entry, TimePoint until);
+
     /** @brief Removes a host. @param name Host. */
     void remove(std::string_view name);
 
@@ -61,11 +77,20 @@
     /** @brief Returns the other hosts of this host's group. @return Entries with an address. */
     [[nodiscard]] std::vector<HostEntry> groupMembers() const;
 
-    /** @brief Returns the failure domains that form the other groups. @return Domains; empty in a single group. */
-    [[nodiscard]] std::set<std::string> otherGroups() const;
+    /** @brief Returns the group of a host. @param entry Host. @return Name of its group. */
+    [[nodiscard]] std::string groupOf(const HostEntry& entry) const;
+
+    /** @brief Returns the group of this host. @return Name of the group. */
+    [[nodiscard]] std::string ownGroup() const { return this->groupOf(this->own); }
+
+    /**
+     * @brief Returns the hosts of the other groups, the probable delegates of a group first.
+     * @return Hosts by the name of their group; empty in a single group.
+     */
+    [[nodiscard]] std::map<std::string, std::vector<HostEntry>> otherGroups() const;
 
-    /** @brief Returns the hosts that are probably the delegates of a domain. @param domain Domain. @return Entries. */
-    [[nodiscard]] std::vector<HostEntry> likelyDelegates(std::string_view domain) const;
+    /** @brief Checks if the fleet has hosts in other failure domains. @return True if their entries are valid. */
+    [[nodiscard]] bool hasOtherDomains() const;
 
     /** @brief Finds another host by name. @param name Name. @return Entry, or a null pointer. */
     [[nodiscard]] const HostEntry* find(std::string_view name) const;
@@ -77,11 +102,13 @@
 private:
     HostEntry own;
     std::map<std::string, HostEntry, std::less<>> hosts;
-    /** Hosts that a restored store lacks. */
-    std::set<std::string, std::less<>> missing;
-    TimePoint missingUntil {};
+    /** Hosts without an entry in the latest list, by the time at which they are removed. */
+    std::map<std::string, TimePoint, std::less<>> missing;
     std::vector<std::string> allNames;
-    bool isSingleGroup = true;
+    /** Number of hosts with a valid entry in each failure domain. */
+    std::map<std::string, std::size_t, std::less<>> domainSizes;
+    /** Names by address. */
+    std::unordered_map<std::string, std::string> namesByAddress;
 };
 
 /** Number of hosts of a group that exchange summaries with other groups; with two the loss of one is harmless. */
--- a/src/berylwing/gateway/isolation_detector.cpp
+++ b/src/berylwing/gateway/isolation_detector.cpp
@@ -27,7 +27,7 @@
     const auto group = this->roster.groupMembers();
     const auto isInOtherDomain = [this](const HostEntry& host) { return host.domain != this->domain; };
     if (std::none_of(group.begin(), group.end(), isInOtherDomain))
-        return this->roster.otherGroups().empty() || this->fleet.hasLiveOtherGroups();
+        return !this->roster.hasOtherDomains() || this->fleet.hasLiveOtherDomains();
     return std::any_of(group.begin(), group.end(),
         [&](const HostEntry& host) { return isInOtherDomain(host) && this->fleet.isPeerLive(host.name); });
 }
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -23,11 +23,13 @@
 constexpr int kMaxNewsChanges = 40;
 /** Time for which other hosts can request a change; a host that has missed older ones fetches them from the store. */
 constexpr Duration kRecentChangeTtl { 10'000 };
-constexpr std::size_t kMaxRecentChanges = 100;
+constexpr std::size_t kMaxRecentChanges = 1000;
 /** Maximum bytes of documents in the reply to a request for news; with its headers it has to fit into a datagram. */
 constexpr std::size_t kMaxReplyDocumentBytes = 56 * 1024;
 /** Time for which received news remain valid without newer ones; long enough to tolerate a few lost digests. */
 constexpr Duration kNewsTtl { 1200 };
+/** Number of intervals for which the news of a sender with longer ones remain valid. */
+constexpr int kMissedIntervals = 3;
 /** Interval at which the feed checks whether it can still rely on the news. */
 constexpr Duration kNewsCheckInterval { 100 };
 /** Time for which news report an outage; longer than the grace period of entries that expired during it. */
@@ -85,10 +87,32 @@
     }
 }
 
+PlatformCallReason StoreFeed::callReason() const
+{
+    if (this->failures > 0)
+        return PlatformCallReason::Retry;
+    if (this->isListRequired)
+        return this->hasList ? this->listReason : PlatformCallReason::Start;
+    if (this->missingSince)
+        return PlatformCallReason::MissedNews;
+    if (!this->hooks.isWatcher())
+        return this->hooks.isWatchedByPeer() ? PlatformCallReason::NoNews : PlatformCallReason::NoWatcher;
+    return this->isConfirmationRequired ? PlatformCallReason::Confirmation : PlatformCallReason::Watch;
+}
+
+void StoreFeed::logCall(PlatformOperation operation, PlatformCallReason reason)
+{
+    LogLine line { LogEvent::StoreCalled };
+    line.add("kind", kObjectKindNames[this->kind]).add("operation", kPlatformOperationNames[operation]);
+    this->log.write(line.add("reason", kPlatformCallReasonNames[reason]));
+}
+
 Task<void> StoreFeed::listObjects()
 {
     const auto sentAt = this->clock.now();
-    const auto all = co_await this->client.listAll(this->kind, false);
+    const auto reason = this->callReason();
+    this->logCall(PlatformOperation::List, reason);
+    const auto all = co_await this->client.listAll(this->kind, false, reason);
     this->era.observe(all.era, {});
     if (all.era < this->era.current())
         throw PlatformError { PlatformFault::Unavailable, "the list is from before a restore of the store" };
@@ -137,7 +161,9 @@
 Task<void> StoreFeed::completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending)
 {
     try {
-        auto batch = co_await this->client.watchKind(this->kind, after, length);
+        const auto reason = this->callReason();
+        this->logCall(PlatformOperation::WatchKind, reason);
+        auto batch = co_await this->client.watchKind(this->kind, after, length, reason);
         this->era.observe(batch.era, {});
         pending->batch = std::move(batch);
     } catch (const PlatformError& error) {
@@ -169,8 +195,9 @@
 void StoreFeed::requireList()
 {
     this->isListRequired = true;
+    this->listReason = PlatformCallReason::Restore;
     // Neither the news nor the failed calls of before tell anything about the restored store.
-    this->newsReceivedAt = {};
+    this->newsValidUntil = {};
     this->watcherConfirmedAt = {};
     this->lastAttemptAt = {};
     this->missingSince.reset();
@@ -257,13 +284,13 @@
     }
 }
 
-void StoreFeed::receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt)
+void StoreFeed::receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval)
 {
     // Changes can be applied only to a list of the same era.
     if (!this->isCurrent() || news.era() != this->listEra)
         return;
     const auto now = this->clock.now();
-    this->newsReceivedAt = now;
+    this->newsValidUntil = now + std::max(kNewsTtl, kMissedIntervals * interval);
     if (news.has_outage_ended_age_ms())
         this->hooks.reportOutageEnd(now - Duration { static_cast<Duration::rep>(news.outage_ended_age_ms()) });
     std::optional<TimePoint> confirmed;
@@ -296,7 +323,9 @@
         return now < *this->missingSince + this->timing.fetchDelay;
     if (this->failures > 0)
         return this->hooks.isProbedByPeer(this->lastAttemptAt);
-    return isWatched && !this->isListRequired && now < this->newsReceivedAt + kNewsTtl;
+    if (this->isListRequired)
+        return false;
+    return this->hooks.isWatcherAwaited() || (isWatched && now < this->newsValidUntil);
 }
 
 Duration StoreFeed::nextRetryDelay()
@@ -361,6 +390,7 @@
                 line.add("kind", kObjectKindNames[this->kind]);
                 this->logPosition(std::move(line));
                 this->isListRequired = true;
+                this->listReason = PlatformCallReason::HistoryLost;
                 continue;
             }
             this->recordFailure(error);
@@ -370,6 +400,7 @@
             this->log.write(line.add("kind", kObjectKindNames[this->kind]).add("error", error.what()));
             // Some of the objects may not have been applied.
             this->isListRequired = true;
+            this->listReason = PlatformCallReason::ListRejected;
             retryDelay = kMaxRetryDelay;
         }
         if (retryDelay)
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -36,6 +36,11 @@
     std::function<void()> reportFailure = [] {};
     /** Receives the time at which an outage of the store ended, as reported by another host. */
     std::function<void(TimePoint)> reportOutageEnd = [](TimePoint) {};
+    /** Checks if this host watches the store for its group. */
+    std::function<bool()> isWatcher = [] { return true; };
+    /** Checks if the watcher of the group may not have been heard yet, so that the first watch can wait for its news.
+     */
+    std::function<bool()> isWatcherAwaited = [] { return false; };
     /** Checks if another host watches the store for this one, so that the feed need not call it. */
     std::function<bool()> isWatchedByPeer;
     /**
@@ -90,6 +95,9 @@
     [[nodiscard]] Duration nextRetryDelay();
     /** Checks if news or the probes of other hosts make a call to the store unnecessary for now. */
     [[nodiscard]] bool canPostponeCall() const;
+    /** Returns why the feed makes its next call. */
+    [[nodiscard]] PlatformCallReason callReason() const;
+    void logCall(PlatformOperation operation, PlatformCallReason reason);
     void applyChange(const VersionedObject& change, std::uint64_t through);
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
@@ -157,8 +165,9 @@
      * @brief Applies the changes that another host has seen in the era that this feed follows; ignores other news.
      * @param news News of the feed's kind.
      * @param sentAt Earliest time at which they can have been sent; nothing if unknown.
+     * @param interval Time until the sender's next news; zero if unknown.
      */
-    void receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt);
+    void receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval = {});
 
 private:
     Clock& clock;
@@ -181,7 +190,8 @@
     /** Time up to which all changes are known. */
     TimePoint confirmedAt {};
     TimePoint lastAttemptAt {};
-    TimePoint newsReceivedAt {};
+    /** Time up to which the received news remain valid without newer ones. */
+    TimePoint newsValidUntil {};
     /** Time up to which the watcher knew all changes. */
     TimePoint watcherConfirmedAt {};
     std::optional<TimePoint> outageEndedAt;
@@ -189,6 +199,8 @@
     std::optional<TimePoint> missingSince;
     bool hasList = false;
     bool isListRequired = true;
+    /** Why the objects have to be listed again. */
+    PlatformCallReason listReason = PlatformCallReason::Restore;
     /** Whether the next watch is short, to confirm that no newer change exists. */
     bool isConfirmationRequired = false;
     /** Failed calls since the last successful one. */
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -17,7 +17,7 @@
         Host(const Clock& clock, const std::string& name, std::uint64_t incarnation)
             : log { clock, [](std::string_view lines) { return lines.size(); }, "" }
             , directory { clock, this->log }
-            , view { clock, this->directory, name, incarnation }
+            , view { clock, this->directory, name, "knox-a", incarnation }
         {
             EndpointRecord record;
             record.id = "engine";
@@ -76,6 +76,35 @@
     CHECK(fixture.here.endpoint().load() == 0);
 }
 
+TEST_CASE("FleetView follows a restarted host whose time of day was set back", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    FleetFixture::Host former { fixture.clock, "there", 1'700'000'060'000 };
+    former.endpoint().inFlight = 3;
+    const auto late = former.view.makeDigest();
+    fixture.here.view.applyDigest(former.view.makeDigest());
+    FleetFixture::Host restarted { fixture.clock, "there", 1'700'000'000'000 };
+    restarted.endpoint().inFlight = 1;
+    CHECK(fixture.here.view.applyDigest(restarted.view.makeDigest()) == true);
+    CHECK(fixture.here.endpoint().load() == 1);
+    // A late digest of the former process does not bring it back.
+    CHECK_FALSE(fixture.here.view.applyDigest(late));
+    CHECK(fixture.here.endpoint().load() == 1);
+}
+
+TEST_CASE("FleetView trusts a host that sends less often for as long as it has announced", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    auto digest = fixture.there.view.makeDigest();
+    digest.set_interval_ms(1500);
+    fixture.here.view.applyDigest(digest);
+    fixture.time += Duration { 4000 };
+    fixture.here.view.dropExpired();
+    CHECK(fixture.here.view.isPeerLive("there"));
+    fixture.time += Duration { 1000 };
+    CHECK_FALSE(fixture.here.view.isPeerLive("there"));
+}
+
 TEST_CASE("FleetView tells the age of the loads that other hosts reported", "[gateway][fleet]")
 {
     FleetFixture fixture;
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -136,7 +136,7 @@
     reader.writeOdd("config", "odd", odd);
     reader.writeOdd(std::string { platform::names::kHostsKind }, "odd-host-1", odd);
     reader.start();
-    CHECK(reader.waitForLog("endpoint_seen", "i-1"));
+    CHECK(reader.waitForLog("endpoints_listed", "\"endpoints\":\"i-1\""));
     CHECK(reader.waitForLog("endpoint_rejected", "i-odd-1"));
     CHECK(reader.waitForLog("plan_taken", "\"plan\":7"));
     CHECK(reader.waitForLog("plan_rejected", "odd"));
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -85,6 +85,8 @@
 void GatewayFleet::deliver(Host& from, const SocketAddress& to, const std::string& bytes)
 {
     from.bytesSent += bytes.size();
+    if (std::bernoulli_distribution { this->messageLoss }(this->random))
+        return;
     const auto found = this->hosts.find(to.address);
     if (found == this->hosts.end() || from.isIsolated || from.isSuspended || found->second->isIsolated)
         return;
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -5,6 +5,7 @@
 #include "support/runtime_context.hpp"
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -72,6 +73,8 @@
     std::size_t planBytes = 0;
     /** Padding of the endpoint entries in bytes. */
     std::size_t endpointBytes = 0;
+    /** Part of the messages that is lost. */
+    double messageLoss = 0;
     TimePoint time { Duration { 1'000'000 } };
     /** Hosts by address. */
     std::map<std::string, std::unique_ptr<Host>> hosts;
@@ -88,6 +91,7 @@
     Clock clock;
     GatewayProtocol protocol;
     ChangeDeadlines changeDeadlines;
+    std::minstd_rand random { 1 };
     /** Gateways of killed processes, which are cut off; their tasks end with the context. */
     std::vector<std::unique_ptr<Gateway>> formerProcesses;
 };
--- a/test/support/placement_fleet.cpp
+++ b/test/support/placement_fleet.cpp
@@ -44,7 +44,7 @@
     , log { fleet.clock, [](std::string_view lines) { return lines.size(); }, "" }
     , directory { fleet.clock, this->log }
     , roster { this->entry }
-    , view { fleet.clock, this->directory, this->entry.name, fleet.nextIncarnation++ }
+    , view { fleet.clock, this->directory, this->entry.name, this->entry.domain, fleet.nextIncarnation++ }
     , promptCache { fleet.clock }
     , crashes { fleet.clock, this->log, [](std::uint64_t) { return false; } }
     , coldRateLimit { this->entry.name, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
@@ -55,9 +55,9 @@
     , placement { fleet.clock, this->directory, this->coldRateLimit, this->rateLimits, this->promptCache,
         this->unseenRequests, this->entry.domain }
     , storeEra { this->metrics, this->log, [] {} }
-    , exchange { { fleet.clock, this->entry.domain, this->entry.name, this->view, this->roster, this->promptCache,
-          this->crashes, this->rateLimits, this->storeEra, [] { return 0; }, {},
-          [this, &fleet](const SocketAddress& to, const std::string& bytes) { fleet.deliver(*this, to, bytes); },
+    , exchange { { fleet.clock, this->entry.domain, this->entry.name, kPort, this->view, this->roster,
+          this->promptCache, this->crashes, this->rateLimits, this->storeEra, [] { return 0; }, [] { return false; },
+          {}, [this, &fleet](const SocketAddress& to, const std::string& bytes) { fleet.deliver(*this, to, bytes); },
           this->metrics, this->log } }
 {
 }
@@ -104,6 +104,7 @@
         host->directory.put(std::move(record));
     }
     spawn(this->clock.executor(), "digests", host->exchange.run());
+    spawn(this->clock.executor(), "summaries", host->exchange.runSummaries());
     return host;
 }
 
