Let hosts follow a watcher without calls of their own

Plans of 1,320 routes were not relayed at all, so hosts that the store turned away refused as configuration_stale (450 between 28 and 34 s).

Change: news have a fingerprint of all objects and their versions; they are valid for as long as the watcher is trusted, by the bounds on changes; long documents are compressed (gzip, by the protobuf library in use); hosts request what is missing at once, not in their next digest, and the watcher's replies have bytes of their own, above which they are counted as deferred; digests have each change at least once. Senders of messages are copied, since news can change the roster (a pointer could dangle).

Tests: a list that differs by its revision only (with and without a removal), plans of 300 KB for hosts that the store refuses, damaged documents.

--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -175,10 +175,12 @@
     ClaimAbandoned,
     RequestQuarantined,
     LogLineDropped,
+    /** A host that had missed changes got no reply yet, because the replies to others take the allowed bytes. */
+    NewsReplyDeferred,
 };
 
 /** @brief Names of the incidents in metrics. */
-inline constexpr EnumNames<Incident, 20> kIncidentNames { {
+inline constexpr EnumNames<Incident, 21> kIncidentNames { {
     "doubt_began",
     "doubt_ended",
     "handoff_sent",
@@ -199,6 +201,7 @@
     "claim_abandoned",
     "request_quarantined",
     "log_line_dropped",
+    "news_reply_deferred",
 } };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -16,10 +16,16 @@
 constexpr Duration kSummaryInterval { 400 };
 /** Maximum bytes per millisecond that a host sends in digests: the control traffic allowed at the target fleet size. */
 constexpr Duration::rep kMaxHostBytesPerMs = 12;
-/** The same for the digests of a delegate, of which a group has two: with its summaries a tenth of the slowest link. */
-constexpr Duration::rep kMaxDelegateBytesPerMs = 83;
-/** Maximum bytes per millisecond that a delegate sends in summaries. */
+/** The same for a delegate, of which a group has two: a tenth of the slowest network link of the users' hosts. */
+constexpr Duration::rep kMaxDelegateBytesPerMs = 125;
+/** Part of it that summaries may take. */
 constexpr Duration::rep kMaxSummaryBytesPerMs = 42;
+/** Time after a request for missing news in which its reply can still arrive. */
+constexpr Duration kRequestRepeatInterval { 150 };
+/** Maximum bytes per millisecond that a watcher sends in replies: four tenths of the slowest link. */
+constexpr Duration::rep kMaxReplyBytesPerMs = 500;
+/** Time that the replies to requests that arrive together may take; hosts without a reply ask again. */
+constexpr Duration kMaxReplyBacklog { 400 };
 /** Bytes of the Ethernet, IP and UDP headers of a datagram. */
 constexpr std::size_t kDatagramOverhead = 42;
 /** Time without a summary after which a host no longer counts as a delegate of its group. */
@@ -29,6 +35,18 @@
 /** Time in which a host that has introduced itself writes its entry and the others read it. */
 constexpr Duration kIntroductionTimeout { 5000 };
 
+/** Adds a request for the changes that a feed has missed, if there are any. */
+void addRequest(const StoreFeed& feed, google::protobuf::RepeatedPtrField<wire::NewsRequest>& requests)
+{
+    const auto after = feed.missingAfter();
+    if (!after)
+        return;
+    auto& request = *requests.Add();
+    request.set_kind(static_cast<std::uint32_t>(feed.objectKind()));
+    request.set_after(*after);
+    request.set_era(feed.listedEra());
+}
+
 Duration sendTime(std::size_t bytes, Duration::rep bytesPerMs)
 {
     return Duration { static_cast<Duration::rep>(bytes) / bytesPerMs };
@@ -56,7 +74,7 @@
         digest.set_interval_ms(static_cast<std::uint64_t>(this->digestInterval.count()));
         const auto sent = this->sendDigest(std::move(digest));
         this->dependencies.metrics.addControlBytes(sent);
-        const auto rate = isDelegate ? kMaxDelegateBytesPerMs : kMaxHostBytesPerMs;
+        const auto rate = isDelegate ? kMaxDelegateBytesPerMs - this->summaryBytesPerMs : kMaxHostBytesPerMs;
         this->digestInterval = std::max(kDigestInterval, sendTime(sent, rate));
         co_await this->dependencies.clock.sleepFor(this->digestInterval);
     }
@@ -70,6 +88,7 @@
         const auto sent = this->dependencies.fleet.isDelegate() ? this->sendSummaries() : 0;
         this->dependencies.metrics.addControlBytes(sent);
         this->summaryInterval = std::max(kSummaryInterval, sendTime(sent, kMaxSummaryBytesPerMs));
+        this->summaryBytesPerMs = static_cast<Duration::rep>(sent) / this->summaryInterval.count();
     }
 }
 
@@ -99,16 +118,23 @@
     for (auto* feed : this->dependencies.feeds) {
         if (digest.is_watcher() && feed->isCurrent())
             *digest.add_news() = feed->makeRecentNews();
-        if (const auto after = feed->missingAfter()) {
-            auto& request = *digest.add_requests();
-            request.set_kind(static_cast<std::uint32_t>(feed->objectKind()));
-            request.set_after(*after);
-            request.set_era(feed->listedEra());
-        }
+        if (this->dependencies.clock.now() >= this->newsRequestedAt + kRequestRepeatInterval)
+            addRequest(*feed, *digest.mutable_requests());
     }
     return digest;
 }
 
+void FleetExchange::requestMissingNews(const HostEntry& watcher)
+{
+    wire::FleetMessage message;
+    for (const auto* feed : this->dependencies.feeds)
+        addRequest(*feed, *message.mutable_requests());
+    if (message.requests_size() == 0)
+        return;
+    this->newsRequestedAt = this->dependencies.clock.now();
+    this->dependencies.metrics.addControlBytes(this->send(watcher, message.SerializeAsString()));
+}
+
 std::size_t FleetExchange::sendDigest(wire::Digest digest)
 {
     wire::FleetMessage message;
@@ -205,19 +231,25 @@
     const bool isReadable = message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
     if (isReadable && message.has_digest())
         this->introduceSender(address, message.digest());
-    const auto* sender = this->dependencies.roster.findByAddress(address);
-    if (sender == nullptr || !isReadable) {
+    const auto* known = this->dependencies.roster.findByAddress(address);
+    if (known == nullptr || !isReadable) {
         spdlog::debug(
             "ignored a message of {} bytes from {}: unknown sender or invalid encoding", bytes.size(), address);
         return;
     }
-    if (message.has_digest() && message.digest().host() == sender->name) {
-        this->handleNewsRequests(*sender, message.digest());
+    // News can change the roster.
+    const auto sender = *known;
+    if (message.has_digest() && message.digest().host() == sender.name) {
+        this->handleNewsRequests(sender, message.digest().requests());
+        const bool hasNews = message.digest().news_size() > 0;
         this->handleDigest(std::move(*message.mutable_digest()));
+        if (hasNews)
+            this->requestMissingNews(sender);
     }
+    this->handleNewsRequests(sender, message.requests());
     if (message.has_news())
         this->handleNews(message.news(), this->dependencies.fleet.earliestSendTime(message.digest()), {});
-    if (message.has_summary() && message.summary().host() == sender->name)
+    if (message.has_summary() && message.summary().host() == sender.name)
         this->handleSummary(message.summary());
 }
 
@@ -253,18 +285,31 @@
         feed->receiveNews(news, sentAt, interval);
 }
 
-void FleetExchange::handleNewsRequests(const HostEntry& sender, const wire::Digest& digest)
+bool FleetExchange::reserveReply(std::size_t bytes)
+{
+    const auto now = this->dependencies.clock.now();
+    if (this->repliesDoneAt > now + kMaxReplyBacklog)
+        return false;
+    this->repliesDoneAt = std::max(this->repliesDoneAt, now) + sendTime(bytes, kMaxReplyBytesPerMs);
+    return true;
+}
+
+void FleetExchange::handleNewsRequests(const HostEntry& sender, const NewsRequests& requests)
 {
     if (!this->isWatcher)
         return;
-    for (const auto& request : digest.requests()) {
+    for (const auto& request : requests) {
         auto* feed = this->findFeed(request.kind());
         const auto news = feed == nullptr ? std::nullopt : feed->makeNewsAfter(request.era(), request.after());
         if (!news)
             continue;
         wire::FleetMessage reply;
         *reply.mutable_news() = *news;
-        this->dependencies.metrics.addControlBytes(this->send(sender, reply.SerializeAsString()));
+        const auto bytes = reply.SerializeAsString();
+        if (this->reserveReply(bytes.size()))
+            this->dependencies.metrics.addControlBytes(this->send(sender, bytes));
+        else
+            this->dependencies.metrics.add(Incident::NewsReplyDeferred);
     }
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -56,6 +56,8 @@
  * digests.
  */
 class FleetExchange {
+    using NewsRequests = google::protobuf::RepeatedPtrField<wire::NewsRequest>;
+
     [[nodiscard]] wire::Digest makeDigest();
     [[nodiscard]] std::size_t sendDigest(wire::Digest digest);
     [[nodiscard]] std::size_t sendSummaries();
@@ -68,7 +70,11 @@
     void handleDigest(wire::Digest digest);
     void handleSummary(const wire::GroupSummary& summary);
     void handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval);
-    void handleNewsRequests(const HostEntry& sender, const wire::Digest& digest);
+    /** Requests the changes that the news of a watcher omitted. */
+    void requestMissingNews(const HostEntry& watcher);
+    void handleNewsRequests(const HostEntry& sender, const NewsRequests& requests);
+    /** Checks if a reply of some size can be sent now, and counts it. */
+    [[nodiscard]] bool reserveReply(std::size_t bytes);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
     void logRoleChange(const wire::Digest& digest);
 
@@ -96,7 +102,12 @@
     /** Time until the next digest, and until the next summaries. */
     Duration digestInterval {};
     Duration summaryInterval;
+    Duration::rep summaryBytesPerMs = 0;
     std::size_t summaryTurn = 0;
+    /** Time of the last request for missing news that did not wait for a digest. */
+    TimePoint newsRequestedAt {};
+    /** Time at which the replies sent so far have passed the allowed rate. */
+    TimePoint repliesDoneAt {};
     /** Roles of this host in its last digest. */
     bool isDelegate = false;
     bool isWatcher = false;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -291,6 +291,7 @@
     StoreFeedHooks hooks;
     hooks.isWatcher = [this] { return this->fleet.isWatcher(); };
     hooks.isWatcherAwaited = [this] { return this->isWatcherAwaited(); };
+    hooks.newsTtl = watcherTtl;
     hooks.isWatchedByPeer = [this, ttl = std::move(watcherTtl)] { return this->isWatchedByPeer(ttl()); };
     // While the store is unreachable only the plan feed retries; the other feeds wait for it.
     hooks.isProbedByPeer = [this](TimePoint) { return !this->planFeed.isStoreReachable(); };
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/hash.hpp"
 #include "berylwing/core/json_text.hpp"
+#include "berylwing/gateway/document_compression.hpp"
 #include <algorithm>
 #include <utility>
 
@@ -15,7 +16,7 @@
 constexpr Duration kMinRetryDelay { 60 };
 /** Longest retry delay; the end of an outage is noticed well within the time for which API keys remain valid. */
 constexpr Duration kMaxRetryDelay { 500 };
-/** Time for which each digest repeats a change, so that a lost digest does no harm; hosts that missed more ask. */
+/** Time for which digests repeat a change, each at least once; hosts that missed more ask. */
 constexpr Duration kNewsRepeatTtl { 500 };
 /** Largest document relayed in digests; larger ones are requested from the watcher or fetched from the store. */
 constexpr std::size_t kMaxNewsDocumentBytes = 1000;
@@ -24,10 +25,8 @@
 /** Time for which other hosts can request a change; a host that has missed older ones fetches them from the store. */
 constexpr Duration kRecentChangeTtl { 10'000 };
 constexpr std::size_t kMaxRecentChanges = 1000;
-/** Maximum bytes of documents in the reply to a request for news; with its headers it has to fit into a datagram. */
-constexpr std::size_t kMaxReplyDocumentBytes = 56 * 1024;
-/** Time for which received news remain valid without newer ones; long enough to tolerate a few lost digests. */
-constexpr Duration kNewsTtl { 1200 };
+/** Maximum bytes of the reply to a request for news, which has to fit into a datagram. */
+constexpr std::size_t kMaxReplyBytes = 60 * 1024;
 /** Number of intervals for which the news of a sender with longer ones remain valid. */
 constexpr int kMissedIntervals = 3;
 /** Interval at which the feed checks whether it can still rely on the news. */
@@ -74,7 +73,18 @@
     // A host that has missed earlier changes of the object needs only the last one.
     std::erase_if(this->recentChanges, [&change](const RecentChange& recent) { return recent.name == change.name; });
     auto document = textOf(change.value);
-    this->recentChanges.push_back({ change.name, std::move(document), through, this->clock.now() });
+    this->setVersion(change.name, document.empty() ? 0 : change.version);
+    this->recentChanges.push_back({ change.name, std::move(document), through, this->clock.now(), change.version });
+}
+
+void StoreFeed::setVersion(const std::string& name, std::uint64_t version)
+{
+    auto& known = this->versions[name];
+    for (const auto changed : { known, version })
+        this->fingerprint ^= changed == 0 ? 0 : hashText(name, changed);
+    known = version;
+    if (version == 0)
+        this->versions.erase(name);
 }
 
 void StoreFeed::pruneRecentChanges()
@@ -121,6 +131,10 @@
     this->revision = all.through;
     this->recentChanges.clear();
     this->recentChangesAfter = this->revision;
+    this->versions.clear();
+    this->fingerprint = kEmptyFingerprint;
+    for (const auto& object : all.changes)
+        this->setVersion(object.name, object.version);
     this->isListRequired = false;
     this->hasList = true;
     this->missingSince.reset();
@@ -213,18 +227,26 @@
     news.set_era(this->listEra);
     news.set_after(this->recentChangesAfter);
     news.set_through(this->revision);
+    news.set_fingerprint(this->fingerprint);
     news.set_confirmed_age_ms(static_cast<std::uint64_t>((now - this->confirmedAt).count()));
     if (this->outageEndedAt && now < *this->outageEndedAt + kOutageTtl)
         news.set_outage_ended_age_ms(static_cast<std::uint64_t>((now - *this->outageEndedAt).count()));
     return news;
 }
 
-void StoreFeed::addChange(wire::StoreNews& news, const RecentChange& recent)
+void StoreFeed::addChange(wire::StoreNews& news, RecentChange& recent)
 {
     auto& change = *news.add_changes();
     change.set_name(recent.name);
     change.set_revision(recent.through);
-    change.set_value(recent.document);
+    change.set_version(recent.version);
+    if (recent.document.size() <= kMaxNewsDocumentBytes) {
+        change.set_value(recent.document);
+        return;
+    }
+    if (recent.compressed.empty())
+        recent.compressed = compressDocument(recent.document);
+    change.set_compressed_value(recent.compressed);
 }
 
 wire::StoreNews StoreFeed::makeRecentNews()
@@ -232,10 +254,11 @@
     this->pruneRecentChanges();
     auto news = this->makeNewsHeader();
     const auto oldest = this->clock.now() - kNewsRepeatTtl;
-    for (const auto& recent : this->recentChanges) {
+    for (auto& recent : this->recentChanges) {
         const bool isTooLarge
             = recent.document.size() > kMaxNewsDocumentBytes || news.changes_size() == kMaxNewsChanges;
-        if (recent.at < oldest || isTooLarge) {
+        const bool isRepeated = std::exchange(recent.isSent, true);
+        if ((isRepeated && recent.at < oldest) || isTooLarge) {
             // Hosts that are behind have to request this document and all changes before it.
             news.clear_changes();
             news.set_after(recent.through);
@@ -260,14 +283,12 @@
         return std::nullopt;
     auto news = this->makeNewsHeader();
     news.set_after(after);
-    std::size_t bytes = 0;
-    for (const auto& recent : this->recentChanges) {
+    for (auto& recent : this->recentChanges) {
         if (recent.through <= after)
             continue;
-        bytes += recent.document.size();
-        if (bytes > kMaxReplyDocumentBytes)
-            return std::nullopt;
         addChange(news, recent);
+        if (news.ByteSizeLong() > kMaxReplyBytes)
+            return std::nullopt;
     }
     return news;
 }
@@ -277,10 +298,14 @@
     for (const auto& change : news.changes()) {
         if (change.revision() <= this->revision)
             continue;
+        auto text = change.value();
+        if (!change.compressed_value().empty())
+            text = decompressDocument(change.compressed_value()).value_or(std::string { kUnreadableDocument });
         nlohmann::json value;
-        if (!change.value().empty())
-            value = readDocument(change.value(), change.name());
-        this->applyChange({ this->kind, change.name(), change.revision(), std::move(value) }, change.revision());
+        if (!text.empty())
+            value = readDocument(text, change.name());
+        const auto version = change.version() == 0 ? change.revision() : change.version();
+        this->applyChange({ this->kind, change.name(), version, std::move(value) }, change.revision());
     }
 }
 
@@ -290,7 +315,7 @@
     if (!this->isCurrent() || news.era() != this->listEra)
         return;
     const auto now = this->clock.now();
-    this->newsValidUntil = now + std::max(kNewsTtl, kMissedIntervals * interval);
+    this->newsValidUntil = now + std::max(this->hooks.newsTtl(), kMissedIntervals * interval);
     if (news.has_outage_ended_age_ms())
         this->hooks.reportOutageEnd(now - Duration { static_cast<Duration::rep>(news.outage_ended_age_ms()) });
     std::optional<TimePoint> confirmed;
@@ -298,7 +323,9 @@
         confirmed = *sentAt - Duration { static_cast<Duration::rep>(news.confirmed_age_ms()) };
         this->watcherConfirmedAt = std::max(this->watcherConfirmedAt, *confirmed);
     }
-    if (this->revision < news.after()) {
+    // Lists of the same objects can have different revisions, because other kinds have changed in between.
+    const bool hasSameObjects = news.fingerprint() == this->fingerprint;
+    if (this->revision < news.after() && !hasSameObjects) {
         if (!this->missingSince)
             this->missingSince = now;
         this->newsArrived.notifyAll();
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace berylwing {
@@ -38,6 +39,8 @@
     std::function<void(TimePoint)> reportOutageEnd = [](TimePoint) {};
     /** Checks if this host watches the store for its group. */
     std::function<bool()> isWatcher = [] { return true; };
+    /** Returns the time for which received news remain valid without newer ones. */
+    std::function<Duration()> newsTtl = [] { return Duration { 1200 }; };
     /** Checks if the watcher of the group may not have been heard yet, so that the first watch can wait for its news.
      */
     std::function<bool()> isWatcherAwaited = [] { return false; };
@@ -77,6 +80,12 @@
         /** Revision of the response that contained the change; not lower than the revision of the change itself. */
         std::uint64_t through = 0;
         TimePoint at {};
+        /** Revision of the change itself. */
+        std::uint64_t version = 0;
+        /** Compressed document, made when it is first requested. */
+        std::string compressed {};
+        /** Whether a digest has had the change. */
+        bool isSent = false;
     };
 
     /** Watch that is abandoned when the store was restored meanwhile. */
@@ -102,7 +111,9 @@
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
     [[nodiscard]] wire::StoreNews makeNewsHeader() const;
-    static void addChange(wire::StoreNews& news, const RecentChange& recent);
+    static void addChange(wire::StoreNews& news, RecentChange& recent);
+    /** Records the version of an object, which is zero if it was removed, for the fingerprint. */
+    void setVersion(const std::string& name, std::uint64_t version);
     /** Writes a log line with the revision and the era that the feed has reached. */
     void logPosition(LogLine line);
     void recordSuccess();
@@ -183,6 +194,12 @@
     /** Era of the last list, which all revisions here belong to. */
     std::uint64_t listEra = 0;
     std::uint64_t revision = 0;
+    /** Versions of the objects that exist, by name. */
+    std::unordered_map<std::string, std::uint64_t> versions;
+    /** Fingerprint without objects; senders that know no fingerprint send zero. */
+    static constexpr std::uint64_t kEmptyFingerprint = 1;
+    /** Combined hash of the names and versions. */
+    std::uint64_t fingerprint = kEmptyFingerprint;
     /** Last change of each object, kept to be relayed to other hosts. */
     std::deque<RecentChange> recentChanges;
     /** Revision after which recentChanges is complete. */
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -235,6 +235,23 @@
     }
 }
 
+TEST_CASE(
+    "Hosts that the store refuses get plans from the watcher that do not fit into a datagram", "[gateway][exchange]")
+{
+    SettledFleet fleet { 3 };
+    fleet.planBytes = 300'000;
+    const auto watcher = fleet.watchers()[0]->settings.host;
+    for (const auto& [address, host] : fleet.hosts) {
+        if (host->settings.host != watcher)
+            fleet.platform.unreachableHosts.insert(host->settings.host);
+    }
+    for (std::uint64_t version = 2; version <= 4; ++version) {
+        fleet.putPlan(version);
+        fleet.advance(kPlanTimeout);
+        CHECK(fleet.countHostsWithLog("\"plan\":" + std::to_string(version)) == fleet.hosts.size());
+    }
+}
+
 TEST_CASE("Few hosts probe the store during an outage, and all are up to date soon after it", "[gateway][exchange]")
 {
     SettledFleet fleet { 9 };
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/store_feed.hpp"
 
+#include "berylwing/gateway/document_compression.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include "support/fake_platform.hpp"
 #include "support/runtime_context.hpp"
@@ -263,6 +264,29 @@
     CHECK_FALSE(fixture.watcher.feed.makeNewsAfter(1, news->after()));
 }
 
+TEST_CASE("StoreFeed calls the store for missing changes only if the watcher has other objects", "[gateway][feed]")
+{
+    const bool hasRemoval = GENERATE(false, true);
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.write("engine-2", { { "slots", 1 } });
+    fixture.follower.hasWatcher = true;
+    fixture.advance(Duration { 4000 });
+    const auto calls = fixture.follower.calls;
+    // The watcher starts again while objects of other kinds change, so that its list begins at a later revision.
+    fixture.platform.store.write(ObjectKind::Host, "knox-a-1", { { "port", 1 } });
+    if (hasRemoval) {
+        fixture.advance(Duration { 10 }, Duration {});
+        fixture.remove("engine-2");
+    }
+    fixture.watcher.feed.requireList();
+    fixture.advance(Duration { 4000 });
+    CHECK_FALSE(fixture.follower.feed.missingAfter());
+    CHECK(fixture.follower.objects.contains("engine-2") == !hasRemoval);
+    if (!hasRemoval)
+        CHECK(fixture.follower.calls == calls);
+}
+
 TEST_CASE("StoreFeed sends only the last of many versions, which together do not fit into a reply", "[gateway][feed]")
 {
     FeedFixture fixture;
@@ -276,7 +300,10 @@
     const auto news = fixture.watcher.feed.makeNewsAfter(1, before);
     REQUIRE(news);
     REQUIRE(news->changes_size() == 1);
-    CHECK(news->changes(0).value().find("\"version\":12") != std::string::npos);
+    const auto document = decompressDocument(news->changes(0).compressed_value());
+    REQUIRE(document);
+    CHECK(document->find("\"version\":12") != std::string::npos);
+    CHECK(document->size() > 20'000);
 }
 
 TEST_CASE("StoreFeed lists the objects at once when the store has dropped its history", "[gateway][feed]")
