Heed what endpoints say of themselves: their stop, and pauses

A host that was not in touch with the store went on sending to endpoints that had said in each answer that they stop.

A pause holds to its end and ten minutes at most; a request that was on its way to a connection is checked again. If all endpoints wait, requests are refused at once with the shortest time left.

--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -75,7 +75,8 @@
 void EndpointDirectory::recordDeparture(GatewayEndpoint& endpoint)
 {
     endpoint.record.isDraining = true;
-    this->departures.insert_or_assign(endpoint.record.id, Departure { endpoint.record.startedAt, this->clock.now() });
+    this->departures.insert_or_assign(
+        endpoint.record.id, Departure { endpoint.record.startedAt, this->clock.now(), endpoint.stop });
 }
 
 void EndpointDirectory::put(EndpointRecord record)
@@ -88,6 +89,10 @@
     if (isNew) {
         endpoint = new GatewayEndpoint { std::move(record) };
         endpoint->coldUntil = now + endpoint->record.coldDuration;
+        // An entry that was removed and written again can be older than the answers of its process.
+        const auto gone = this->departures.find(endpoint->record.id);
+        if (gone != this->departures.end() && gone->second.startedAt == endpoint->record.startedAt)
+            endpoint->stop = gone->second.stop;
         if (!this->isFirstList)
             this->logChange(LogEvent::EndpointSeen, *endpoint, endpoint->record.isDraining ? "leaving" : "open");
         return;
@@ -219,7 +224,8 @@
 {
     const auto& domain = endpoint.record.domain;
     const bool isKeptWithdrawn = this->keptDomains.contains(domain) && this->clock.now() < this->keptUntil;
-    return !endpoint.record.isDraining && !isKeptWithdrawn && !this->withdrawnDomains.contains(domain);
+    return !endpoint.record.isDraining && !endpoint.hasAnnouncedStop() && !isKeptWithdrawn
+        && !this->withdrawnDomains.contains(domain);
 }
 
 std::vector<GatewayEndpointPtr> EndpointDirectory::availableEndpoints(std::string_view service) const
--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -54,6 +54,14 @@
     TimePoint reportedAt = TimePoint::min();
 };
 
+/** @brief What the process of an endpoint has announced of its stop in its answers. */
+struct StopAnnouncement {
+    /** Time of the first answer that told it; the minimum if none did. */
+    TimePoint toldAt = TimePoint::min();
+    /** Last time at which this host reported it to others. */
+    TimePoint reportedAt = TimePoint::min();
+};
+
 /** @brief Endpoint with the state that this host tracks; requests in flight keep it alive after its removal. */
 class GatewayEndpoint : public boost::intrusive_ref_counter<GatewayEndpoint, boost::thread_unsafe_counter> {
 public:
@@ -68,6 +76,9 @@
     /** @brief Checks if the endpoint is warming up. @param now Current time. @return True while it is cold. */
     [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < this->coldUntil; }
 
+    /** @brief Checks if the endpoint has announced its stop in an answer. @return True until its process has ended. */
+    [[nodiscard]] bool hasAnnouncedStop() const noexcept { return this->stop.toldAt != TimePoint::min(); }
+
     /** @brief Estimates the prompt tokens of all hosts that the endpoint has not processed. @return Tokens. */
     [[nodiscard]] std::uint64_t backlog() const noexcept
     {
@@ -90,6 +101,9 @@
     /** Time of the last request that was sent while the endpoint was cold. */
     TimePoint lastColdSendAt {};
     RequestLimit limit;
+    /** Time until which the endpoint wants no requests from this host. */
+    TimePoint pausedUntil = TimePoint::min();
+    StopAnnouncement stop;
     /** Time of the last request of this host. */
     TimePoint lastSendAt = TimePoint::min();
     /** Unfinished requests of this host. */
@@ -115,6 +129,7 @@
         /** Start of its process, as in EndpointRecord. */
         std::uint64_t startedAt = 0;
         TimePoint at {};
+        StopAnnouncement stop;
     };
 
     [[nodiscard]] bool isInOutageGrace(TimePoint now) const noexcept;
@@ -191,7 +206,7 @@
     /**
      * @brief Checks if an endpoint may get new requests.
      * @param endpoint Endpoint.
-     * @return False if it is draining, removed or in a withdrawn domain.
+     * @return False if it is draining, removed or in a withdrawn domain, or has announced its stop.
      */
     [[nodiscard]] bool isAvailable(const GatewayEndpoint& endpoint) const;
 
--- a/src/berylwing/gateway/endpoint_rate_limits.cpp
+++ b/src/berylwing/gateway/endpoint_rate_limits.cpp
@@ -107,12 +107,22 @@
     return share;
 }
 
+void EndpointRateLimits::recordPause(GatewayEndpoint& endpoint, Duration length)
+{
+    endpoint.pausedUntil = std::max(endpoint.pausedUntil, this->clock.now() + length);
+    LogLine line { LogEvent::EndpointPaused };
+    line.add("endpoint", endpoint.record.id).add("service", endpoint.record.service);
+    this->log.write(line.add("pause_ms", length).add("left_ms", endpoint.pausedUntil - this->clock.now()));
+}
+
 TimePoint EndpointRateLimits::nextSendAt(const GatewayEndpoint& endpoint) const
 {
     if (!endpoint.limit.perSecond)
-        return TimePoint::min();
+        return endpoint.pausedUntil;
     const auto share = this->shareOf(endpoint);
-    return share.isSender ? std::max(endpoint.lastSendAt, share.since) + share.interval : TimePoint::max();
+    const auto nextByLimit
+        = share.isSender ? std::max(endpoint.lastSendAt, share.since) + share.interval : TimePoint::max();
+    return std::max(nextByLimit, endpoint.pausedUntil);
 }
 
 bool EndpointRateLimits::isCheckDue(const GatewayEndpoint& endpoint) const
@@ -130,7 +140,7 @@
     bool isLimited = false;
     for (const auto& endpoint : this->directory.availableEndpoints(service)) {
         earliest = std::min(earliest, this->nextSendAt(*endpoint));
-        isLimited = isLimited || endpoint->limit.perSecond;
+        isLimited = isLimited || endpoint->limit.perSecond || this->isPaused(*endpoint);
     }
     if (!isLimited)
         return std::nullopt;
--- a/src/berylwing/gateway/endpoint_rate_limits.hpp
+++ b/src/berylwing/gateway/endpoint_rate_limits.hpp
@@ -54,6 +54,21 @@
     /** @brief Records what an answer tells. @param endpoint Endpoint. @param perSecond Limit, if it names one. */
     void recordAnswer(GatewayEndpoint& endpoint, std::optional<double> perSecond);
 
+    /**
+     * @brief Records that an endpoint wants no requests from this host for a while.
+     *
+     * An answer to a request that was sent earlier does not end the pause, nor does a shorter one.
+     * @param endpoint Endpoint that has rejected a request.
+     * @param length Time since the rejection.
+     */
+    void recordPause(GatewayEndpoint& endpoint, Duration length);
+
+    /** @brief Checks if an endpoint wants no requests from this host. @param endpoint Endpoint. @return True if so. */
+    [[nodiscard]] bool isPaused(const GatewayEndpoint& endpoint) const
+    {
+        return this->clock.now() < endpoint.pausedUntil;
+    }
+
     /** @brief Records that this host sends a request. @param endpoint Endpoint. */
     void recordSend(GatewayEndpoint& endpoint) const { endpoint.lastSendAt = this->clock.now(); }
 
@@ -74,9 +89,10 @@
     [[nodiscard]] bool isCheckDue(const GatewayEndpoint& endpoint) const;
 
     /**
-     * @brief Computes how long no endpoint of a service may receive a request of this host because of limits.
+     * @brief Computes how long no endpoint of a service may receive a request of this host because of limits and
+     * pauses.
      * @param service Service.
-     * @return Time, zero if only other hosts may send; nothing if no endpoint names a limit.
+     * @return Time, zero if only other hosts may send; nothing if no endpoint names a limit or a pause.
      */
     [[nodiscard]] std::optional<Duration> delayOf(std::string_view service) const;
 
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -111,6 +111,7 @@
     if (!this->dependencies.crashes.isEmpty())
         this->dependencies.crashes.appendTo(*digest.mutable_crash_report(), scope);
     this->dependencies.rateLimits.appendTo(*digest.mutable_limit_report(), digest.is_delegate());
+    this->dependencies.announcedStops.appendTo(*digest.mutable_stop_report(), digest.is_delegate());
     if (digest.is_delegate())
         this->usesForOwnGroup.appendTo(*digest.mutable_uses());
     digest.set_store_era(this->dependencies.storeEra.current());
@@ -192,6 +193,7 @@
     if (!this->dependencies.crashes.isEmpty())
         this->dependencies.crashes.appendTo(*summary.mutable_crash_report(), CrashQuarantine::Scope::All);
     this->dependencies.rateLimits.appendTo(*summary.mutable_limit_report(), true);
+    this->dependencies.announcedStops.appendTo(*summary.mutable_stop_report(), true);
     const auto bytes = message.SerializeAsString();
     std::vector<std::vector<HostEntry>> recipients;
     std::size_t recipientCount = 0;
@@ -258,6 +260,7 @@
     const auto uses = this->dependencies.holders.merge(digest.uses());
     this->dependencies.crashes.merge(digest.crash_report(), digest.host());
     this->dependencies.rateLimits.merge(digest.limit_report(), digest.host());
+    this->dependencies.announcedStops.merge(digest.stop_report(), digest.host());
     if (this->isDelegate && !digest.is_delegate())
         this->usesForOtherGroups.push(uses);
     const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
@@ -319,6 +322,7 @@
     this->usesForOwnGroup.push(this->dependencies.holders.merge(summary.uses()));
     this->dependencies.crashes.merge(summary.crash_report(), summary.host());
     this->dependencies.rateLimits.merge(summary.limit_report(), summary.host());
+    this->dependencies.announcedStops.merge(summary.stop_report(), summary.host());
     this->dependencies.fleet.applySummary(summary);
 }
 
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/gateway/announced_stops.hpp"
 #include "berylwing/gateway/announcement_queue.hpp"
 #include "berylwing/gateway/crash_quarantine.hpp"
 #include "berylwing/gateway/digest.pb.h"
@@ -34,6 +35,7 @@
     PromptCacheIndex& holders;
     CrashQuarantine& crashes;
     EndpointRateLimits& rateLimits;
+    AnnouncedStops& announcedStops;
     StoreEra& storeEra;
     /** Version of this host's routing plan; zero without one. */
     std::function<std::uint64_t()> planVersion;
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr unsigned kMisdirectedRequest = 421;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -272,7 +273,8 @@
         co_return AttemptResult::NotRun;
     }
     // While the connection was established, the endpoint may have left and the key may have been revoked.
-    if (!this->dependencies.directory.isAvailable(*endpoint) || !this->isAuthorized(context) || this->endOf(context)) {
+    if (!this->dependencies.directory.isAvailable(*endpoint) || this->dependencies.rateLimits.isPaused(*endpoint)
+        || !this->isAuthorized(context) || this->endOf(context)) {
         context.failureReason = Refusal::EndpointLeaving;
         co_return AttemptResult::NotRun;
     }
@@ -355,9 +357,8 @@
     reservation.release();
     // Status 421 tells that another process has the address; the record is outdated until the store has a newer one.
     const bool isMisdirected = head.status == kMisdirectedRequest;
-    // A rejection that names no limit does not prove that there is none.
-    if (!isMisdirected && (head.metadata.requestLimit || !head.metadata.isNotRun))
-        this->dependencies.rateLimits.recordAnswer(endpoint, head.metadata.requestLimit);
+    if (!isMisdirected)
+        this->recordAnnouncements(endpoint, head);
     if (head.metadata.isNotRun || isMisdirected) {
         this->recordResult(endpoint, isMisdirected ? EndpointResult::Unreachable : EndpointResult::Shed);
         context.failureReason = isMisdirected ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
@@ -409,6 +410,18 @@
     co_await context.writer.head(written);
 }
 
+void Forwarder::recordAnnouncements(GatewayEndpoint& endpoint, const ResponseHead& head)
+{
+    const auto& metadata = head.metadata;
+    // A rejection that names no limit does not prove that there is none.
+    if (metadata.requestLimit || !metadata.isNotRun)
+        this->dependencies.rateLimits.recordAnswer(endpoint, metadata.requestLimit);
+    if (metadata.retryAfter && head.status == kServiceUnavailable)
+        this->dependencies.rateLimits.recordPause(endpoint, *metadata.retryAfter);
+    if (metadata.isLeaving)
+        this->dependencies.announcedStops.recordAnswer(endpoint);
+}
+
 void Forwarder::recordAnswer(RequestContext& context, const ResponseHead& head)
 {
     if (isSuccess(head.status) && !this->dependencies.crashQuarantine.isEmpty())
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/outcome.hpp"
+#include "berylwing/gateway/announced_stops.hpp"
 #include "berylwing/gateway/crash_quarantine.hpp"
 #include "berylwing/gateway/endpoint_rate_limits.hpp"
 #include "berylwing/gateway/endpoint_session.hpp"
@@ -43,6 +44,7 @@
     FleetRetryBudget& retryBudget;
     UnseenRequests& unseenRequests;
     EndpointRateLimits& rateLimits;
+    AnnouncedStops& announcedStops;
     SessionFactory openSession;
     /** Reports an endpoint that stopped responding. */
     std::function<void(GatewayEndpoint&)> reportSilence;
@@ -104,6 +106,8 @@
     [[nodiscard]] Task<void> relayPart(RequestContext& context, const ResponseHead& head, std::string_view part);
     /** Clears the request of crashing endpoints, since one has answered it. */
     void recordAnswer(RequestContext& context, const ResponseHead& head);
+    /** Records what the head of a response tells of its endpoint: a limit, a pause, its stop. */
+    void recordAnnouncements(GatewayEndpoint& endpoint, const ResponseHead& head);
     [[nodiscard]] Task<void> writeHead(RequestContext& context, const ResponseHead& head);
     void recordResult(GatewayEndpoint& endpoint, EndpointResult result);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result);
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -106,6 +106,7 @@
     , coldLimit { gatewaySettings.host, [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , rateLimits { hostClock, this->directory, this->log, gatewaySettings.host,
         [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
+    , announcedStops { hostClock, this->directory, this->log }
     , holders { hostClock }
     , crashes { hostClock, this->log, [this](std::uint64_t subject) { return this->roster.isFirstFor(subject); } }
     , unseenRequests { hostClock, [this] { return this->roster.names().size(); },
@@ -135,7 +136,7 @@
 {
     return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
         this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
-        this->unseenRequests, this->rateLimits, std::move(open),
+        this->unseenRequests, this->rateLimits, this->announcedStops, std::move(open),
         [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log };
 }
 
@@ -149,7 +150,7 @@
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->settings.digests.port, this->fleet,
-        this->roster, this->holders, this->crashes, this->rateLimits, this->storeEra,
+        this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->storeEra,
         [this] { return this->plan ? this->plan->version() : 0; }, [this] { return this->registration.isWanted(); },
         { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
         this->hostMetrics, this->log };
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -202,6 +202,7 @@
     IsolationDetector isolationDetector;
     ColdRateLimit coldLimit;
     EndpointRateLimits rateLimits;
+    AnnouncedStops announcedStops;
     PromptCacheIndex holders;
     CrashQuarantine crashes;
     UnseenRequests unseenRequests;
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -94,6 +94,10 @@
     std::optional<Duration> idleTimeout;
     /** Requests per second that the endpoint takes from all hosts together; empty if it names no limit. */
     std::optional<double> requestLimit;
+    /** Whether the endpoint announces that it is about to stop. */
+    bool isLeaving = false;
+    /** Time for which the endpoint wants no requests from this host; empty if it does not say. */
+    std::optional<Duration> retryAfter;
 };
 
 /** @brief Status line and headers of an endpoint's response. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -47,11 +47,13 @@
     Quarantined,
     QuarantineLifted,
     LimitLearned,
+    StopAnnounced,
+    EndpointPaused,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 37> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 39> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -88,6 +90,8 @@
     "quarantined",
     "quarantine_lifted",
     "limit_learned",
+    "stop_announced",
+    "endpoint_paused",
     "lines_dropped",
 } };
 
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -100,3 +100,30 @@
     for (const auto* text : { "", "many", "2.5/s", "-1", "nan", "inf" })
         CHECK_FALSE(read(text));
 }
+
+TEST_CASE("readResponseHeaders reads how long an endpoint wants no requests", "[platform]")
+{
+    const auto read = [](const std::string& text) {
+        HeaderFields fields;
+        fields.set("Retry-After", text);
+        return platform::readResponseHeaders(fields).retryAfter;
+    };
+    CHECK(read("0.25") == Duration { 250 });
+    CHECK(read("0") == Duration {});
+    // Years are taken for a mistake.
+    CHECK(read("1e9") == Duration { 600'000 });
+    for (const auto* text : { "", "soon", "2s", "-1", "nan", "inf" })
+        CHECK_FALSE(read(text));
+}
+
+TEST_CASE("readResponseHeaders reads that an endpoint is about to stop", "[platform]")
+{
+    const auto read = [](const std::string& text) {
+        HeaderFields fields;
+        fields.set("Server-Leaving", text);
+        return platform::readResponseHeaders(fields).isLeaving;
+    };
+    CHECK(read("1"));
+    for (const auto* text : { "", "0", "yes", "11" })
+        CHECK_FALSE(read(text));
+}
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -300,7 +300,7 @@
                 : std::vector<std::string> { "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n" };
         co_return;
     };
-    session->readHead = [this, behavior, aborted, isAborted](TimePoint deadline) -> Task<ResponseHead> {
+    session->readHead = [this, endpoint, behavior, aborted, isAborted](TimePoint deadline) -> Task<ResponseHead> {
         if (behavior == EndpointBehavior::Hang)
             co_await aborted->waitUntil(deadline);
         else
@@ -318,6 +318,9 @@
             head.status = kServiceUnavailable;
         if (behavior == EndpointBehavior::Answer)
             head.metadata.requestLimit = this->requestLimit;
+        head.metadata.isLeaving = this->stoppingEndpoints.contains(endpoint);
+        if (const auto pause = this->pauses.find(endpoint); pause != this->pauses.end() && head.metadata.isNotRun)
+            head.metadata.retryAfter = pause->second;
         if (behavior == EndpointBehavior::Misdirected)
             head.status = kMisdirectedRequest;
         if (behavior == EndpointBehavior::Fail || behavior == EndpointBehavior::EndlessFailure
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,10 @@
     Duration answerTime { 20 };
     /** Silence of an endpoint before each event of an answer. */
     Duration eventInterval {};
+    /** Endpoints whose answers announce their stop. */
+    std::set<std::string> stoppingEndpoints;
+    /** Time for which endpoints want no requests, named in their rejections. */
+    std::map<std::string, Duration> pauses;
     /** Limit that the answers of endpoints name. */
     std::optional<double> requestLimit;
     TimePoint time { Duration { 1'000'000 } };
--- a/test/support/placement_fleet.hpp
+++ b/test/support/placement_fleet.hpp
@@ -71,6 +71,7 @@
         EndpointRateLimits rateLimits;
         UnseenRequests unseenRequests;
         Placement placement;
+        AnnouncedStops announcedStops;
         StoreEra storeEra;
         FleetExchange exchange;
         /** Whether messages between this host and others are dropped. */
