Pace digests, compress replies, hold requests while a host starts

Change: documents in a digest are bounded in sum, the others are requested; replies are compressed as a whole and kept for further requests of the same changes (the check of many versions is again as it was before); bursts above 32 KB are spread. Requests that arrive while a host confirms its first plan are held, for 800 ms at most, and refused at once if its call to the store has failed.

--- a/src/berylwing/gateway/document_compression.cpp
+++ b/src/berylwing/gateway/compression.cpp
@@ -1,4 +1,4 @@
-#include "berylwing/gateway/document_compression.hpp"
+#include "berylwing/gateway/compression.hpp"
 
 #include <algorithm>
 #include <google/protobuf/io/gzip_stream.h>
@@ -13,8 +13,8 @@
 
 /** Bytes at the end of the format that hold the length of the text. */
 constexpr std::size_t kLengthBytes = 4;
-/** Limit that keeps a damaged document from filling the memory; objects of the store have at most 1 MB. */
-constexpr std::size_t kMaxDocumentBytes = 4 * 1024 * 1024;
+/** Limit that keeps a damaged text from filling the memory; objects of the store have at most 1 MB. */
+constexpr std::size_t kMaxTextBytes = 4 * 1024 * 1024;
 
 /** Reads the length of the text; the stream itself does not tell a truncated text from a complete one. */
 std::optional<std::size_t> readLength(std::string_view compressed)
@@ -29,7 +29,7 @@
 
 } // namespace
 
-std::string compressDocument(const std::string& text)
+std::string compressText(const std::string& text)
 {
     std::string compressed;
     io::StringOutputStream output { &compressed };
@@ -47,7 +47,7 @@
     return compressed;
 }
 
-std::optional<std::string> decompressDocument(const std::string& compressed)
+std::optional<std::string> decompressText(const std::string& compressed)
 {
     io::ArrayInputStream input { compressed.data(), static_cast<int>(compressed.size()) };
     io::GzipInputStream stream { &input };
@@ -56,7 +56,7 @@
     int size = 0;
     while (stream.Next(&buffer, &size)) {
         text.append(static_cast<const char*>(buffer), static_cast<std::size_t>(size));
-        if (text.size() > kMaxDocumentBytes)
+        if (text.size() > kMaxTextBytes)
             return std::nullopt;
     }
     if (stream.ZlibErrorMessage() != nullptr || text.size() != readLength(compressed))
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/fleet_exchange.hpp"
 
+#include "berylwing/gateway/compression.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
 #include <limits>
@@ -26,6 +27,12 @@
 constexpr Duration::rep kMaxReplyBytesPerMs = 500;
 /** Time that the replies to requests that arrive together may take; hosts without a reply ask again. */
 constexpr Duration kMaxReplyBacklog { 400 };
+/** Maximum bytes of a message, which has to fit into a datagram. */
+constexpr std::size_t kMaxDatagramBytes = 60 * 1024;
+/** Bytes that are sent at once; more are spread over time, since a full link drops datagrams. */
+constexpr std::size_t kMaxBurstBytes = 32 * 1024;
+/** Maximum bytes per millisecond of digests beyond that. */
+constexpr Duration::rep kMaxBurstBytesPerMs = 500;
 /** Bytes of the Ethernet, IP and UDP headers of a datagram. */
 constexpr std::size_t kDatagramOverhead = 42;
 /** Time without a summary after which a host no longer counts as a delegate of its group. */
@@ -72,11 +79,12 @@
         const bool isDelegate = digest.is_delegate();
         this->logRoleChange(digest);
         digest.set_interval_ms(static_cast<std::uint64_t>(this->digestInterval.count()));
-        const auto sent = this->sendDigest(std::move(digest));
+        const auto startedAt = this->dependencies.clock.now();
+        const auto sent = co_await this->sendDigest(std::move(digest));
         this->dependencies.metrics.addControlBytes(sent);
         const auto rate = isDelegate ? kMaxDelegateBytesPerMs - this->summaryBytesPerMs : kMaxHostBytesPerMs;
         this->digestInterval = std::max(kDigestInterval, sendTime(sent, rate));
-        co_await this->dependencies.clock.sleepFor(this->digestInterval);
+        co_await this->dependencies.clock.sleepFor(startedAt + this->digestInterval - this->dependencies.clock.now());
     }
 }
 
@@ -136,13 +144,14 @@
     this->dependencies.metrics.addControlBytes(this->send(watcher, message.SerializeAsString()));
 }
 
-std::size_t FleetExchange::sendDigest(wire::Digest digest)
+Task<std::size_t> FleetExchange::sendDigest(wire::Digest digest)
 {
     wire::FleetMessage message;
     *message.mutable_digest() = std::move(digest);
     const auto common = message.SerializeAsString();
-    std::size_t sent = 0;
-    for (const auto& peer : this->dependencies.roster.groupMembers()) {
+    // All echoes are as old as the digest, by which the recipients compute the age of what it tells.
+    std::vector<std::pair<HostEntry, std::string>> messages;
+    for (auto& peer : this->dependencies.roster.groupMembers()) {
         // Protobuf merges concatenated messages, so only the echo has to be serialized for each peer.
         wire::FleetMessage own;
         *own.mutable_digest()->mutable_echo() = this->dependencies.fleet.makeEcho(peer.name);
@@ -150,10 +159,20 @@
             own.mutable_digest()->set_domain(this->dependencies.domain);
             own.mutable_digest()->set_port(this->dependencies.port);
         }
-        const auto bytes = common + own.SerializeAsString();
-        sent += this->send(peer, bytes);
+        messages.emplace_back(std::move(peer), common + own.SerializeAsString());
     }
-    return sent;
+    std::size_t sent = 0;
+    std::size_t burst = 0;
+    for (const auto& [peer, bytes] : messages) {
+        if (burst + bytes.size() > kMaxBurstBytes) {
+            co_await this->dependencies.clock.sleepFor(sendTime(burst, kMaxBurstBytesPerMs));
+            burst = 0;
+        }
+        const auto size = this->send(peer, bytes);
+        sent += size;
+        burst += size;
+    }
+    co_return sent;
 }
 
 std::size_t FleetExchange::send(const HostEntry& host, const std::string& bytes) const
@@ -249,8 +268,8 @@
             this->requestMissingNews(sender);
     }
     this->handleNewsRequests(sender, message.requests());
-    if (message.has_news())
-        this->handleNews(message.news(), this->dependencies.fleet.earliestSendTime(message.digest()), {});
+    if (!message.compressed_news().empty())
+        this->handleReply(message.compressed_news());
     if (message.has_summary() && message.summary().host() == sender.name)
         this->handleSummary(message.summary());
 }
@@ -303,19 +322,41 @@
         return;
     for (const auto& request : requests) {
         auto* feed = this->findFeed(request.kind());
-        const auto news = feed == nullptr ? std::nullopt : feed->makeNewsAfter(request.era(), request.after());
-        if (!news)
+        const auto* bytes = feed == nullptr ? nullptr : this->findReply(*feed, request);
+        if (bytes == nullptr)
             continue;
-        wire::FleetMessage reply;
-        *reply.mutable_news() = *news;
-        const auto bytes = reply.SerializeAsString();
-        if (this->reserveReply(bytes.size()))
-            this->dependencies.metrics.addControlBytes(this->send(sender, bytes));
+        if (this->reserveReply(bytes->size()))
+            this->dependencies.metrics.addControlBytes(this->send(sender, *bytes));
         else
             this->dependencies.metrics.add(Incident::NewsReplyDeferred);
     }
 }
 
+const std::string* FleetExchange::findReply(StoreFeed& feed, const wire::NewsRequest& request)
+{
+    const auto news = feed.makeNewsAfter(request.era(), request.after());
+    if (!news)
+        return nullptr;
+    // The hosts of a group mostly request the same changes at the same time.
+    auto& reply = this->replies[request.kind()];
+    if (reply.era != request.era() || reply.after != request.after() || reply.through != news->through()) {
+        wire::FleetMessage message;
+        message.set_compressed_news(compressText(news->SerializeAsString()));
+        reply = { request.era(), request.after(), news->through(), message.SerializeAsString() };
+    }
+    return reply.bytes.size() <= kMaxDatagramBytes ? &reply.bytes : nullptr;
+}
+
+void FleetExchange::handleReply(const std::string& compressed)
+{
+    const auto text = decompressText(compressed);
+    wire::StoreNews news;
+    if (text && news.ParseFromString(*text))
+        this->handleNews(news, std::nullopt, {});
+    else
+        spdlog::warn("ignored a reply with {} bytes of damaged news", compressed.size());
+}
+
 void FleetExchange::handleSummary(const wire::GroupSummary& summary)
 {
     this->summarySenders.insert_or_assign(summary.host(), this->dependencies.clock.now());
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -58,10 +58,19 @@
  * digests.
  */
 class FleetExchange {
+    /** Reply to a request for news, kept for further requests of the same changes. */
+    struct Reply {
+        std::uint64_t era = 0;
+        std::uint64_t after = 0;
+        std::uint64_t through = 0;
+        std::string bytes;
+    };
+
     using NewsRequests = google::protobuf::RepeatedPtrField<wire::NewsRequest>;
 
     [[nodiscard]] wire::Digest makeDigest();
-    [[nodiscard]] std::size_t sendDigest(wire::Digest digest);
+    /** Sends a digest to each host of the group. @return Bytes on the wire. */
+    [[nodiscard]] Task<std::size_t> sendDigest(wire::Digest digest);
     [[nodiscard]] std::size_t sendSummaries();
     /** Sends a message. @return Bytes on the wire, with the headers of the datagram. */
     std::size_t send(const HostEntry& host, const std::string& bytes) const;
@@ -75,6 +84,9 @@
     /** Requests the changes that the news of a watcher omitted. */
     void requestMissingNews(const HostEntry& watcher);
     void handleNewsRequests(const HostEntry& sender, const NewsRequests& requests);
+    /** Returns the reply to a request, which is valid until the next one; a null pointer if it does not fit. */
+    [[nodiscard]] const std::string* findReply(StoreFeed& feed, const wire::NewsRequest& request);
+    void handleReply(const std::string& compressed);
     /** Checks if a reply of some size can be sent now, and counts it. */
     [[nodiscard]] bool reserveReply(std::size_t bytes);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
@@ -110,6 +122,8 @@
     TimePoint newsRequestedAt {};
     /** Time at which the replies sent so far have passed the allowed rate. */
     TimePoint repliesDoneAt {};
+    /** Last reply about each kind of objects. */
+    std::map<std::uint32_t, Reply> replies;
     /** Roles of this host in its last digest. */
     bool isDelegate = false;
     bool isWatcher = false;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -127,6 +127,7 @@
         this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
+    , startHold { hostClock }
     , stop { gatewaySettings.stopGrace }
     , answerTimes { hostClock }
 {
@@ -159,6 +160,7 @@
 void Gateway::start()
 {
     this->startedAt = this->clock.now();
+    this->startHold.begin();
     this->log.write(LogLine { LogEvent::Started });
     const auto& executor = this->clock.executor();
     spawn(executor, "plan feed", this->planFeed.run());
@@ -235,6 +237,9 @@
 Task<Outcome> Gateway::handle(GatewayRequest& request, const ResponseWriter& sink)
 {
     this->hostMetrics.addRequest();
+    co_await this->startHold.wait();
+    if (request.isCallerGone)
+        throw CallerGoneError {};
     Outcome outcome;
     std::string error;
     const auto takenBy = this->usablePlan();
@@ -311,6 +316,7 @@
         this->planConfirmedAt = std::max(this->planConfirmedAt, when);
         this->confirmPlan();
     };
+    hooks.reportFailure = [this] { this->startHold.end(); };
     hooks.isProbedByPeer = [this](TimePoint triedAt) {
         // A watcher that reaches the store but is not trusted does not retry on behalf of others.
         const bool isWatched = this->fleet.isStoreProbed() || this->isWatchedByPeer(this->watcherTtl());
@@ -410,6 +416,8 @@
         return;
     if (this->plan && this->plan->version() >= this->fleet.newestPlanVersion())
         this->lease.confirm(this->planConfirmedAt);
+    if (this->startHold.isActive() && this->usablePlan() && this->lease.isValid())
+        this->startHold.end();
 }
 
 void Gateway::requireLists()
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reachability_prober.hpp"
+#include "berylwing/gateway/start_hold.hpp"
 #include "berylwing/gateway/stop_schedule.hpp"
 #include "berylwing/gateway/store_era.hpp"
 #include "berylwing/gateway/store_feed.hpp"
@@ -215,6 +216,7 @@
     StoreFeed hostFeed;
     FleetExchange exchange;
     Forwarder forwarder;
+    StartHold startHold;
     StopSchedule stop;
     AnswerTimes answerTimes;
     boost::intrusive::list<GatewayRequest, boost::intrusive::constant_time_size<false>> openRequests;
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -2,7 +2,6 @@
 
 #include "berylwing/core/hash.hpp"
 #include "berylwing/core/json_text.hpp"
-#include "berylwing/gateway/document_compression.hpp"
 #include <algorithm>
 #include <utility>
 
@@ -18,15 +17,14 @@
 constexpr Duration kMaxRetryDelay { 500 };
 /** Time for which digests repeat a change, each at least once; hosts that missed more ask. */
 constexpr Duration kNewsRepeatTtl { 500 };
-/** Largest document relayed in digests; larger ones are requested from the watcher or fetched from the store. */
+/**
+ * Maximum bytes of the documents of a kind in a digest. Those of more or larger changes are requested from the watcher,
+ * so that a digest to each host of a group does not take longer than news remain valid.
+ */
 constexpr std::size_t kMaxNewsDocumentBytes = 1000;
-/** Maximum changes in a digest, which has to fit into a datagram. */
-constexpr int kMaxNewsChanges = 40;
 /** Time for which other hosts can request a change; a host that has missed older ones fetches them from the store. */
 constexpr Duration kRecentChangeTtl { 10'000 };
 constexpr std::size_t kMaxRecentChanges = 1000;
-/** Maximum bytes of the reply to a request for news, which has to fit into a datagram. */
-constexpr std::size_t kMaxReplyBytes = 60 * 1024;
 /** Number of intervals for which the news of a sender with longer ones remain valid. */
 constexpr int kMissedIntervals = 3;
 /** Interval at which the feed checks whether it can still rely on the news. */
@@ -234,19 +232,13 @@
     return news;
 }
 
-void StoreFeed::addChange(wire::StoreNews& news, RecentChange& recent)
+void StoreFeed::addChange(wire::StoreNews& news, const RecentChange& recent)
 {
     auto& change = *news.add_changes();
     change.set_name(recent.name);
     change.set_revision(recent.through);
     change.set_version(recent.version);
-    if (recent.document.size() <= kMaxNewsDocumentBytes) {
-        change.set_value(recent.document);
-        return;
-    }
-    if (recent.compressed.empty())
-        recent.compressed = compressDocument(recent.document);
-    change.set_compressed_value(recent.compressed);
+    change.set_value(recent.document);
 }
 
 wire::StoreNews StoreFeed::makeRecentNews()
@@ -254,14 +246,15 @@
     this->pruneRecentChanges();
     auto news = this->makeNewsHeader();
     const auto oldest = this->clock.now() - kNewsRepeatTtl;
+    std::size_t bytes = 0;
     for (auto& recent : this->recentChanges) {
-        const bool isTooLarge
-            = recent.document.size() > kMaxNewsDocumentBytes || news.changes_size() == kMaxNewsChanges;
         const bool isRepeated = std::exchange(recent.isSent, true);
-        if ((isRepeated && recent.at < oldest) || isTooLarge) {
+        bytes += recent.document.size();
+        if ((isRepeated && recent.at < oldest) || bytes > kMaxNewsDocumentBytes) {
             // Hosts that are behind have to request this document and all changes before it.
             news.clear_changes();
             news.set_after(recent.through);
+            bytes = 0;
             continue;
         }
         addChange(news, recent);
@@ -283,12 +276,9 @@
         return std::nullopt;
     auto news = this->makeNewsHeader();
     news.set_after(after);
-    for (auto& recent : this->recentChanges) {
-        if (recent.through <= after)
-            continue;
-        addChange(news, recent);
-        if (news.ByteSizeLong() > kMaxReplyBytes)
-            return std::nullopt;
+    for (const auto& recent : this->recentChanges) {
+        if (recent.through > after)
+            addChange(news, recent);
     }
     return news;
 }
@@ -298,12 +288,9 @@
     for (const auto& change : news.changes()) {
         if (change.revision() <= this->revision)
             continue;
-        auto text = change.value();
-        if (!change.compressed_value().empty())
-            text = decompressDocument(change.compressed_value()).value_or(std::string { kUnreadableDocument });
         nlohmann::json value;
-        if (!text.empty())
-            value = readDocument(text, change.name());
+        if (!change.value().empty())
+            value = readDocument(change.value(), change.name());
         const auto version = change.version() == 0 ? change.revision() : change.version();
         this->applyChange({ this->kind, change.name(), version, std::move(value) }, change.revision());
     }
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -82,8 +82,6 @@
         TimePoint at {};
         /** Revision of the change itself. */
         std::uint64_t version = 0;
-        /** Compressed document, made when it is first requested. */
-        std::string compressed {};
         /** Whether a digest has had the change. */
         bool isSent = false;
     };
@@ -111,7 +109,7 @@
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
     [[nodiscard]] wire::StoreNews makeNewsHeader() const;
-    static void addChange(wire::StoreNews& news, RecentChange& recent);
+    static void addChange(wire::StoreNews& news, const RecentChange& recent);
     /** Records the version of an object, which is zero if it was removed, for the fingerprint. */
     void setVersion(const std::string& name, std::uint64_t version);
     /** Writes a log line with the revision and the era that the feed has reached. */
@@ -168,7 +166,7 @@
      * @brief Creates news with the last change of each object after a revision, regardless of document size.
      * @param newsEra Era that the revision belongs to.
      * @param after Revision.
-     * @return News; nothing if this host no longer has all of these changes, or if they do not fit into a datagram.
+     * @return News; nothing if this host no longer has all of these changes.
      */
     [[nodiscard]] std::optional<wire::StoreNews> makeNewsAfter(std::uint64_t newsEra, std::uint64_t after);
 
