--- a/test/berylwing/gateway/host_roster_test.cpp
+++ b/test/berylwing/gateway/host_roster_test.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/host_roster.hpp"
 
+#include "berylwing/core/hash.hpp"
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
@@ -50,6 +51,10 @@
         CHECK(members.size() == 17);
         CHECK(std::all_of(
             members.begin(), members.end(), [&](const HostEntry& entry) { return entry.domain == domain; }));
+        // The probable delegates come first, in the order by which the hosts of the group compute their roles.
+        REQUIRE(members.size() >= kDelegateCount);
+        CHECK(std::is_sorted(members.begin(), members.end(),
+            [](const HostEntry& left, const HostEntry& right) { return hashText(left.name) < hashText(right.name); }));
     }
 }
 
