--- a/review/stand_ins/harness.cpp
+++ b/review/stand_ins/harness.cpp
@@ -1,5 +1,6 @@
 #include "harness.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdio>
@@ -34,6 +35,9 @@
 constexpr Milliseconds kStoreDelay { 4 };
 /** Time after which a case ends itself. */
 constexpr Milliseconds kMaxLength { 110'000 };
+/** Limits of one page of a list. */
+constexpr std::size_t kPageItems = 500;
+constexpr std::size_t kPageBytes = 1'000'000;
 constexpr int kFirstBlock = 60;
 constexpr int kLastBlock = 199;
 
@@ -106,6 +110,20 @@
     return {};
 }
 
+std::string decodePercent(const std::string& text)
+{
+    std::string decoded;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] != '%' || index + 2 >= text.size()) {
+            decoded += text[index];
+            continue;
+        }
+        decoded += static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, 16));
+        index += 2;
+    }
+    return decoded;
+}
+
 std::uint64_t toNumber(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
 
 std::string secondWord(const std::string& line)
@@ -318,7 +336,12 @@
 
 std::pair<int, json> Store::answer(const Message& request)
 {
+    const auto words = std::count(request.firstLine.begin(), request.firstLine.end(), ' ') + 1;
     const auto target = secondWord(request.firstLine);
+    if (words != 3 || !target.starts_with(kObjectsPath)) {
+        record("store     bad request: " + request.firstLine);
+        return { 400, json::object() };
+    }
     const auto path = target.substr(kObjectsPath.size(), target.find('?') - kObjectsPath.size());
     const auto slash = path.find('/');
     const auto kind = path.substr(0, slash);
@@ -327,7 +350,7 @@
     if (isGet && name.empty()) {
         const auto after = queryParameter(target, "watch");
         if (after.empty())
-            return { 200, this->list(kind) };
+            return { 200, this->list(kind, decodePercent(queryParameter(target, "after"))) };
         return { 200,
             this->watch(kind, toNumber(after), Milliseconds { toNumber(queryParameter(target, "wait_ms")) }) };
     }
@@ -361,15 +384,22 @@
     return { 200, this->objects.at({ kind, name }) };
 }
 
-json Store::list(const std::string& kind)
+json Store::list(const std::string& kind, const std::string& afterName)
 {
     const std::lock_guard lock { this->mutex };
     json items = json::array();
+    std::size_t bytes = 0;
+    bool hasMore = false;
     for (const auto& [key, object] : this->objects) {
-        if (key.first == kind)
-            items.push_back(object);
+        if (key.first != kind || key.second <= afterName)
+            continue;
+        hasMore = items.size() >= kPageItems || bytes >= kPageBytes;
+        if (hasMore)
+            break;
+        items.push_back(object);
+        bytes += object.dump().size();
     }
-    return { { "items", items }, { "has_more", false }, { "at", this->revision } };
+    return { { "items", items }, { "has_more", hasMore }, { "at", this->revision } };
 }
 
 json Store::watch(const std::string& kind, std::uint64_t after, Milliseconds wait)
@@ -483,7 +513,8 @@
     }
 }
 
-Host::Host(const std::string& name, const std::string& domain, const std::string& hostIp, const std::string& store)
+Host::Host(const std::string& name, const std::string& domain, const std::string& hostIp, const std::string& store,
+    int logDescriptor)
     : ip { hostIp }
 {
     char pattern[] = "/tmp/review-host-XXXXXX";
@@ -499,11 +530,14 @@
     this->process = ::fork();
     if (this->process != 0) {
         runningHosts[this->process] = this->folder;
+        if (logDescriptor >= 0)
+            ::close(logDescriptor);
         return;
     }
     // The host must not outlive the case, however that ends.
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = ::open((this->folder + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
+    const int log
+        = logDescriptor >= 0 ? logDescriptor : ::open((this->folder + "/log").c_str(), O_WRONLY | O_CREAT, 0600);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
     const auto settingsFlag = "--settings=" + path;
--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -110,7 +110,7 @@
     void serve(Socket& socket);
     [[nodiscard]] std::pair<int, nlohmann::json> answer(const Message& request);
     [[nodiscard]] nlohmann::json watch(const std::string& kind, std::uint64_t after, Milliseconds wait);
-    [[nodiscard]] nlohmann::json list(const std::string& kind);
+    [[nodiscard]] nlohmann::json list(const std::string& kind, const std::string& afterName);
     void write(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void remove(const std::string& kind, const std::string& name);
 
@@ -163,7 +163,9 @@
 /** A host of the system: the gateway's process with the settings of a small deployment. */
 class Host {
 public:
-    Host(const std::string& name, const std::string& domain, const std::string& ip, const std::string& store);
+    /** Starts the process. Its output goes to a file, or to the given descriptor, which the host takes over. */
+    Host(const std::string& name, const std::string& domain, const std::string& ip, const std::string& store,
+        int logDescriptor = -1);
     Host(const Host&) = delete;
     Host& operator=(const Host&) = delete;
 
