--- a/review/stand_ins/harness.cpp
+++ b/review/stand_ins/harness.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -17,6 +18,7 @@
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <utility>
 
 namespace review {
 
@@ -586,15 +588,6 @@
     return false;
 }
 
-std::uint64_t Host::memory() const
-{
-    std::ifstream file { "/proc/" + std::to_string(this->process) + "/statm" };
-    std::uint64_t total = 0;
-    std::uint64_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
-}
-
 json makeRoute(const std::string& prefix, const std::string& kind, const std::string& service, int timeoutMs)
 {
     return { { "name", "r-" + prefix.substr(1, prefix.size() - 2) }, { "hostname", "rounds.example" },
--- a/review/stand_ins/harness.hpp
+++ b/review/stand_ins/harness.hpp
@@ -179,8 +179,6 @@
     /** Waits until the host says that it is ready. */
     [[nodiscard]] bool waitUntilReady(Milliseconds timeout) const;
     [[nodiscard]] bool isRunning();
-    /** Returns the resident memory of the process in bytes. */
-    [[nodiscard]] std::uint64_t memory() const;
     void kill();
 
 private:
