--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -3,9 +3,9 @@
 #include <set>
 
 /**
- * One of four application servers is grey for six seconds: it records 45 of 100 orders that reach it and then fails
- * with status 503, without the header that says that it has not run them. The host must not pass this on as 503, which
- * promises the client that its order was not run.
+ * One of eight application servers is grey for six seconds: of the orders that reach it, it records 45 in 100 and then
+ * fails with status 503, without the header that says that it has not run them. The host must not pass this on as 503,
+ * which promises the client that its order was not run.
  */
 int main()
 {
@@ -14,7 +14,7 @@
     /** Length of the disruption, below the 6.5 s of the site. */
     constexpr Milliseconds kGreyTime { 6000 };
     constexpr Milliseconds kPause { 45 };
-    constexpr int kServers = 4;
+    constexpr int kServers = 8;
     const auto block = reserveBlock();
     const auto storeAddress = block + ".0.1:8223";
     Store store { storeAddress };
@@ -29,7 +29,8 @@
         = [&](Engine& engine, const Message& message, Socket& socket) -> std::optional<std::string> {
         if (!Engine::work(socket, Milliseconds { 30 }))
             return std::nullopt;
-        const bool isFailing = received++ % 20 < 9;
+        const int number = received++;
+        const bool isFailing = (number + 1) * 45 / 100 > number * 45 / 100;
         if (hasTrouble() && isFailing)
             return engine.format(message, "503 Service Unavailable", "recorded, but the answer failed");
         return engine.format(message, "200 OK", "recorded " + message.field("attempt-id"));
