--- a/src/berylwing/http/platform_transport.cpp
+++ b/src/berylwing/http/platform_transport.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/http/platform_transport.hpp"
 
 #include "berylwing/http/http_call.hpp"
+#include "berylwing/http/http_text.hpp"
 #include <charconv>
 #include <utility>
 
@@ -14,7 +15,7 @@
 
 std::string objectPath(const PlatformCall& call)
 {
-    return "/v1/objects/" + std::string { kObjectKindNames[call.kind] } + "/" + call.name;
+    return "/v1/objects/" + std::string { kObjectKindNames[call.kind] } + "/" + encodePercent(call.name);
 }
 
 void setExpectedVersion(HttpRequest& request, const PlatformCall& call)
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -116,8 +116,10 @@
      * Revisions are comparable only within an era.
      */
     std::uint64_t era = 0;
-    /** Whether the list continues after the last object. */
+    /** Whether the list continues after this page. */
     bool hasMore = false;
+    /** Name after which the next page starts, in the bytes of the store; empty if the page has no readable name. */
+    std::string lastName;
 };
 
 /** @brief Response of the platform to a call. */
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -137,11 +137,16 @@
 Task<WatchBatch> PlatformClient::listAll(ObjectKind kind, bool allowStale, PlatformCallReason reason)
 {
     auto all = co_await this->list(kind, {}, allowStale, reason);
-    while (all.hasMore && !all.changes.empty()) {
-        auto page = co_await this->list(kind, all.changes.back().name, allowStale, reason);
+    while (all.hasMore) {
+        // A shorter list would remove the objects that it lacks, and the same page would come without end.
+        if (all.lastName.empty())
+            throw PlatformError { PlatformFault::Protocol, "a page of the list names no object to go on after",
+                all.era };
+        auto page = co_await this->list(kind, all.lastName, allowStale, reason);
         if (page.era != all.era)
             throw PlatformError { PlatformFault::HistoryGone, "the store was restored between two pages", page.era };
-        all.hasMore = page.hasMore && !page.changes.empty();
+        all.hasMore = page.hasMore;
+        all.lastName = page.lastName == all.lastName ? std::string {} : std::move(page.lastName);
         std::move(page.changes.begin(), page.changes.end(), std::back_inserter(all.changes));
     }
     co_return all;
--- /dev/null
+++ b/test/berylwing/http/platform_transport_test.cpp
@@ -0,0 +1,38 @@
+#include "berylwing/http/platform_transport.hpp"
+
+#include "berylwing/store/platform_client.hpp"
+#include "berylwing/telemetry/metrics.hpp"
+#include "stand_ins/http_server.hpp"
+#include "support/runtime_context.hpp"
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <unistd.h>
+
+using namespace berylwing;
+using namespace berylwing::test;
+
+// Guards against names that end the path of a call, or its request line, before their own end.
+TEST_CASE("The path of an object holds its whole name, whatever its characters", "[http][store]")
+{
+    constexpr int kFirstPort = 48'000;
+    constexpr int kPorts = 8000;
+    const SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + ::getpid() % kPorts) };
+    RuntimeContext context;
+    std::string target;
+    spawn(context.get_executor(), "platform",
+        listenHttp(context.get_executor(), address.address, address.port,
+            [&target](boost::beast::tcp_stream& stream, const StandInRequest& request) -> Task<bool> {
+                target = std::string { request.target().data(), request.target().size() };
+                const StandInResponse response { boost::beast::http::status::not_found, 11 };
+                co_await respond(stream, response);
+                co_return true;
+            }));
+    Metrics metrics;
+    PlatformClient client { makePlatformTransport(address), metrics };
+    spawn(context.get_executor(), "call", [](PlatformClient& store) -> Task<void> {
+        co_await store.get(ObjectKind::Contract, "hill co/7?x#y%20");
+    }(client));
+    context.run_for(std::chrono::milliseconds { 200 });
+    CHECK(target == "/v1/objects/contracts/hill%20co%2F7%3Fx%23y%2520");
+    context.destroyPending();
+}
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -205,3 +205,17 @@
     CHECK(reader.waitForLog("endpoint_rejected", "i-odd"));
     CHECK(reader.isAnswered("/x/1"));
 }
+
+// Guards against hosts that never serve after a restart because one entry has an odd name.
+TEST_CASE("A host that starts learns of all endpoints behind an entry whose name has spaces", "[platform][odd]")
+{
+    StoreReader reader;
+    reader.store.maxPageItems = 1;
+    reader.store.write("config", "main", { { "version", 7 } });
+    reader.store.write("servers", "Stock room 7", { { "note", "twelve cans" } });
+    reader.store.write("servers", "i-1", makeServer());
+    reader.start();
+    CHECK(reader.waitForLog("endpoint_rejected", "Stock room 7"));
+    CHECK(reader.waitForLog("endpoints_listed", "\"endpoints\":\"i-1\""));
+    CHECK(reader.log.find("dependency_lost") == std::string::npos);
+}
--- a/test/platform/store_stand_in.cpp
+++ b/test/platform/store_stand_in.cpp
@@ -19,6 +19,24 @@
 /** Time after which an unanswered call is closed; longer than any caller waits. */
 constexpr Duration kSilenceTimeout { 20'000 };
 
+/** Decodes percent-encoded bytes; an escape without two hexadecimal digits stays as it is. */
+std::string decodePercent(std::string_view text)
+{
+    constexpr std::size_t kEscapeSize = 3;
+    constexpr int kHexadecimal = 16;
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const auto escape = text.substr(at, kEscapeSize);
+        unsigned char byte = 0;
+        const auto* end = escape.data() + escape.size();
+        const bool isEscape = escape.size() == kEscapeSize && escape.front() == '%'
+            && std::from_chars(escape.data() + 1, end, byte, kHexadecimal).ptr == end;
+        decoded += isEscape ? static_cast<char>(byte) : text[at];
+        at += isEscape ? kEscapeSize - 1 : 0;
+    }
+    return decoded;
+}
+
 /** Parsed target of a call. */
 struct Target {
     explicit Target(std::string_view text)
@@ -33,7 +51,7 @@
         const auto slash = path.find('/');
         this->kind = path.substr(0, slash);
         if (slash != std::string_view::npos)
-            this->name = path.substr(slash + 1);
+            this->name = decodePercent(path.substr(slash + 1));
     }
 
     [[nodiscard]] std::string parameter(const std::string& parameterName) const
@@ -43,7 +61,7 @@
         if (at == std::string::npos)
             return {};
         const auto begin = at + key.size();
-        return this->query.substr(begin, this->query.find('&', begin) - begin);
+        return decodePercent(std::string_view { this->query }.substr(begin, this->query.find('&', begin) - begin));
     }
 
     std::string kind;
@@ -155,11 +173,16 @@
 StandInResponse StoreStandIn::list(const std::string& kind, const std::string& afterName) const
 {
     json items = json::array();
-    for (const auto& [key, object] : this->state.objects) {
-        if (key.first == kind && key.second > afterName)
-            items.push_back(object);
+    bool hasMore = false;
+    for (auto each = this->state.objects.upper_bound({ kind, afterName });
+         each != this->state.objects.end() && each->first.first == kind; ++each) {
+        hasMore = items.size() == this->maxPageItems;
+        if (hasMore)
+            break;
+        items.push_back(each->second);
     }
-    return responseOf(http::status::ok, { { "items", items }, { "has_more", false }, { "at", this->state.revision } });
+    return responseOf(
+        http::status::ok, { { "items", items }, { "has_more", hasMore }, { "at", this->state.revision } });
 }
 
 StandInResponse StoreStandIn::applyChange(
--- a/test/platform/store_stand_in.hpp
+++ b/test/platform/store_stand_in.hpp
@@ -84,6 +84,8 @@
     void dropHistory();
 
     StoreFault fault;
+    /** Number of objects in a page of a list, equal to about the limit of the platform. */
+    std::size_t maxPageItems = 500;
     /** Hosts whose calls are refused. */
     std::set<std::string> rejectedHosts;
     /** Modifies the spec that a host writes before it is stored. */
--- a/test/platform/store_transport_test.cpp
+++ b/test/platform/store_transport_test.cpp
@@ -95,3 +95,62 @@
     CHECK(fixture.fault == PlatformFault::Unavailable);
     CHECK(fixture.era == 2);
 }
+
+// Guards against lists that fail for good, or go on elsewhere, because of the name that ends a page.
+TEST_CASE("A list goes on after any name that ends a page", "[platform][odd]")
+{
+    const std::vector<std::string> names { "Stock room 7", "a\r\nHost: b", "a#b", "a&watch=1", "a+b", "a/b?c=d", "a=b",
+        "caf\u00e9", "fifty%", "fifty%25" };
+    TransportFixture fixture;
+    for (const auto& name : names)
+        fixture.store.write("servers", name, { { "service", "s1" } });
+    fixture.store.maxPageItems = 1;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK_FALSE(fixture.fault);
+    std::vector<std::string> listed;
+    for (const auto& object : fixture.batch.changes)
+        listed.push_back(object.name);
+    CHECK(listed == names);
+}
+
+// Guards against entries that vanish behind a page on which no object has a readable name.
+TEST_CASE("A list goes on after a name that is not UTF-8", "[platform][odd]")
+{
+    TransportFixture fixture;
+    for (const auto* name : { "a", "b", "c" })
+        fixture.store.write("servers", name, { { "service", "s1" } });
+    fixture.store.rewriteBody = [](std::string& body) {
+        const std::string mark = R"("name":"b")";
+        if (const auto at = body.find(mark); at != std::string::npos)
+            body.replace(at, mark.size(), "\"name\":\"b\xff\"");
+    };
+    for (const std::size_t pageItems : { 1, 2 }) {
+        CAPTURE(pageItems);
+        fixture.store.maxPageItems = pageItems;
+        fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+        CHECK_FALSE(fixture.fault);
+        REQUIRE(fixture.batch.changes.size() == 2);
+        CHECK(fixture.batch.changes.back().name == "c");
+    }
+}
+
+// Guards against a list that is taken for complete although the store has more objects.
+TEST_CASE("A list fails if a page names no object after which it goes on", "[platform][odd]")
+{
+    TransportFixture fixture;
+    for (const auto* name : { "a", "b", "c" })
+        fixture.store.write("servers", name, { { "service", "s1" } });
+    fixture.store.rewriteBody = [](std::string& body) {
+        const std::string mark = R"("name":"b")";
+        if (const auto at = body.find(mark); at != std::string::npos)
+            body.replace(at, mark.size(), R"("name":5)");
+    };
+    fixture.store.maxPageItems = 1;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK(fixture.fault == PlatformFault::Protocol);
+    fixture.store.maxPageItems = 2;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK_FALSE(fixture.fault);
+    REQUIRE(fixture.batch.changes.size() == 2);
+    CHECK(fixture.batch.changes.back().name == "c");
+}
