Do not pass on a status that promises that an order did not run (REFUSED)

Cause: a status of the endpoint was passed on, though 408, 421, 429 and 503 mean more from a host to its caller than from an endpoint to a host, which proves only by a header that nothing ran. Evidence: the orders have request_sent and request_answered in the log, and no refusal of the host's own, which rules out a mistaken NotRun.

Change: such a response without the proof counts as a possible run. It is repeated elsewhere where the route allows it, and answered 502 without the endpoint's signature otherwise; request_broken names the status. The fleet's own interface passed these statuses on as well, and its ledger stored them for resends. There a run that failed goes to another engine first now: without that the new test still failed at the same engine. A refusal of a request that ran is 409 for each reason.

Tests, all seen failing on the code before: "Gateway does not pass on a status that promises that the request did not run", "Gateway repeats a request elsewhere after a rejection that does not tell that it did not run", "Only a request that did not run is refused with a status that promises it", "An order whose endpoint answers with a status of a rejection is reported as possibly run", "A chat whose engine answers with a status of a rejection is answered by another engine" (rewritten since it was seen failing: chats one by one, as beside each other the load bound may refuse the other engine).

--- a/src/berylwing/core/outcome.hpp
+++ b/src/berylwing/core/outcome.hpp
@@ -21,6 +21,23 @@
     "ran",
 } };
 
+/**
+ * @brief Checks if a status promises a caller that its request has not run and will not run.
+ *
+ * An endpoint may use the same status for a request that it ran, so that it proves nothing without a further statement.
+ * @param status Status of an HTTP response.
+ * @return True if only a request that did not run may be answered with it.
+ */
+[[nodiscard]] constexpr bool promisesNotRun(unsigned status) noexcept
+{
+    constexpr unsigned kRequestTimeout = 408;
+    constexpr unsigned kMisdirectedRequest = 421;
+    constexpr unsigned kTooManyRequests = 429;
+    constexpr unsigned kServiceUnavailable = 503;
+    return status == kRequestTimeout || status == kMisdirectedRequest || status == kTooManyRequests
+        || status == kServiceUnavailable;
+}
+
 /** @brief Refusal of a request of which no byte has reached an endpoint, so that it is safe to repeat. */
 struct NotRun {
     Refusal reason;
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -359,13 +359,19 @@
     const bool isMisdirected = head.status == kMisdirectedRequest;
     if (!isMisdirected)
         this->recordAnnouncements(endpoint, head);
+    const auto rejectionDeadline = std::min(context.deadline, this->dependencies.clock.now() + kRejectionTimeout);
     if (head.metadata.isNotRun || isMisdirected) {
         this->recordResult(endpoint, isMisdirected ? EndpointResult::Unreachable : EndpointResult::Shed);
         context.failureReason = isMisdirected ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
-        const auto rejectionDeadline = this->dependencies.clock.now() + kRejectionTimeout;
-        co_await skipRejection(session, std::min(context.deadline, rejectionDeadline));
+        co_await skipRejection(session, rejectionDeadline);
         co_return AttemptResult::NotRun;
     }
+    // To the caller, such a status would be this host's promise, and the endpoint has not made it.
+    if (promisesNotRun(head.status)) {
+        this->recordUnprovenRejection(context, endpoint, head.status);
+        co_await skipRejection(session, rejectionDeadline);
+        co_return AttemptResult::MayHaveRun;
+    }
     if (isSuccess(head.status) && (!head.metadata.isSigned || head.metadata.isEncoded))
         throw EndpointError { EndpointFault::Broken, "the answer is not the endpoint's own" };
     if (context.isHeadWritten && !isEventStream(head))
@@ -381,6 +387,18 @@
     co_return result;
 }
 
+void Forwarder::recordUnprovenRejection(RequestContext& context, GatewayEndpoint& endpoint, unsigned status)
+{
+    ++context.executions;
+    context.failureReason = context.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
+    this->recordResult(endpoint, EndpointResult::Failed);
+    LogLine line { LogEvent::RequestBroken };
+    line.add("endpoint", endpoint.record.id);
+    line.add("error", "the rejection does not state that the request did not run");
+    line.add("status", std::int64_t { status }).add("runs", std::int64_t { context.executions });
+    this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
+}
+
 Task<void> Forwarder::skipRejection(EndpointSession& session, TimePoint deadline)
 {
     try {
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -109,6 +109,8 @@
     /** Records what the head of a response tells of its endpoint: a limit, a pause, its stop. */
     void recordAnnouncements(GatewayEndpoint& endpoint, const ResponseHead& head);
     [[nodiscard]] Task<void> writeHead(RequestContext& context, const ResponseHead& head);
+    /** Records a rejection that is not passed on, because its endpoint may have run the request. */
+    void recordUnprovenRejection(RequestContext& context, GatewayEndpoint& endpoint, unsigned status);
     void recordResult(GatewayEndpoint& endpoint, EndpointResult result);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result);
 
--- a/src/berylwing/http/error_document.cpp
+++ b/src/berylwing/http/error_document.cpp
@@ -15,6 +15,8 @@
 {
     if (outcome.execution == Execution::Unknown)
         return 502;
+    if (outcome.execution == Execution::Ran)
+        return 409;
     switch (*outcome.reason) {
     case Refusal::MissingKey:
     case Refusal::UnknownWorkspace:
@@ -28,7 +30,6 @@
     case Refusal::BadIdempotencyKey:
         return 400;
     case Refusal::ExpiredIdempotencyKey:
-    case Refusal::AlreadyRan:
         return 409;
     case Refusal::KeyReusedForOtherRequest:
     case Refusal::Quarantined:
--- a/src/berylwing/ledger/ledger_owner.cpp
+++ b/src/berylwing/ledger/ledger_owner.cpp
@@ -221,7 +221,8 @@
 {
     if (claim.fingerprint != fingerprint)
         return makeRefusal(NotRun { Refusal::KeyReusedForOtherRequest });
-    if (claim.state == ClaimState::Claimed)
+    // Hosts of an earlier version stored answers with any status.
+    if (claim.state == ClaimState::Claimed || promisesNotRun(claim.status))
         return makeRefusal(OutcomeUnknown { Refusal::MayHaveRan });
     if (!claim.hasBody)
         return makeRefusal(RanWithoutAnswer { Refusal::AlreadyRan });
--- a/src/berylwing/relay/attempt_server.cpp
+++ b/src/berylwing/relay/attempt_server.cpp
@@ -219,6 +219,13 @@
     this->registry.observeHead(endpoint, head);
     if (attempt.open.resume_offset() > 0 && head.status != kPartialContent)
         co_return OutcomeUnknown { Refusal::StreamIncomplete };
+    // To the caller, such a status would be this fleet's promise, and the endpoint has not made it.
+    if (promisesNotRun(head.status)) {
+        logRequest(LogLevel::Warn, attempt.open.request().request_id(),
+            "the endpoint rejected the request with status " + std::to_string(head.status)
+                + " and does not tell that it did not run");
+        co_return OutcomeUnknown { Refusal::EndpointBroken };
+    }
     wire::Envelope headMessage;
     headMessage.mutable_head()->set_attempt(attempt.open.attempt());
     headMessage.mutable_head()->set_status(head.status);
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -79,7 +79,11 @@
     bool isImmediateRetry = false;
     while (!progress.isFinished) {
         const auto order = this->rankCandidates(request);
-        const auto candidates = progress.canHaveRun ? this->filterReachable(order) : order;
+        auto candidates = progress.canHaveRun ? this->filterReachable(order) : order;
+        // The endpoint that has failed the request may fail it again, and there is only one more run.
+        if (progress.canHaveRun)
+            std::stable_partition(candidates.begin(), candidates.end(),
+                [&progress](const std::string& name) { return name != progress.currentEndpoint; });
         if (progress.delivered > 0)
             co_await this->tryEndpoint(progress, progress.resumeEndpoint);
         else
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -83,6 +83,44 @@
     }
 }
 
+// Guards against orders that ran and are answered with a status by which this host promises that they did not.
+TEST_CASE("Gateway does not pass on a status that promises that the request did not run", "[gateway][once]")
+{
+    for (const unsigned status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        ServingHarness harness;
+        harness.failureStatus = status;
+        harness.setAllBehaviors(EndpointBehavior::Fail);
+        const auto order = harness.sendAndWait("order", "/order/1");
+        CHECK(order->status == 0);
+        CHECK(isRefused(*order, Refusal::EndpointBroken, Execution::Unknown));
+        CHECK(harness.countRuns("order") == 1);
+        const auto repeated = harness.sendAndWait("status", "/status/1");
+        CHECK(repeated->status == 0);
+        CHECK(isRefused(*repeated, Refusal::EndpointBroken, Execution::Unknown));
+        CHECK(harness.countRuns("status") == 2);
+        harness.advance(kSettleDelay);
+        CHECK(harness.logText.find("\"status\":" + std::to_string(status)) != std::string::npos);
+    }
+}
+
+TEST_CASE(
+    "Gateway repeats a request elsewhere after a rejection that does not tell that it did not run", "[gateway][retry]")
+{
+    for (const unsigned status : { 408, 429, 503 }) {
+        CAPTURE(status);
+        ServingHarness harness;
+        harness.failureStatus = status;
+        harness.setAllBehaviors(EndpointBehavior::Fail);
+        const auto answer = harness.sendRequest("status", "/status/1");
+        harness.setAllBehaviors(EndpointBehavior::Answer);
+        harness.advance(kSettleDelay);
+        REQUIRE(answer->outcome);
+        CHECK(answer->outcome->isComplete());
+        CHECK(answer->status == 200);
+    }
+}
+
 TEST_CASE("Gateway reports a refused request as not run if no endpoint has run it", "[gateway][once]")
 {
     for (const auto behavior : { EndpointBehavior::Shed, EndpointBehavior::Misdirected, EndpointBehavior::Refuse }) {
--- a/test/berylwing/ledger/at_most_once_test.cpp
+++ b/test/berylwing/ledger/at_most_once_test.cpp
@@ -163,3 +163,27 @@
     REQUIRE(answer->isNotRun());
     CHECK(*answer->outcome.reason == Refusal::ExpiredIdempotencyKey);
 }
+
+// Guards against orders that ran and are answered with a status by which a host promises that they did not.
+TEST_CASE("An order whose endpoint answers with a status of a rejection is reported as possibly run", "[ledger]")
+{
+    for (const unsigned status : { 408, 421, 429, 503 }) {
+        CAPTURE(status);
+        TestFleet fleet;
+        startFleet(fleet, orderPlan());
+        for (const auto* name : { "knox-orders-0", "chatt-orders-0" })
+            fleet.endpoints.at(name).status = status;
+        OrderHistory order { fleet };
+        const auto first = order.send("knox-0");
+        fleet.advance(Duration { 3000 });
+        REQUIRE(first->isFinished);
+        CHECK_FALSE(first->isComplete());
+        CHECK(first->outcome.execution == Execution::Unknown);
+        const auto second = order.send("knox-1");
+        fleet.advance(Duration { 3000 });
+        REQUIRE(second->isFinished);
+        CHECK_FALSE(second->isComplete());
+        CHECK(second->outcome.execution == Execution::Unknown);
+        order.check();
+    }
+}
--- a/test/berylwing/relay/whole_answer_test.cpp
+++ b/test/berylwing/relay/whole_answer_test.cpp
@@ -184,3 +184,34 @@
     CHECK(quick->isComplete());
     CHECK_FALSE(slow->isFinished);
 }
+
+TEST_CASE("A chat whose engine answers with a status of a rejection is answered by another engine", "[relay]")
+{
+    for (const unsigned status : { 408, 421, 429, 503 }) {
+        CAPTURE(status);
+        TestFleet fleet;
+        FleetPlan plan;
+        plan.domains = { "knox" };
+        startFleet(fleet, plan);
+        // Successful chats earn the retries that the others take.
+        constexpr int kChatsBefore = 60;
+        static_cast<void>(sendChats(fleet, kChatsBefore));
+        fleet.advance(kAnswerLimit);
+        fleet.endpoints.at("knox-engine-0").status = status;
+        int rejections = 0;
+        fleet.endpoints.onRequest = [&rejections](const std::string& endpoint, const wire::Request&) {
+            rejections += endpoint == "knox-engine-0" ? 1 : 0;
+        };
+        for (const auto* host : { "knox-0", "knox-1", "knox-2" }) {
+            CAPTURE(host);
+            const auto request = chatRequest(host, host);
+            const auto answer = fleet.request(host, request);
+            fleet.advance(Duration { 2000 });
+            REQUIRE(answer->isFinished);
+            CHECK(answer->isComplete());
+            CHECK(answer->status == 200);
+            checkAnswer(fleet, request, *answer);
+        }
+        CHECK(rejections > 0);
+    }
+}
--- a/test/support/fake_endpoints.cpp
+++ b/test/support/fake_endpoints.cpp
@@ -197,6 +197,8 @@
     }
     EndpointHead head;
     head.status = isPartial ? 206 : 200;
+    if (const auto status = this->at(connection->endpoint).status; status != 0)
+        head.status = status;
     head.contentType = "text/event-stream";
     head.bootId = bootIdOf(this->at(connection->endpoint).model);
     head.resumeToken = connection->endpoint;
--- a/test/support/fake_endpoints.hpp
+++ b/test/support/fake_endpoints.hpp
@@ -29,6 +29,8 @@
         Duration reportLag {};
         std::uint32_t reportedRunning = 0;
         TimePoint reportedAt {};
+        /** Status of the answers; zero for the usual one. */
+        unsigned status = 0;
         /** Sends the answer of another request to the next request. */
         bool isNextAnswerMisrouted = false;
     };
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -323,9 +323,10 @@
             head.metadata.retryAfter = pause->second;
         if (behavior == EndpointBehavior::Misdirected)
             head.status = kMisdirectedRequest;
-        if (behavior == EndpointBehavior::Fail || behavior == EndpointBehavior::EndlessFailure
-            || behavior == EndpointBehavior::EndlessUnsignedFailure)
+        if (behavior == EndpointBehavior::EndlessFailure || behavior == EndpointBehavior::EndlessUnsignedFailure)
             head.status = kInternalServerError;
+        if (behavior == EndpointBehavior::Fail)
+            head.status = this->failureStatus;
         const bool isDocument = behavior == EndpointBehavior::Document || behavior == EndpointBehavior::BreakInDocument;
         if (behavior == EndpointBehavior::BreakInStream)
             head.length = kStreamBytes;
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -134,6 +134,8 @@
     std::set<std::string> stoppingEndpoints;
     /** Time for which endpoints want no requests, named in their rejections. */
     std::map<std::string, Duration> pauses;
+    /** Status of answers with the behavior Fail. */
+    unsigned failureStatus = 500;
     /** Limit that the answers of endpoints name. */
     std::optional<double> requestLimit;
     TimePoint time { Duration { 1'000'000 } };
