--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -71,7 +71,7 @@
     if (context.route == nullptr)
         return this->dependencies.lease.isComplete() ? NotRun { Refusal::UnknownRoute }
                                                      : NotRun { Refusal::ConfigurationStale, retryAfter };
-    if (!context.route->isPublic && context.plan->hasWorkspaces()) {
+    if (!context.route->isPublic && context.plan->requiresKeys()) {
         if (!this->dependencies.lease.isValid())
             return NotRun { Refusal::ConfigurationStale, retryAfter };
         context.holder = context.plan->findKeyHolder(metadata.apiKey);
--- a/src/berylwing/gateway/routing_plan.cpp
+++ b/src/berylwing/gateway/routing_plan.cpp
@@ -61,9 +61,12 @@
 
 void RoutingPlan::add(const KeyHolder& holder, const std::vector<std::string>& keys)
 {
-    this->isKeyRequired = true;
-    for (const auto& key : keys)
-        this->holdersByKey.insert_or_assign(key, holder);
+    this->requireKeys();
+    for (const auto& key : keys) {
+        // A request without a key must not pass for one with an empty key.
+        if (!key.empty())
+            this->holdersByKey.insert_or_assign(key, holder);
+    }
 }
 
 } // namespace berylwing
--- a/src/berylwing/gateway/routing_plan.hpp
+++ b/src/berylwing/gateway/routing_plan.hpp
@@ -122,8 +122,8 @@
     /** @brief Finds a service. @param name Name. @return Properties, or a null pointer. */
     [[nodiscard]] const ServiceTraits* findService(std::string_view name) const;
 
-    /** @brief Checks if requests need API keys. @return True if the plan has workspaces. */
-    [[nodiscard]] bool hasWorkspaces() const noexcept { return this->isKeyRequired; }
+    /** @brief Checks if requests need API keys. @return True if the plan lists workspaces, even if none is left. */
+    [[nodiscard]] bool requiresKeys() const noexcept { return this->isKeyRequired; }
 
     /** @brief Returns the bounds on callers. @return Bounds. */
     [[nodiscard]] const CallerBounds& callerBounds() const noexcept { return this->bounds; }
@@ -137,6 +137,9 @@
     /** @brief Adds a workspace with its API keys. @param holder Workspace. @param keys Keys. */
     void add(const KeyHolder& holder, const std::vector<std::string>& keys);
 
+    /** @brief Makes requests need API keys; add() does so for a workspace. */
+    void requireKeys() noexcept { this->isKeyRequired = true; }
+
     /** @brief Sets the bounds on callers. @param callerBounds Bounds. */
     void setCallerBounds(const CallerBounds& callerBounds) { this->bounds = callerBounds; }
 
--- a/test/berylwing/gateway/gateway_test.cpp
+++ b/test/berylwing/gateway/gateway_test.cpp
@@ -258,6 +258,24 @@
     }
 }
 
+// Guards against a fleet that admits every caller once its last workspace is removed.
+TEST_CASE("Gateway admits no caller to a route with keys after the last workspace was removed", "[gateway][lease]")
+{
+    ServingHarness harness;
+    CHECK(harness.sendAndWait("before", "/status/1")->outcome->isComplete());
+    auto plan = GatewayHarness::makePlan(2, {});
+    REQUIRE(plan.requiresKeys());
+    harness.putPlan(plan);
+    harness.advance(kRevocationTimeout);
+    for (const auto* key : { "shop-key", "other-key", "" }) {
+        CAPTURE(key);
+        const auto id = std::string { "after-" } + key;
+        CHECK(isRefused(*harness.sendAndWait(id, "/status/1", key), Refusal::UnknownWorkspace, Execution::NotRun));
+        CHECK(harness.countRuns(id) == 0);
+    }
+    CHECK(harness.sendAndWait("public", "/open/1", "")->outcome->isComplete());
+}
+
 TEST_CASE("Gateway reports no unknown route or key while its plan may be stale", "[gateway][lease]")
 {
     ServingHarness harness;
--- a/test/berylwing/gateway/routing_plan_test.cpp
+++ b/test/berylwing/gateway/routing_plan_test.cpp
@@ -49,10 +49,10 @@
 TEST_CASE("RoutingPlan finds the workspace of an API key", "[gateway][plan]")
 {
     RoutingPlan plan { 1 };
-    CHECK_FALSE(plan.hasWorkspaces());
+    CHECK_FALSE(plan.requiresKeys());
     plan.add(KeyHolder { "shop", 3 }, { "one", "two" });
     REQUIRE(plan.findKeyHolder("two") != nullptr);
     CHECK(plan.findKeyHolder("two")->workspace == "shop");
     CHECK(plan.findKeyHolder("three") == nullptr);
-    CHECK(plan.hasWorkspaces());
+    CHECK(plan.requiresKeys());
 }
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -63,6 +63,44 @@
     }
 }
 
+// Guards against a fleet that admits every caller once its last tenant is removed.
+TEST_CASE("readPlan requires a key as soon as the configuration has a list of tenants, even an empty one", "[platform]")
+{
+    auto config = makeConfig();
+    CHECK(platform::readPlan(config).requiresKeys());
+    for (const auto& tenants : { json::array(), json(nullptr) }) {
+        CAPTURE(tenants.dump());
+        config["tenants"] = tenants;
+        CHECK(platform::readPlan(config).requiresKeys());
+    }
+    config.erase("tenants");
+    CHECK_FALSE(platform::readPlan(config).requiresKeys());
+}
+
+TEST_CASE("readPlan rejects lists that are none, in place of reading them as empty", "[platform][odd]")
+{
+    for (const auto* list : { "tenants", "routes", "services" }) {
+        for (const auto& value : { json::object(), json("none"), json(0), json(false) }) {
+            CAPTURE(list, value.dump());
+            auto config = makeConfig();
+            config[list] = value;
+            CHECK_THROWS_AS(platform::readPlan(config), ConfigurationError);
+        }
+    }
+    auto config = makeConfig();
+    config["tenants"][0]["api_keys"] = "k1";
+    CHECK_THROWS_AS(platform::readPlan(config), ConfigurationError);
+}
+
+TEST_CASE("A request without a key does not get the workspace of an empty key", "[platform][odd]")
+{
+    auto config = makeConfig();
+    config["tenants"][0]["api_keys"] = { "k1", "" };
+    const auto plan = platform::readPlan(config);
+    CHECK(plan.findKeyHolder("k1") != nullptr);
+    CHECK(plan.findKeyHolder("") == nullptr);
+}
+
 TEST_CASE("readEndpoint reads an entry", "[platform]")
 {
     const auto record = platform::readEndpoint("i-1", makeServer());
