--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -205,3 +205,17 @@
         CHECK(text.size() < 1000);
     }
 }
+
+// Guards against names that begin another header, or another request, in what a host sends to an endpoint.
+TEST_CASE("Names with control characters get into no header of a request to an endpoint", "[platform][odd]")
+{
+    for (const auto* name : { "i-1\r\nTenant: t9", "i-1\n", "i-1\t", "\x7fi-1" }) {
+        CAPTURE(name);
+        CHECK_THROWS_AS(platform::readEndpoint(name, makeServer()), ConfigurationError);
+        auto config = makeConfig();
+        config["tenants"][0]["name"] = name;
+        CHECK_THROWS_AS(platform::readPlan(config), ConfigurationError);
+    }
+    CHECK(platform::readEndpoint("Stock room 7", makeServer()).id == "Stock room 7");
+    CHECK(platform::readEndpoint("caf\u00e9", makeServer()).id == "caf\u00e9");
+}
