Give up the answer to an order that does not end

Other operators report a faulty engine that sent bytes without end until the machine that had called it was out of memory. On the users' platform each of these bytes has a bound and a test; on the fleet's own interface the owner of an order's claim collected the whole answer without one.

Change: an answer of more than 1 MiB is given up, and its caller is told that the order may have run. Whatever keeps the destination of a response from taking it now cancels the attempt at the endpoint's owner. Test, seen failing on the code before: "An order whose answer does not end is given up after a bounded number of bytes".

--- a/src/berylwing/ledger/ledger_owner.cpp
+++ b/src/berylwing/ledger/ledger_owner.cpp
@@ -8,12 +8,23 @@
 #include "berylwing/telemetry/log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
+#include <stdexcept>
+#include <string>
 #include <utility>
 
 namespace berylwing {
 
 namespace {
 
+/** Reports that the answer to an order is too large to be collected. */
+class OversizedAnswerError : public std::runtime_error {
+public:
+    OversizedAnswerError()
+        : std::runtime_error { "gave up an answer of more than " + std::to_string(kMaxOrderBodyBytes) + " bytes" }
+    {
+    }
+};
+
 std::uint64_t fingerprintOf(const wire::Request& request)
 {
     return hashText(request.body(), hashText(request.serves() + " " + request.method() + " " + request.path()));
@@ -185,12 +196,19 @@
             co_return;
         },
         [&result](std::string_view bytes) -> Task<void> {
+            if (result.body.size() + bytes.size() > kMaxOrderBodyBytes)
+                throw OversizedAnswerError {};
             result.body += bytes;
             co_return;
         },
     };
     co_await this->steps.reach(Step::LedgerDispatching);
-    result.outcome = co_await this->dispatcher.run(request, Repeatability::OnceOnly, deadline, sink);
+    try {
+        result.outcome = co_await this->dispatcher.run(request, Repeatability::OnceOnly, deadline, sink);
+    } catch (const OversizedAnswerError& error) {
+        logRequest(LogLevel::Warn, request.request_id(), error.what());
+        result = makeRefusal(OutcomeUnknown { Refusal::EndpointBroken });
+    }
     co_await this->steps.reach(Step::LedgerAnswered);
     const auto key = makeClaimKey(request.workspace(), request.idempotency_key());
     const auto* current = shard.isOwned() ? shard.findClaim(key) : nullptr;
--- a/src/berylwing/ledger/limits.hpp
+++ b/src/berylwing/ledger/limits.hpp
@@ -40,6 +40,9 @@
 /** @brief Delay before the ledger owners are asked again after none of them answered. */
 inline constexpr Duration kOrderRetryDelay { 150 };
 
+/** @brief Maximum size of an answer body; a longer answer is given up, as it is collected before it is delivered. */
+inline constexpr std::size_t kMaxOrderBodyBytes = 1024 * 1024;
+
 /** @brief Maximum number of claims of a shard, which keeps its platform object below a megabyte. */
 inline constexpr std::size_t kMaxClaimsPerShard = 4000;
 
--- a/src/berylwing/relay/dispatcher.cpp
+++ b/src/berylwing/relay/dispatcher.cpp
@@ -199,7 +199,8 @@
     try {
         co_await this->steps.reach(Step::EntryForwarded);
         co_await this->receiveResponse(progress, inbox);
-    } catch (const CallerGoneError&) {
+    } catch (...) {
+        // Whatever keeps the destination from taking the response, the endpoint need not go on with it.
         this->cancel(owner, inbox.attempt);
         throw;
     }
--- a/test/berylwing/ledger/at_most_once_test.cpp
+++ b/test/berylwing/ledger/at_most_once_test.cpp
@@ -187,3 +187,22 @@
         order.check();
     }
 }
+
+// Guards against a host that collects an answer without end until its memory is used up.
+TEST_CASE("An order whose answer does not end is given up after a bounded number of bytes", "[ledger][endless]")
+{
+    constexpr std::size_t kMaxBytesRead = 4 * 1024 * 1024;
+    TestFleet fleet;
+    startFleet(fleet, orderPlan());
+    for (const auto* name : { "knox-orders-0", "chatt-orders-0" })
+        fleet.endpoints.at(name).isAnswerEndless = true;
+    OrderHistory order { fleet };
+    const auto answer = order.send("knox-0");
+    fleet.advance(Duration { 8000 });
+    REQUIRE(answer->isFinished);
+    CHECK_FALSE(answer->isComplete());
+    CHECK(answer->outcome.execution == Execution::Unknown);
+    CHECK(fleet.endpoints.at("knox-orders-0").endlessBytes + fleet.endpoints.at("chatt-orders-0").endlessBytes
+        <= kMaxBytesRead);
+    order.check();
+}
--- a/test/support/fake_endpoints.cpp
+++ b/test/support/fake_endpoints.cpp
@@ -9,6 +9,8 @@
 
 constexpr Duration kLatency { 1 };
 constexpr Duration kSilenceTimeout { 5000 };
+constexpr std::size_t kEndlessChunkBytes = 64 * 1024;
+constexpr Duration kEndlessChunkInterval { 1 };
 
 std::string bootIdOf(const EngineModel& model) { return model.name + "-" + std::to_string(model.boot); }
 
@@ -207,6 +209,12 @@
 
 Task<std::optional<std::string>> FakeEndpoints::readBody(std::shared_ptr<Connection> connection, TimePoint deadline)
 {
+    auto& target = this->at(connection->endpoint);
+    if (target.isAnswerEndless) {
+        co_await connection->waitFor(kEndlessChunkInterval, deadline);
+        target.endlessBytes += kEndlessChunkBytes;
+        co_return std::string(kEndlessChunkBytes, 'x');
+    }
     if (connection->next == connection->parts.size()) {
         connection->finish();
         co_return std::nullopt;
--- a/test/support/fake_endpoints.hpp
+++ b/test/support/fake_endpoints.hpp
@@ -29,6 +29,10 @@
         Duration reportLag {};
         std::uint32_t reportedRunning = 0;
         TimePoint reportedAt {};
+        /** Whether the body of an answer does not end. */
+        bool isAnswerEndless = false;
+        /** Bytes of endless bodies that hosts have read. */
+        std::size_t endlessBytes = 0;
         /** Status of the answers; zero for the usual one. */
         unsigned status = 0;
         /** Sends the answer of another request to the next request. */
