Bound the load reports of engines by their own size

A probe of an engine took up to 32 MiB, the bound of the store's lists, for each engine at once; a host has 260 MB. Only the fleet's own interface probes with a request. Change: 64 KB. Test, seen failing on the code before: "A load report that does not end is given up after a few bytes".

--- a/src/berylwing/http/endpoint_probe.cpp
+++ b/src/berylwing/http/endpoint_probe.cpp
@@ -12,6 +12,7 @@
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttpVersion = 11;
+constexpr std::uint64_t kMaxReportBytes = 64 * 1024;
 
 LoadReport readReport(const std::string& body)
 {
@@ -35,7 +36,7 @@
     HttpRequest request { http::verb::get, isEngine ? "/v1/load" : "/healthz", kHttpVersion };
     const auto timeout = std::max<Duration>(deadline - clock.now(), Duration { 1 });
     try {
-        const auto response = co_await callHttp(address, std::move(request), timeout);
+        const auto response = co_await callHttp(address, std::move(request), timeout, kMaxReportBytes);
         if (isEngine)
             co_return readReport(response.body());
         LoadReport report;
--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -12,8 +12,6 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/** Limit of a response; a list of all objects of the store is far smaller. */
-constexpr std::uint64_t kMaxResponseBytes = 32 * 1024 * 1024;
 /** Limit of the bytes that wait for the end of a head, chunk header or trailer. */
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 
@@ -40,7 +38,7 @@
     stream.socket().set_option(asio::ip::tcp::no_delay { true }, ignored);
 }
 
-Task<HttpResponse> callHttp(SocketAddress address, HttpRequest request, Duration timeout)
+Task<HttpResponse> callHttp(SocketAddress address, HttpRequest request, Duration timeout, std::uint64_t maxBodyBytes)
 {
     beast::tcp_stream stream { co_await asio::this_coro::executor };
     stream.expires_after(timeout);
@@ -52,7 +50,7 @@
     throwOnError(error);
     beast::flat_buffer buffer { kMaxUnparsedBytes };
     http::response_parser<http::string_body> parser;
-    parser.body_limit(kMaxResponseBytes);
+    parser.body_limit(maxBodyBytes);
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     throwOnError(error);
     co_return parser.release();
--- a/src/berylwing/http/http_call.hpp
+++ b/src/berylwing/http/http_call.hpp
@@ -6,10 +6,14 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <string>
 
 namespace berylwing {
 
+/** @brief Limit of a response of the platform's store; a list of all objects is far smaller. */
+inline constexpr std::uint64_t kMaxStoreResponseBytes = 32 * 1024 * 1024;
+
 /** @brief Request whose body is held in memory. */
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
@@ -57,9 +61,11 @@
  * @param address Address and port of the server.
  * @param request Request.
  * @param timeout Time for the whole call, in milliseconds.
+ * @param maxBodyBytes Limit of the response's body, which is held in memory as a whole.
  * @return Response.
- * @throws HttpCallError If the call fails.
+ * @throws HttpCallError If the call fails or the response exceeds the limit.
  */
-[[nodiscard]] Task<HttpResponse> callHttp(SocketAddress address, HttpRequest request, Duration timeout);
+[[nodiscard]] Task<HttpResponse> callHttp(
+    SocketAddress address, HttpRequest request, Duration timeout, std::uint64_t maxBodyBytes = kMaxStoreResponseBytes);
 
 } // namespace berylwing
--- a/test/berylwing/http/endless_response_test.cpp
+++ b/test/berylwing/http/endless_response_test.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/http/endpoint_session.hpp"
 
+#include "berylwing/http/endpoint_probe.hpp"
 #include "berylwing/http/http_call.hpp"
 #include "support/runtime_context.hpp"
 #include <boost/asio/ip/tcp.hpp>
@@ -88,6 +89,21 @@
         }
     }
 
+    /** Asks the endpoint for its load. */
+    Task<void> probe()
+    {
+        EndpointObject target;
+        target.kind = EndpointKind::Engine;
+        target.address = this->endpoint.record.address.address;
+        target.port = this->endpoint.record.address.port;
+        try {
+            static_cast<void>(co_await probeEndpoint(this->clock, target, this->clock.now() + kStoreTimeout));
+            this->isComplete = true;
+        } catch (const EndpointError& error) {
+            this->fault = error.fault();
+        }
+    }
+
     /** Lets the endpoint answer; the clock does not advance. */
     void run(const std::string& prefix, const std::string& filler)
     {
@@ -200,6 +216,24 @@
     CHECK(endpoint.sentBytes < kMaxSentBytes);
 }
 
+// Guards against a faulty engine whose load reports take as much memory as a list of all objects of the store.
+TEST_CASE("A load report that does not end is given up after a few bytes", "[http][endless]")
+{
+    // The sockets of both sides hold some more than the host has read.
+    constexpr std::size_t kMaxReportBytes = 16 * 1024 * 1024;
+    EndlessEndpoint endpoint;
+    const auto prefix = GENERATE(std::string { "HTTP/1.1 200 OK\r\n\r\n" }, std::string { kHead });
+    const auto filler = prefix == kHead ? repeat("note: a\r\n", kFillerBytes) : repeat("a", kFillerBytes);
+    spawn(endpoint.context.get_executor(), "endpoint", endpoint.serve(prefix, filler));
+    spawn(endpoint.context.get_executor(), "call", endpoint.probe());
+    while (!endpoint.fault && !endpoint.isComplete && endpoint.sentBytes < kMaxSentBytes && endpoint.step()) { }
+    for (int count = 0; count < 1000 && !endpoint.isClosed; ++count)
+        endpoint.step();
+    CHECK(endpoint.fault == EndpointFault::Broken);
+    CHECK(endpoint.isClosed);
+    CHECK(endpoint.sentBytes < kMaxReportBytes);
+}
+
 TEST_CASE("A connection that gets a byte now and then is closed at the deadline of the head", "[http][endless]")
 {
     EndlessEndpoint endpoint;
