--- a/test/platform/store_transport_test.cpp
+++ b/test/platform/store_transport_test.cpp
@@ -108,6 +108,7 @@
     fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
     CHECK_FALSE(fixture.fault);
     std::vector<std::string> listed;
+    listed.reserve(names.size());
     for (const auto& object : fixture.batch.changes)
         listed.push_back(object.name);
     CHECK(listed == names);
