--- a/test/berylwing/gateway/replaced_plan_test.cpp
+++ b/test/berylwing/gateway/replaced_plan_test.cpp
@@ -94,3 +94,27 @@
     CHECK(answer->outcome->execution == Execution::NotRun);
     CHECK(harness.countRuns("one") == 0);
 }
+
+// Guards against a fleet that admits every caller once its last workspace is removed.
+TEST_CASE("Gateway admits no caller to a route with keys after the last workspace was removed", "[gateway][lease]")
+{
+    GatewayHarness harness;
+    harness.putPlan(GatewayHarness::makePlan(1));
+    harness.putEndpoint("engine", "knox-a");
+    harness.advance(kSettleDelay);
+    CHECK(harness.sendAndWait("before", "/status/1")->outcome->isComplete());
+    auto plan = GatewayHarness::makePlan(2, {});
+    REQUIRE(plan.requiresKeys());
+    harness.putPlan(plan);
+    harness.advance(Duration { 5000 });
+    for (const auto* key : { "shop-key", "other-key", "" }) {
+        CAPTURE(key);
+        const auto id = std::string { "after-" } + key;
+        const auto refused = harness.sendAndWait(id, "/status/1", key);
+        REQUIRE(refused->outcome);
+        CHECK(refused->outcome->reason == Refusal::UnknownWorkspace);
+        CHECK(refused->outcome->execution == Execution::NotRun);
+        CHECK(harness.countRuns(id) == 0);
+    }
+    CHECK(harness.sendAndWait("public", "/open/1", "")->outcome->isComplete());
+}
