Let tests listen on ports that no outgoing connection takes

Cause, one of two that this output cannot tell apart: the tests of the store's and the platform's transport and of callers' connections listened on 127.0.0.1, on a port chosen by the process id from 20,000 to 56,000. From 32,768 on the system gives these ports to outgoing connections, of other tests too, and a port in use, or closed within the last minute, cannot be listened on.

Ruled out: two tests with the same port; the ids of processes that run at the same time are not 8,000 apart.

During the other tests 45 of the 8,000 ports were seen in use at once, all of them even.

Change: each of these tests listens on a loopback address of its process alone, on a port below 32,768, as two tests did in ways of their own; there is one function for it now. A failed call of the store's transport says its reason.

--- a/test/berylwing/daemon/process_signals_test.cpp
+++ b/test/berylwing/daemon/process_signals_test.cpp
@@ -1,4 +1,5 @@
 #include "soak/gateway_process.hpp"
+#include "support/loopback_address.hpp"
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <filesystem>
@@ -24,8 +25,7 @@
     StartingDaemon()
     {
         std::filesystem::create_directories(this->folder);
-        const auto id = static_cast<unsigned>(::getpid());
-        const auto ip = "127." + std::to_string(64 + id % 128) + "." + std::to_string(id / 128 % 250) + ".1";
+        const auto ip = loopbackAddressOfProcess();
         const auto at = [&ip](std::uint16_t port) { return SocketAddress { ip, port }; };
         this->process = std::make_unique<GatewayProcess>(BERYLWINGD,
             GatewayAddresses { "knox-a-1", "knox-a", at(8227), at(8220), at(9102), at(7340), at(8223) }, this->folder);
--- a/test/berylwing/http/gateway_connection_test.cpp
+++ b/test/berylwing/http/gateway_connection_test.cpp
@@ -1,11 +1,11 @@
 #include "berylwing/http/gateway_server.hpp"
 
 #include "support/gateway_harness.hpp"
+#include "support/loopback_address.hpp"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
-#include <unistd.h>
 
 namespace {
 
@@ -88,7 +88,7 @@
         this->text.append(bytes, 0, size);
     }
 
-    SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(20'000 + ::getpid() % 20'000) };
+    SocketAddress address { loopbackAddressOfProcess(), 8227 };
     GatewayServer server { this->runtimeClock(), this->address, *this->gateway };
     asio::io_context callerContext;
     asio::ip::tcp::socket caller { this->callerContext };
--- a/test/berylwing/http/platform_transport_test.cpp
+++ b/test/berylwing/http/platform_transport_test.cpp
@@ -3,10 +3,10 @@
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include "stand_ins/http_server.hpp"
+#include "support/loopback_address.hpp"
 #include "support/runtime_context.hpp"
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <unistd.h>
 
 using namespace berylwing;
 using namespace berylwing::test;
@@ -14,9 +14,7 @@
 // Guards against names that end the path of a call, or its request line, before their own end.
 TEST_CASE("The path of an object holds its whole name, whatever its characters", "[http][store]")
 {
-    constexpr int kFirstPort = 48'000;
-    constexpr int kPorts = 8000;
-    const SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + ::getpid() % kPorts) };
+    const SocketAddress address { loopbackAddressOfProcess(), 8224 };
     RuntimeContext context;
     std::string target;
     spawn(context.get_executor(), "platform",
--- a/test/berylwing/link/zmq_transport_test.cpp
+++ b/test/berylwing/link/zmq_transport_test.cpp
@@ -1,16 +1,17 @@
 #include "berylwing/link/zmq_transport.hpp"
 
+#include "support/loopback_address.hpp"
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <string>
-#include <unistd.h>
 #include <vector>
 #include <zmq.h>
 
 namespace {
 
 using namespace berylwing;
+using namespace berylwing::test;
 
 constexpr std::size_t kEncodedKeyBytes = 41;
 /** Maximum number of event-loop runs for a peer with the fleet's keys to connect; it needs far fewer. */
@@ -21,15 +22,6 @@
 
 constexpr std::uint16_t kReceiverPort = 17100;
 
-/** Returns a loopback address that depends on the process id, because test cases run in parallel processes. */
-std::string loopbackAddressOfProcess()
-{
-    constexpr int kOctets = 250;
-    const auto id = static_cast<int>(getpid());
-    const auto octet = [](int value) { return "." + std::to_string(value % kOctets + 1); };
-    return "127" + octet(id / kOctets / kOctets) + octet(id / kOctets) + octet(id);
-}
-
 struct KeyPair {
     std::string publicKey;
     std::string secretKey;
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -4,12 +4,12 @@
 #include "platform/platform.hpp"
 #include "platform/store_stand_in.hpp"
 #include "platform/store_transport.hpp"
+#include "support/loopback_address.hpp"
 #include "support/runtime_context.hpp"
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
 #include <optional>
-#include <unistd.h>
 
 namespace {
 
@@ -119,8 +119,7 @@
         return false;
     }
 
-    std::string ip
-        = "127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 250) + ".1";
+    std::string ip = loopbackAddressOfProcess();
     GatewaySettings settings;
     GatewayProtocol protocol = platform::makeProtocol();
     std::unique_ptr<Gateway> gateway;
--- a/test/platform/store_transport_test.cpp
+++ b/test/platform/store_transport_test.cpp
@@ -3,17 +3,15 @@
 #include "berylwing/store/platform_error.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include "platform/store_stand_in.hpp"
+#include "support/loopback_address.hpp"
 #include "support/runtime_context.hpp"
 #include <catch2/catch.hpp>
-#include <unistd.h>
 
 namespace {
 
 using namespace berylwing;
 using namespace berylwing::test;
 
-constexpr int kFirstPort = 40'000;
-constexpr int kPorts = 8000;
 constexpr Duration kShortWait { 1 };
 constexpr Duration kLongWait { 400 };
 
@@ -47,6 +45,7 @@
             this->batch = co_await std::move(call);
             this->era = this->batch.era;
         } catch (const PlatformError& error) {
+            UNSCOPED_INFO("the call failed: " << error.what());
             this->fault = error.fault();
             this->era = error.era();
         }
@@ -56,7 +55,7 @@
     RuntimeContext context;
     Clock clock { this->context.get_executor(),
         [] { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); } };
-    SocketAddress address { "127.0.0.1", static_cast<std::uint16_t>(kFirstPort + ::getpid() % kPorts) };
+    SocketAddress address { loopbackAddressOfProcess(), 8224 };
     StoreStandIn store { this->clock };
     Metrics metrics;
     PlatformClient client { platform::makeStoreTransport(this->address), this->metrics };
