Do not let the tests of the store's transport time out in real time

A test whose process stood still for longer read its answer too late and failed, though nothing was wrong.

Evidence: the process was stopped for 1.3 s at 60 moments of its run, 0.7 ms apart.

Change: the calls of these tests wait for ten minutes. No test of them checks timeouts; all checks are as they were.

--- a/test/platform/store_transport_test.cpp
+++ b/test/platform/store_transport_test.cpp
@@ -14,6 +14,18 @@
 
 constexpr Duration kShortWait { 1 };
 constexpr Duration kLongWait { 400 };
+/** So long that a call does not time out while the process of the test stands still. */
+constexpr Duration kCallTimeout { 600'000 };
+
+/** Makes a transport to the store that waits longer for answers than the calls ask. */
+PlatformClient::Transport makePatientTransport(const SocketAddress& address)
+{
+    return [transport = platform::makeStoreTransport(address)](const PlatformCall& call) {
+        auto patientCall = call;
+        patientCall.timeout = kCallTimeout;
+        return transport(patientCall);
+    };
+}
 
 /** Client of a store that listens on a port of this process. */
 class TransportFixture {
@@ -58,7 +70,7 @@
     SocketAddress address { loopbackAddressOfProcess(), 8224 };
     StoreStandIn store { this->clock };
     Metrics metrics;
-    PlatformClient client { platform::makeStoreTransport(this->address), this->metrics };
+    PlatformClient client { makePatientTransport(this->address), this->metrics };
     WatchBatch batch;
     std::uint64_t era = 0;
     std::optional<PlatformFault> fault;
