Log address, reuse of the connection and rejections of each send (REFUSED, TWICE)

request_sent has address and reused, request_retried the status of the rejection, caller_left the number of sends. Only fields are added; the text of an address is made in one place.

--- a/src/berylwing/config/settings.hpp
+++ b/src/berylwing/config/settings.hpp
@@ -26,6 +26,9 @@
 
     /** @brief Compares two addresses. @return True if they are equal. */
     [[nodiscard]] bool operator==(const SocketAddress&) const = default;
+
+    /** @brief Formats the address. @return Text such as 10.0.0.1:80. */
+    [[nodiscard]] std::string toText() const { return this->address + ":" + std::to_string(this->port); }
 };
 
 /**
--- a/src/berylwing/gateway/endpoint_session.hpp
+++ b/src/berylwing/gateway/endpoint_session.hpp
@@ -42,6 +42,8 @@
     std::function<Task<std::optional<std::string>>(TimePoint)> readBody;
     /** Aborts the exchange at once; a pending operation fails. */
     std::function<void()> abort;
+    /** Whether the connection has carried other requests before. */
+    bool isReused = false;
 };
 
 /** @brief Lists which idle connections may be reused for a request. */
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -208,6 +208,7 @@
         LogLine line { context.isHeadWritten ? LogEvent::RequestResumed : LogEvent::RequestRetried };
         line.add("after", endpoint->record.id).add("reason", kRefusalNames[context.failureReason]);
         line.add("runs", std::int64_t { context.executions }).add("after_event", context.events.lastEventId());
+        line.add("status", std::int64_t { std::exchange(context.rejectionStatus, 0) });
         this->dependencies.log.write(request.metadata.attemptId, std::move(line));
     }
 }
@@ -329,6 +330,7 @@
     LogLine line { LogEvent::RequestSent };
     line.add("route", context.route->name).add("plan", static_cast<std::int64_t>(context.plan->version()));
     line.add("plan_age_ms", this->dependencies.lease.age()).add("endpoint", endpoint.record.id);
+    line.add("address", endpoint.record.address.toText()).add("reused", std::int64_t { session.isReused });
     line.add("service", context.service);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { context.attempts });
     line.add("load_own", std::int64_t { context.load.own }).add("load_others", std::int64_t { context.load.others });
@@ -352,6 +354,7 @@
     };
     if (context.route->isRetryable())
         endpoint.retryableCalls.push_back(call);
+    ++context.request.sends;
     co_await session.send(outgoing);
     const auto head = co_await session.readHead(context.deadline + kDeadlineTolerance);
     reservation.release();
@@ -361,6 +364,7 @@
         this->recordAnnouncements(endpoint, head);
     const auto rejectionDeadline = std::min(context.deadline, this->dependencies.clock.now() + kRejectionTimeout);
     if (head.metadata.isNotRun || isMisdirected) {
+        context.rejectionStatus = head.status;
         this->recordResult(endpoint, isMisdirected ? EndpointResult::Unreachable : EndpointResult::Shed);
         context.failureReason = isMisdirected ? Refusal::EndpointUnreachable : Refusal::EndpointAtBound;
         co_await skipRejection(session, rejectionDeadline);
--- a/src/berylwing/gateway/forwarder_context.hpp
+++ b/src/berylwing/gateway/forwarder_context.hpp
@@ -45,6 +45,8 @@
     EventSplitter events {};
     /** What may be the cause of a crash; empty until it is needed. */
     std::vector<CrashSuspect> suspects {};
+    /** Status of the last rejection by an endpoint; zero without one. */
+    unsigned rejectionStatus = 0;
     /** Reason for which the last attempt failed. */
     Refusal failureReason = Refusal::NoEndpoint;
 };
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -55,6 +55,8 @@
     TimePoint arrivedAt;
     /** Time at which the first byte of the response became available to the caller. */
     std::optional<TimePoint> firstByteAt;
+    /** Number of sends to endpoints. */
+    unsigned sends = 0;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
     /** Whether this host ends the request, since its process is about to exit. */
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -158,6 +158,9 @@
 
     void abort() { this->reader.abort(); }
 
+    /** Checks if the connection was taken from the pool. */
+    [[nodiscard]] bool hasReusedConnection() const noexcept { return this->isReused; }
+
 private:
     void limitUnackedTime(Duration timeout)
     {
@@ -231,6 +234,7 @@
     functions->readHead = [session](TimePoint deadline) { return session->readHead(deadline); };
     functions->readBody = [session](TimePoint deadline) { return session->readBody(deadline); };
     functions->abort = [session] { session->abort(); };
+    functions->isReused = session->hasReusedConnection();
     co_return functions;
 }
 
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -166,6 +166,7 @@
     const auto bounds = this->gateway.callerBounds();
     this->isAwaitingRequest = false;
     this->attemptId.clear();
+    this->sends = 0;
     this->isAnswerBegun = false;
     this->pendingHead.clear();
     std::string error;
@@ -195,6 +196,7 @@
 void GatewayConnection::logCallerGone()
 {
     LogLine line { LogEvent::CallerLeft };
+    line.add("sends", std::int64_t { this->sends });
     this->gateway.decisionLog().write(this->attemptId, std::move(line));
 }
 
@@ -253,6 +255,7 @@
     } catch (...) {
         failure = std::current_exception();
     }
+    this->sends = request.sends;
     co_await this->stopMonitoring();
     if (failure)
         std::rethrow_exception(failure);
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -76,6 +76,8 @@
     /** Formatted response head, which is written together with the first bytes of the body. */
     std::string pendingHead;
     std::string attemptId;
+    /** Sends of the current request to endpoints. */
+    unsigned sends = 0;
     bool isAwaitingRequest = true;
     /** Whether a request is being read. */
     bool isReading = false;
--- a/src/berylwing/link/zmq_transport.cpp
+++ b/src/berylwing/link/zmq_transport.cpp
@@ -28,10 +28,7 @@
 /** Messages received before other coroutines of the executor run. */
 constexpr std::size_t kMaxMessagesPerTurn = 64;
 
-std::string makeUrl(const SocketAddress& address)
-{
-    return "tcp://" + address.address + ":" + std::to_string(address.port);
-}
+std::string makeUrl(const SocketAddress& address) { return "tcp://" + address.toText(); }
 
 std::string encodeKey(const zmq::message_t& raw)
 {
