Send a request again to the same address on a new connection only (TWICE, REFUSED)

Callers' orders ran twice, or were refused with 503 after they had run.

Cause: answers on a reused connection are matched by the id of the caller's attempt, and all sends of a request carry the same id. An endpoint that has restarted under another id stands in the store twice at one address for some seconds. A request for the first entry is rejected with 421; the retry went to the second entry on the same connection. An endpoint that sends its rejection twice, the copy late, then had the copy taken for the answer of a request that was running: it was sent to a third endpoint, or refused as not run.

Ruled out: a copy that belongs to another attempt (its id differs), or names no request (such a connection is given up), and the fleet's own interface, where each send has an id of its own.

Change: an attempt at an address that has had the request before opens a connection of its own, which can hold no earlier answer.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -255,9 +255,20 @@
         this->dependencies.reportSilence(endpoint);
 }
 
+ConnectionReuse Forwarder::chooseConnectionReuse(const RequestContext& context, const GatewayEndpoint& endpoint)
+{
+    // All sends of a request carry the same id, so a late copy of an earlier answer would pass for that of this send.
+    const bool wasSentThere = std::any_of(context.tried.begin(), context.tried.end(),
+        [&endpoint](const GatewayEndpointPtr& tried) { return tried->record.address == endpoint.record.address; });
+    if (wasSentThere)
+        return ConnectionReuse::None;
+    return context.route->isRetryable() ? ConnectionReuse::AnyIdle : ConnectionReuse::RecentlyUsed;
+}
+
 Task<Forwarder::AttemptResult> Forwarder::attempt(RequestContext& context, GatewayEndpointPtr endpoint)
 {
     const InFlightCounter inFlight { endpoint };
+    const auto use = chooseConnectionReuse(context, *endpoint);
     context.tried.push_back(endpoint);
     ++context.attempts;
     context.relayedParts = 0;
@@ -266,7 +277,6 @@
         endpoint->lastColdSendAt = this->dependencies.clock.now();
     std::shared_ptr<EndpointSession> session;
     try {
-        const auto use = context.route->isRetryable() ? ConnectionReuse::AnyIdle : ConnectionReuse::RecentlyUsed;
         session = co_await this->dependencies.openSession(*endpoint, use);
     } catch (const EndpointError& error) {
         this->recordFault(*endpoint, error, EndpointResult::Unreachable);
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -84,6 +84,9 @@
     [[nodiscard]] static bool canRunAgain(const RequestContext& context, unsigned executions);
     /** Takes the retry that follows if the call in progress is aborted. @return False if there would be none. */
     [[nodiscard]] bool reserveRetry(RequestContext& context);
+    /** Returns which idle connections the next attempt may use. */
+    [[nodiscard]] static ConnectionReuse chooseConnectionReuse(
+        const RequestContext& context, const GatewayEndpoint& endpoint);
     [[nodiscard]] Task<AttemptResult> attempt(RequestContext& context, GatewayEndpointPtr endpoint);
     /** Sends the request and handles the response. */
     [[nodiscard]] Task<AttemptResult> exchange(
