--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -283,7 +283,10 @@
         context.failureReason = Refusal::EndpointUnreachable;
         co_return AttemptResult::NotRun;
     }
-    // While the connection was established, the endpoint may have left and the key may have been revoked.
+    // While the connection was established, the caller and the endpoint may have left, and the key may have been
+    // revoked.
+    if (context.request.isCallerGone)
+        throw CallerGoneError {};
     if (!this->dependencies.directory.isAvailable(*endpoint) || this->dependencies.rateLimits.isPaused(*endpoint)
         || !this->isAuthorized(context) || this->endOf(context)) {
         context.failureReason = Refusal::EndpointLeaving;
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -275,6 +275,8 @@
         co_await this->clock.sleepFor(kConnectTimeout);
         throw EndpointError { EndpointFault::Silent, "timed out" };
     }
+    if (this->connectTime > Duration {})
+        co_await this->clock.sleepFor(this->connectTime);
     ++this->connectionCounts[endpoint];
     const auto session = std::make_shared<EndpointSession>();
     const auto aborted = std::make_shared<Event>(this->clock);
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -128,6 +128,8 @@
     /** Number of connections accepted by each endpoint. */
     std::map<std::string, int> connectionCounts;
     Duration answerTime { 20 };
+    /** Time for which a new connection to an endpoint takes. */
+    Duration connectTime {};
     /** Silence of an endpoint before each event of an answer. */
     Duration eventInterval {};
     /** Endpoints whose answers announce their stop. */
