Check in the soak that no request goes on at two endpoints, or for callers that left (TWICE, GONE)

The soak checked how often each attempt ran, but not the second meaning of TWICE: a request that goes on at another endpoint while the one before still works on it 400 ms later. Nor did it see work that goes on for callers that have left; it only counted requests that reach an endpoint later.

Both checks count runs at endpoints and links without a fault only, and hosts in touch. Each has a test that breaks its promise.

--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -259,6 +259,41 @@
         checker.report("no work for callers that left", std::to_string(late) + " requests, the last one " + example);
 }
 
+/** Reports requests that go on at another endpoint while the one before still works on them. */
+void checkHandovers(RecordChecker& checker)
+{
+    for (const auto& next : checker.record.runs) {
+        const auto* attempt = checker.attemptOf(next);
+        if (attempt == nullptr || !next.hasRun)
+            continue;
+        const auto latest = next.arrivedAt + checker.bounds.handoverOverlap;
+        for (const auto* before : checker.runsOf(*attempt)) {
+            if (before->hasRun && !before->isDisturbed && before->endpoint != next.endpoint
+                && before->arrivedAt < next.arrivedAt && before->endedAt.value_or(TimePoint::max()) > latest
+                && checker.isUndisturbed(attempt->host, before->arrivedAt, latest))
+                checker.report("one endpoint at a time",
+                    attempt->id + " from " + attempt->host + " went on at " + next.endpoint + " while "
+                        + before->endpoint + " still worked on it");
+        }
+    }
+}
+
+/** Reports requests other than orders on which an endpoint still works after their caller has disconnected. */
+void checkAbandoned(RecordChecker& checker)
+{
+    for (const auto& run : checker.record.runs) {
+        const auto* attempt = checker.attemptOf(run);
+        if (attempt == nullptr || !attempt->disconnectedAt || attempt->kind == SoakRequestKind::Order || !run.hasRun
+            || run.isDisturbed)
+            continue;
+        const auto latest = std::max(*attempt->disconnectedAt, run.arrivedAt) + checker.bounds.deadlineSlack;
+        if (run.endedAt.value_or(TimePoint::max()) > latest
+            && checker.isUndisturbed(attempt->host, *attempt->disconnectedAt, latest))
+            checker.report("no work goes on for callers that left",
+                attempt->id + " from " + attempt->host + " went on at " + run.endpoint);
+    }
+}
+
 /** Checks if a host had a disturbance other than the planned stop itself. */
 bool isDisturbed(const RecordChecker& checker, const SoakStop& stop, const TimeSpan& span)
 {
@@ -341,7 +376,9 @@
         "withdrawn domains");
     checkCold(checker);
     checkDeadlines(checker);
+    checkHandovers(checker);
     checkDisconnected(checker);
+    checkAbandoned(checker);
     checkStops(checker);
     checkRecovery(checker);
     return std::move(checker.broken);
--- a/test/soak/promises_test.cpp
+++ b/test/soak/promises_test.cpp
@@ -223,6 +223,42 @@
     CHECK(breaksTiming(gone, "no work for callers that left"));
 }
 
+TEST_CASE("The soak checks report requests that go on at two endpoints", "[soak]")
+{
+    SoundRecord record;
+    record.request().kind = SoakRequestKind::ResumableStream;
+    record.runs.front().endedAt = kStart + Duration { 501 };
+    auto& next = record.addRun(Duration { 100 });
+    next.endpoint = "i-2";
+    next.endedAt = kStart + kSecond;
+    CHECK(breaksTiming(record, "one endpoint at a time"));
+    record.runs.front().endedAt = kStart + Duration { 500 };
+    CHECK_FALSE(breaksTiming(record, "one endpoint at a time"));
+    // A host that cannot reach the first endpoint cannot end its work either.
+    record.runs.front().endedAt.reset();
+    CHECK(breaksTiming(record, "one endpoint at a time"));
+    record.runs.front().isDisturbed = true;
+    CHECK_FALSE(breaksTiming(record, "one endpoint at a time"));
+    record.runs.front().isDisturbed = false;
+    record.disturbances.push_back({ "knox-a-1", { kStart, kStart + kSecond } });
+    CHECK_FALSE(breaksTiming(record, "one endpoint at a time"));
+}
+
+TEST_CASE("The soak checks report work that goes on for disconnected callers", "[soak]")
+{
+    SoundRecord record;
+    record.request().kind = SoakRequestKind::Stream;
+    record.request().disconnectedAt = kStart + Duration { 10 };
+    record.runs.front().endedAt = kStart + Duration { 511 };
+    CHECK(breaksTiming(record, "no work goes on for callers that left"));
+    record.runs.front().endedAt = kStart + Duration { 510 };
+    CHECK_FALSE(breaksTiming(record, "no work goes on for callers that left"));
+    // Orders run to their end.
+    record.runs.front().endedAt.reset();
+    record.request().kind = SoakRequestKind::Order;
+    CHECK_FALSE(breaksTiming(record, "no work goes on for callers that left"));
+}
+
 TEST_CASE("The soak checks report requests that fail after recovery", "[soak]")
 {
     SoundRecord record;
--- a/test/soak/soak_record.hpp
+++ b/test/soak/soak_record.hpp
@@ -39,6 +39,8 @@
     Duration recoveryTime { 12'000 };
     /** Slack after a request's deadline, or after its caller has disconnected, before late work is a violation. */
     Duration deadlineSlack { 500 };
+    /** Time for which an endpoint may go on with a request after another one has received it. */
+    Duration handoverOverlap { 400 };
     /** Request rate of a cold endpoint; coldRateFactor and coldBurstAllowance are the tolerance on top of it. */
     double coldRequestsPerSecond = 6;
     /** Time after its start during which an endpoint is cold. */
