--- a/test/platform/engine_stand_in.cpp
+++ b/test/platform/engine_stand_in.cpp
@@ -25,6 +25,7 @@
 /** Interval at which a run checks if its connection was closed. */
 constexpr Duration kClosePollInterval { 10 };
 constexpr Duration kHangTimeout { 20'000 };
+constexpr Duration kMaxCopyDelay { 30 };
 
 std::string headerOf(const StandInRequest& request, std::string_view name)
 {
@@ -144,6 +145,28 @@
 }
 
 Task<bool> EngineStandIn::handle(boost::beast::tcp_stream& stream, const StandInRequest& request)
+{
+    StandInResponse sent;
+    const bool canReuse = co_await this->answer(stream, request, sent);
+    if (canReuse && this->drawFault(EngineFault::LateCopy))
+        co_await this->sendLateCopy(stream, std::move(sent));
+    co_return canReuse;
+}
+
+Task<void> EngineStandIn::sendLateCopy(boost::beast::tcp_stream& stream, StandInResponse sent)
+{
+    const bool isBeforeNextAnswer = this->random() % 2 == 0;
+    boost::system::error_code ignored;
+    while (isBeforeNextAnswer && stream.socket().available(ignored) == 0) {
+        if (isClosed(stream) || this->fault != EngineFault::LateCopy)
+            co_return;
+        co_await this->clock.sleepFor(kClosePollInterval);
+    }
+    co_await this->clock.sleepFor(Duration { 1 + this->random() % kMaxCopyDelay.count() });
+    co_await respond(stream, std::move(sent));
+}
+
+Task<bool> EngineStandIn::answer(boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent)
 {
     const auto attemptId = headerOf(request, names::kAttemptId);
     SoakRun arrival;
@@ -156,16 +179,17 @@
     const bool isOther = headerOf(request, names::kExpectInstance) != this->id;
     if (isOther || this->activeRuns >= this->slots || this->drawFault(EngineFault::Overloaded)) {
         const auto status = isOther ? http::status::misdirected_request : http::status::service_unavailable;
-        StandInResponse response { status, kHttpVersion };
-        response.set(std::string { names::kAttemptId }, attemptId);
-        response.set(std::string { names::kNotExecuted }, "1");
-        co_await respond(stream, std::move(response));
+        sent = { status, kHttpVersion };
+        sent.set(std::string { names::kAttemptId }, attemptId);
+        sent.set(std::string { names::kNotExecuted }, "1");
+        co_await respond(stream, sent);
         co_return true;
     }
-    co_return co_await this->run(stream, request, entry);
+    co_return co_await this->run(stream, request, entry, sent);
 }
 
-Task<bool> EngineStandIn::run(boost::beast::tcp_stream& stream, const StandInRequest& request, SoakRun& entry)
+Task<bool> EngineStandIn::run(
+    boost::beast::tcp_stream& stream, const StandInRequest& request, SoakRun& entry, StandInResponse& sent)
 {
     const RunInProgress progress { *this, entry };
     if (this->drawFault(EngineFault::Hang))
@@ -175,15 +199,15 @@
         co_return false;
     }
     if (this->drawFault(EngineFault::Errors)) {
-        StandInResponse response { http::status::internal_server_error, kHttpVersion };
-        sign(response, entry.attemptId, this->id);
-        response.body() = "failed";
-        co_await respond(stream, std::move(response));
+        sent = { http::status::internal_server_error, kHttpVersion };
+        sign(sent, entry.attemptId, this->id);
+        sent.body() = "failed";
+        co_await respond(stream, sent);
         co_return true;
     }
     if (eventsOf(request) > 0)
-        co_return co_await this->answerStream(stream, request);
-    co_return co_await this->answerShort(stream, request);
+        co_return co_await this->answerStream(stream, request, sent);
+    co_return co_await this->answerShort(stream, request, sent);
 }
 
 Task<bool> EngineStandIn::hang(boost::beast::tcp_stream& stream)
@@ -205,18 +229,19 @@
     co_return !isClosed(stream) && begun == this->incarnation;
 }
 
-Task<bool> EngineStandIn::answerShort(boost::beast::tcp_stream& stream, const StandInRequest& request)
+Task<bool> EngineStandIn::answerShort(
+    boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent)
 {
     if (!co_await this->simulateWork(
             stream, this->drawFault(EngineFault::Slow) ? kShortAnswerDelay * kSlowdownFactor : kShortAnswerDelay))
         co_return false;
     const auto attemptId = headerOf(request, names::kAttemptId);
-    StandInResponse response { http::status::ok, kHttpVersion };
-    sign(response, attemptId, this->id);
-    response.body() = makeSoakShortAnswer(attemptId);
+    sent = { http::status::ok, kHttpVersion };
+    sign(sent, attemptId, this->id);
+    sent.body() = makeSoakShortAnswer(attemptId);
     if (this->drawFault(EngineFault::UnframedAnswer)) {
         std::ostringstream text;
-        text << response.base() << response.body();
+        text << sent.base() << sent.body();
         const auto bytes = text.str();
         boost::system::error_code ignored;
         co_await asio::async_write(stream, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
@@ -224,16 +249,17 @@
         co_return false;
     }
     const bool hasExtra = this->drawFault(EngineFault::ExtraAnswer);
-    auto extra = response;
-    co_await respond(stream, std::move(response));
+    co_await respond(stream, sent);
     if (hasExtra) {
+        auto extra = sent;
         extra.body() = "an answer that nobody asked for";
         co_await respond(stream, std::move(extra));
     }
     co_return true;
 }
 
-Task<bool> EngineStandIn::answerStream(boost::beast::tcp_stream& stream, const StandInRequest& request)
+Task<bool> EngineStandIn::answerStream(
+    boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent)
 {
     const auto attemptId = headerOf(request, names::kAttemptId);
     const auto events = eventsOf(request);
@@ -245,6 +271,7 @@
     http::response<http::empty_body> head { http::status::ok, kHttpVersion };
     sign(head, attemptId, this->id);
     head.set(http::field::content_type, "text/event-stream");
+    sent = StandInResponse { head.base(), makeSoakStream(attemptId, events) };
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer { head };
     boost::system::error_code error;
--- a/test/platform/engine_stand_in.hpp
+++ b/test/platform/engine_stand_in.hpp
@@ -24,6 +24,8 @@
     Slow,
     /** Sends an unsolicited second answer after the first. */
     ExtraAnswer,
+    /** Sends an answer, also a rejection, once more after a while or once the next request has arrived. */
+    LateCopy,
     /** Sends answers without a length, which end when the connection closes. */
     UnframedAnswer,
 };
@@ -33,9 +35,16 @@
     class RunInProgress;
 
     [[nodiscard]] Task<bool> handle(boost::beast::tcp_stream& stream, const StandInRequest& request);
-    [[nodiscard]] Task<bool> run(boost::beast::tcp_stream& stream, const StandInRequest& request, SoakRun& entry);
-    [[nodiscard]] Task<bool> answerShort(boost::beast::tcp_stream& stream, const StandInRequest& request);
-    [[nodiscard]] Task<bool> answerStream(boost::beast::tcp_stream& stream, const StandInRequest& request);
+    /** Answers a request. Sets the answer that a late copy repeats. */
+    [[nodiscard]] Task<bool> answer(
+        boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent);
+    [[nodiscard]] Task<bool> run(
+        boost::beast::tcp_stream& stream, const StandInRequest& request, SoakRun& entry, StandInResponse& sent);
+    [[nodiscard]] Task<bool> answerShort(
+        boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent);
+    [[nodiscard]] Task<bool> answerStream(
+        boost::beast::tcp_stream& stream, const StandInRequest& request, StandInResponse& sent);
+    [[nodiscard]] Task<void> sendLateCopy(boost::beast::tcp_stream& stream, StandInResponse sent);
     [[nodiscard]] Task<bool> hang(boost::beast::tcp_stream& stream);
     [[nodiscard]] Task<bool> simulateWork(boost::beast::tcp_stream& stream, Duration length);
     [[nodiscard]] bool drawFault(EngineFault kind);
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -82,6 +82,8 @@
     [[nodiscard]] Task<void> applyOperatorChange(PlannedFault fault);
     [[nodiscard]] Task<void> crash(Endpoint& endpoint, Duration length);
     [[nodiscard]] Task<void> drainEndpoint(Endpoint& endpoint);
+    /** Restarts an endpoint at its address, as another instance or under its id. */
+    [[nodiscard]] Task<void> restartAtOnce(Endpoint& endpoint, PlannedFault fault);
     [[nodiscard]] Task<void> addAndRevokeKey(Duration length);
     [[nodiscard]] Task<void> withdrawDomain(std::string domain, Duration length);
     [[nodiscard]] Task<void> waitForStore();
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -46,6 +46,8 @@
         return EngineFault::Slow;
     case SoakFault::EndpointSendsExtra:
         return EngineFault::ExtraAnswer;
+    case SoakFault::EndpointRepeats:
+        return EngineFault::LateCopy;
     case SoakFault::EndpointUnframed:
         return EngineFault::UnframedAnswer;
     default:
@@ -123,7 +125,7 @@
         co_await this->injectHostLinkFault(fault);
     else if (fault.kind <= SoakFault::StoreTurnsAway)
         co_await this->injectStoreFault(fault);
-    else if (fault.kind <= SoakFault::EndpointLeaves)
+    else if (fault.kind <= SoakFault::EndpointRepeats)
         co_await this->injectEndpointFault(fault);
     else
         co_await this->applyOperatorChange(fault);
@@ -275,7 +277,8 @@
 Task<void> Soak::injectEndpointFault(PlannedFault fault)
 {
     auto& endpoint = this->endpointAt(fault.target);
-    if (fault.kind == SoakFault::EndpointCrashed || fault.kind == SoakFault::EndpointLeaves) {
+    if (fault.kind == SoakFault::EndpointCrashed
+        || (fault.kind >= SoakFault::EndpointLeaves && fault.kind <= SoakFault::EndpointRestarted)) {
         const auto isSame = [&endpoint](const auto& each) { return each->service == endpoint.service; };
         const auto all = std::count_if(this->endpoints.begin(), this->endpoints.end(), isSame);
         const auto ending = std::count_if(this->endpoints.begin(), this->endpoints.end(),
@@ -285,8 +288,10 @@
             co_return;
         if (fault.kind == SoakFault::EndpointCrashed)
             co_await this->crash(endpoint, fault.length);
-        else
+        else if (fault.kind == SoakFault::EndpointLeaves)
             co_await this->drainEndpoint(endpoint);
+        else
+            co_await this->restartAtOnce(endpoint, fault);
         co_return;
     }
     ++endpoint.engine.activeFaults;
@@ -319,6 +324,31 @@
     endpoint.isRestarting = false;
 }
 
+Task<void> Soak::restartAtOnce(Endpoint& endpoint, PlannedFault fault)
+{
+    endpoint.isRestarting = true;
+    ++endpoint.engine.activeFaults;
+    const auto old = endpoint.engine.id;
+    const bool isReplaced = fault.kind == SoakFault::EndpointReplaced;
+    endpoint.engine.restart(isReplaced ? this->createInstanceId() : old);
+    endpoint.link.resetOpenConnections();
+    // Replaced endpoints share their address with the entry of the earlier one until it expires.
+    if (isReplaced && fault.other % 2 == 0) {
+        endpoint.engine.faultShare = 1;
+        endpoint.engine.fault = EngineFault::LateCopy;
+    }
+    endpoint.publishedInstance.clear();
+    co_await this->waitForStore();
+    this->publishEndpoint(endpoint, false, {});
+    co_await this->clock.sleepFor(kEntryTtl);
+    co_await this->waitForStore();
+    if (isReplaced)
+        this->store.remove(std::string { names::kServersKind }, old);
+    endpoint.engine.fault = EngineFault::None;
+    --endpoint.engine.activeFaults;
+    endpoint.isRestarting = false;
+}
+
 Task<void> Soak::drainEndpoint(Endpoint& endpoint)
 {
     endpoint.isRestarting = true;
