Do not take a nameless response on a reused connection for the answer of a chat

On the fleet's own interface a chat could get the late copy of another chat's answer, as a whole success, while its own request ran on unseen.

Cause: engines' connections are reused, and a response without X-Request-Id was taken for the answer on any of them. The gateway's sessions give such a connection up.

Ruled out: a copy that carries the id of its request (each send has an id of its own, so it is found out), and services, whose calls always open a connection, so that orders could not run twice or be refused after a run by this.

Change: a nameless response on a reused connection breaks the call, and a connection whose response was nameless isn't reused, so that engines that name no request go on as before, with a connection for each call. docs/API.md does not ask endpoints to name the request.

--- a/src/berylwing/http/endpoint_client.cpp
+++ b/src/berylwing/http/endpoint_client.cpp
@@ -69,7 +69,7 @@
     /** Returns the connection to the pool if it can carry another request. */
     void release()
     {
-        if (this->isPooled && this->reader.isReusable())
+        if (this->isPooled && this->isNamed && this->reader.isReusable())
             this->client->pool.release(this->address, std::move(this->reader.connection));
     }
 
@@ -86,7 +86,8 @@
     {
         if (this->isPooled)
             this->reader.connection = this->client->pool.acquire(this->address);
-        if (this->reader.connection)
+        this->isReused = this->reader.connection != nullptr;
+        if (this->isReused)
             co_return;
         try {
             co_await this->reader.connect(this->address, kConnectTimeout);
@@ -115,8 +116,12 @@
         co_await this->reader.readHead(deadline);
         const auto& response = this->reader.parser().get();
         const auto echoed = toString(response["X-Request-Id"]);
-        if (!echoed.empty() && echoed != this->attempt)
+        this->isNamed = !echoed.empty();
+        if (this->isNamed && echoed != this->attempt)
             throw EndpointError { EndpointFault::Broken, "the response carries the id of another request" };
+        // It may be a late copy of an earlier response on the connection.
+        if (!this->isNamed && this->isReused)
+            throw EndpointError { EndpointFault::Broken, "a response on a reused connection names no request" };
         EndpointHead head;
         head.status = response.result_int();
         head.contentType = toString(response[http::field::content_type]);
@@ -139,6 +144,9 @@
     std::shared_ptr<EndpointClient> client;
     SocketAddress address;
     bool isPooled;
+    bool isReused = false;
+    /** Whether the response names the request. */
+    bool isNamed = false;
     ResponseReader reader;
     std::string attempt;
 };
