--- a/test/soak/fault_plan.cpp
+++ b/test/soak/fault_plan.cpp
@@ -7,9 +7,8 @@
 
 namespace {
 
-/** Range of fault durations: from below to above every timeout of a host except its lease and its grace period. */
+/** Minimum duration of a fault: below every timeout of a host. */
 constexpr Duration kMinFaultDuration { 100 };
-constexpr Duration kMaxFaultDuration { 6000 };
 /** Probability that a fault is repeated on the same target. */
 constexpr double kSeriesShare = 0.25;
 constexpr int kMaxSeriesLength = 4;
@@ -17,12 +16,13 @@
 
 } // namespace
 
-std::vector<PlannedFault> planFaults(std::uint32_t seed, Duration span, Duration meanFaultInterval)
+std::vector<PlannedFault> planFaults(
+    std::uint32_t seed, Duration span, Duration meanFaultInterval, Duration maxDuration)
 {
     std::mt19937 random { seed };
     std::exponential_distribution<double> gaps { 1.0 / static_cast<double>(meanFaultInterval.count()) };
     std::uniform_int_distribution<std::size_t> kinds { 0, kSoakFaultKinds - 1 };
-    std::uniform_int_distribution<Duration::rep> lengths { kMinFaultDuration.count(), kMaxFaultDuration.count() };
+    std::uniform_int_distribution<Duration::rep> lengths { kMinFaultDuration.count(), maxDuration.count() };
     std::uniform_int_distribution<Duration::rep> seriesGaps { 0, kMaxSeriesInterval.count() };
     std::uniform_int_distribution<int> repeats { 2, kMaxSeriesLength };
     std::bernoulli_distribution isSeries { kSeriesShare };
--- a/test/soak/fault_plan.hpp
+++ b/test/soak/fault_plan.hpp
@@ -74,13 +74,18 @@
     std::uint32_t other = 0;
 };
 
+/** @brief Maximum duration of a fault: above every timeout of a host except its lease and its grace period. */
+inline constexpr Duration kMaxFaultDuration { 6000 };
+
 /**
  * @brief Generates a random schedule of faults, some of which overlap or repeat on the same target.
  * @param seed Seed.
  * @param span Window in which faults start.
  * @param meanGap Mean time between the starts of two faults.
+ * @param maxDuration Maximum duration of a fault.
  * @return Faults ordered by start time.
  */
-[[nodiscard]] std::vector<PlannedFault> planFaults(std::uint32_t seed, Duration span, Duration meanFaultInterval);
+[[nodiscard]] std::vector<PlannedFault> planFaults(
+    std::uint32_t seed, Duration span, Duration meanFaultInterval, Duration maxDuration = kMaxFaultDuration);
 
 } // namespace berylwing::test
--- a/test/soak/fault_plan_test.cpp
+++ b/test/soak/fault_plan_test.cpp
@@ -19,6 +19,8 @@
         CHECK(first[index].at == second[index].at);
         CHECK(first[index].at < kSpan);
     }
+    for (const auto& fault : planFaults(7, kSpan, Duration { 500 }, Duration { 700 }))
+        CHECK((fault.length >= Duration { 100 } && fault.length <= Duration { 700 }));
     CHECK(std::is_sorted(first.begin(), first.end(),
         [](const PlannedFault& left, const PlannedFault& right) { return left.at < right.at; }));
 }
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -33,6 +33,7 @@
     /** Window in which faults start. */
     Duration faultWindow { 15'000 };
     Duration meanFaultInterval { 500 };
+    Duration maxFaultDuration = kMaxFaultDuration;
     /** Time after the last fault before all requests must succeed. */
     Duration recoveryTime = SoakBounds {}.recoveryTime;
     /** Time after recovery in which all requests must succeed. */
--- a/test/soak/soak_faults.cpp
+++ b/test/soak/soak_faults.cpp
@@ -83,8 +83,8 @@
 Task<void> Soak::injectFaults()
 {
     const auto begun = this->clock.now();
-    for (const auto& fault :
-        planFaults(this->options.seed, this->options.faultWindow, this->options.meanFaultInterval)) {
+    for (const auto& fault : planFaults(this->options.seed, this->options.faultWindow, this->options.meanFaultInterval,
+             this->options.maxFaultDuration)) {
         if (!this->options.enabledFaults.empty() && !this->options.enabledFaults.contains(fault.kind))
             continue;
         co_await this->clock.sleepFor(std::max(Duration {}, begun + fault.at - this->clock.now()));
--- a/test/soak/soak_main.cpp
+++ b/test/soak/soak_main.cpp
@@ -19,6 +19,7 @@
 DEFINE_uint32(callers, 24, "Number of callers.");
 DEFINE_uint32(faults_ms, 15'000, "Window in which faults start, in milliseconds.");
 DEFINE_uint32(gap_ms, 500, "Mean time between the starts of two faults, in milliseconds.");
+DEFINE_uint32(max_fault_ms, 6000, "Maximum duration of a fault, in milliseconds.");
 DEFINE_string(only, "", "Kinds of faults to inject, separated by commas; all if empty.");
 DEFINE_bool(timing, true, "Also check the guarantees that have a time bound.");
 
@@ -54,6 +55,7 @@
     options.callers = FLAGS_callers;
     options.faultWindow = Duration { FLAGS_faults_ms };
     options.meanFaultInterval = Duration { FLAGS_gap_ms };
+    options.maxFaultDuration = Duration { FLAGS_max_fault_ms };
     options.enabledFaults = parseKinds(FLAGS_only);
     if (!FLAGS_timing) {
         options.recoveryTime = {};
