--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -5,6 +5,7 @@
 #include "berylwing/core/hash.hpp"
 #include "berylwing/gateway/endpoint_health.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -32,8 +33,21 @@
     Duration coldDuration {};
     /** Start of the process in milliseconds since the Unix epoch (1970); zero if the entry does not have it. */
     std::uint64_t startedAt = 0;
+    /** Version of the endpoint's software; endpoints of several versions may serve at the same time. */
+    std::string version {};
 };
 
+/**
+ * @brief Hashes a version of the software of a service, by which messages between hosts identify it.
+ * @param service Service.
+ * @param version Version.
+ * @return Hash; never zero.
+ */
+[[nodiscard]] inline std::uint32_t hashVersion(std::string_view service, std::string_view version)
+{
+    return std::max(static_cast<std::uint32_t>(hashText(version, hashText(service))), std::uint32_t { 1 });
+}
+
 /** @brief Call in progress that may be retried or resumed at another endpoint. */
 struct RetryableCall : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
     /** Last time at which the endpoint sent data on this call, or the start of the call. */
@@ -70,6 +84,7 @@
         : record { std::move(endpointRecord) }
         , hash { static_cast<std::uint32_t>(hashText(this->record.id)) }
         , processHash { static_cast<std::uint32_t>(hashText(this->record.id, this->record.startedAt)) }
+        , versionHash { hashVersion(this->record.service, this->record.version) }
     {
     }
 
@@ -96,6 +111,8 @@
     std::uint32_t hash;
     /** Hash of the id and the start time, which differs between processes that have the same id. */
     std::uint32_t processHash;
+    /** Hash of the service and the version of its software; never zero. */
+    std::uint32_t versionHash;
     EndpointHealth health;
     TimePoint coldUntil {};
     /** Time of the last request that was sent while the endpoint was cold. */
@@ -115,6 +132,8 @@
     /** Prompt tokens of other hosts' requests that the endpoint has not processed, by their last digests. */
     std::uint32_t remoteUnreadTokens = 0;
     boost::intrusive::list<RetryableCall, boost::intrusive::constant_time_size<false>> retryableCalls;
+    /** Whether another version of the software has taken over the id, so that it is uncertain which one answers. */
+    bool isVersionUncertain = false;
     /** Whether the entry vanished in or shortly after an outage of the store, when entries may merely have expired. */
     bool isMissing = false;
 };
