--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -35,6 +35,8 @@
     std::vector<PromptSegment> promptSegments;
     /** Id of the last event that the caller has received, if it resumes a stream; otherwise empty. */
     std::string lastEventId;
+    /** Attempt that brought the first event of the stream that the caller resumes; empty if it names none. */
+    std::string resumedAttemptId;
 };
 
 /** @brief Caller's request, together with the state that its connection and the forwarder share. */
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -62,6 +62,17 @@
         CHECK(field.value() != "forged");
 }
 
+TEST_CASE("readRequestHeaders reads which stream a caller takes up", "[platform][versions]")
+{
+    HeaderFields fields;
+    CHECK(platform::readRequestHeaders(fields).resumedAttemptId.empty());
+    fields.set("Resumes", "9c41d07be2a35f68");
+    fields.set("Last-Event-Id", "12");
+    const auto metadata = platform::readRequestHeaders(fields);
+    CHECK(metadata.resumedAttemptId == "9c41d07be2a35f68");
+    CHECK(metadata.lastEventId == "12");
+}
+
 TEST_CASE("rewriteHeadersForEndpoint sends no workspace on a public route", "[platform]")
 {
     HeaderFields fields;
--- a/test/platform/objects_test.cpp
+++ b/test/platform/objects_test.cpp
@@ -108,12 +108,13 @@
     CHECK(record.address.port == 8080);
     CHECK(record.coldDuration == Duration { 250 });
     CHECK(record.startedAt == 1764800000000);
+    CHECK(record.version == "v1");
     CHECK_FALSE(record.isDraining);
 }
 
 TEST_CASE("readEndpoint rejects malformed entries", "[platform]")
 {
-    for (const auto* field : { "service", "address", "zone", "slots", "state" }) {
+    for (const auto* field : { "service", "address", "zone", "version", "slots", "state" }) {
         auto missing = makeServer();
         missing.erase(field);
         CHECK_THROWS_AS(platform::readEndpoint("i-1", missing), ConfigurationError);
--- a/test/platform/odd_entry_test.cpp
+++ b/test/platform/odd_entry_test.cpp
@@ -24,7 +24,8 @@
 
 json makeServer(const std::string& address = "10.128.0.9:8080")
 {
-    return { { "service", "s1" }, { "address", address }, { "zone", "nabeul" }, { "slots", 64 }, { "state", "ready" } };
+    return { { "service", "s1" }, { "address", address }, { "zone", "nabeul" }, { "version", "v1" }, { "slots", 64 },
+        { "state", "ready" } };
 }
 
 /** A gateway that reads from a store over HTTP, in which another writer leaves documents as text. */
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -137,7 +137,7 @@
     if (coldFor > Duration {})
         this->record.coldEndpoints[id] = { this->clock.now(), this->clock.now() + coldFor };
     this->store.write(std::string { names::kServersKind }, id,
-        { { "service", endpoint.service }, { "zone", endpoint.domain }, { "version", 1 },
+        { { "service", endpoint.service }, { "zone", endpoint.domain }, { "version", "v1" },
             { "address", endpoint.proxyAddress.address + ":" + std::to_string(endpoint.proxyAddress.port) },
             { "slots", endpoint.engine.slots }, { "state", isDraining ? "draining" : "ready" },
             { "cold_remaining_ms", coldFor.count() }, { "born", endpoint.startedAtMs }, { "sequence", 1 } });
