--- a/src/berylwing/gateway/endpoint_directory.cpp
+++ b/src/berylwing/gateway/endpoint_directory.cpp
@@ -44,6 +44,7 @@
 {
     LogLine line { event };
     line.add("endpoint", endpoint.record.id).add("service", endpoint.record.service).add("state", state);
+    line.add("version", endpoint.record.version);
     this->log.write(line.add("in", endpoint.record.domain).add("cold_ms", endpoint.record.coldDuration));
 }
 
@@ -85,8 +86,11 @@
     if (this->isApplyingCopy && !this->adjustCopied(record))
         return;
     auto& endpoint = this->endpoints[record.id];
-    const bool isNew = !endpoint || endpoint->record.startedAt != record.startedAt;
+    const bool isNew
+        = !endpoint || endpoint->record.startedAt != record.startedAt || endpoint->record.version != record.version;
     if (isNew) {
+        if (endpoint)
+            endpoint->isVersionUncertain = endpoint->record.version != record.version;
         endpoint = new GatewayEndpoint { std::move(record) };
         endpoint->coldUntil = now + endpoint->record.coldDuration;
         // An entry that was removed and written again can be older than the answers of its process.
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -187,7 +187,8 @@
     auto available = this->directory.availableEndpoints(request.service);
     std::erase_if(available, [&](const GatewayEndpointPtr& endpoint) {
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
-        return isTried || !this->canReceive(*endpoint, service, now);
+        const bool isOtherVersion = request.version && *request.version != endpoint->versionHash;
+        return isTried || isOtherVersion || !this->canReceive(*endpoint, service, now);
     });
     auto candidates = available;
     std::erase_if(candidates, [now](const GatewayEndpointPtr& endpoint) { return endpoint->health.isEjected(now); });
@@ -248,7 +249,7 @@
     // Each target prefers another source, since a source serves one copy at a time.
     WeightedDraw draw { request.key ^ target.hash };
     for (const auto& [id, endpoint] : this->directory.all()) {
-        if (endpoint->record.service != request.service || endpoint->isMissing || endpoint->health.isEjected(now)
+        if (endpoint->versionHash != target.versionHash || endpoint->isMissing || endpoint->health.isEjected(now)
             || !this->promptCache.isCached(request.key, endpoint->hash))
             continue;
         draw.add(endpoint, endpoint->record.domain == target.record.domain ? kNearSourceWeight : 1);
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -6,6 +6,7 @@
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/unseen_requests.hpp"
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     const std::vector<GatewayEndpointPtr>& tried;
     /** Hash of the attempt id, by which requests are spread over endpoints. */
     std::uint64_t requestHash = 0;
+    /** Version of the endpoints that may get the request, as GatewayEndpoint::versionHash; nothing if any may. */
+    std::optional<std::uint32_t> version {};
 };
 
 /** @brief What a host knows of the load of an endpoint when it chooses it. */
@@ -98,6 +101,7 @@
      * @brief Finds an endpoint from which the chosen endpoint can copy the KV cache of the shared segments.
      *
      * Copying takes less time than computing the cache again and does not delay other requests at the chosen endpoint.
+     * What endpoints of another software version hold does not fit.
      * Endpoints that receive no new requests, such as draining ones, still serve as a source.
      * @param request Properties of the request.
      * @param target Chosen endpoint.
--- a/test/berylwing/gateway/placement_test.cpp
+++ b/test/berylwing/gateway/placement_test.cpp
@@ -349,6 +349,43 @@
     CHECK_FALSE(load.placement.findCacheSource(request, target));
 }
 
+TEST_CASE(
+    "Placement copies no prompt between endpoints of different software versions", "[gateway][placement][versions]")
+{
+    LoadSimulation load;
+    const auto key = hashText("prompt");
+    const PlacementRequest request { "engines", key, 6100, true, load.none };
+    EndpointRecord newer;
+    newer.id = "engine-4";
+    newer.service = "engines";
+    newer.domain = "domain-0";
+    newer.version = "v2";
+    load.directory.put(std::move(newer));
+    load.promptCache.recordUse({ key, load.directory.all().at("engine-4")->hash });
+    const auto& target = *load.directory.all().at("engine-0");
+    CHECK_FALSE(load.placement.findCacheSource(request, target));
+    load.promptCache.recordUse({ key, load.directory.all().at("engine-1")->hash });
+    CHECK(load.placement.findCacheSource(request, target)->record.id == "engine-1");
+}
+
+TEST_CASE("Placement chooses among the endpoints of the version that a stream needs", "[gateway][placement][versions]")
+{
+    LoadSimulation load;
+    EndpointRecord newer;
+    newer.id = "engine-4";
+    newer.service = "engines";
+    newer.domain = "domain-0";
+    newer.version = "v2";
+    load.directory.put(std::move(newer));
+    PlacementRequest request { "engines", 1, 0, false, load.none };
+    request.version = hashVersion("engines", "v2");
+    const auto chosen = load.placement.choose(request, {});
+    REQUIRE(chosen);
+    CHECK(chosen->record.id == "engine-4");
+    request.version = hashVersion("engines", "v3");
+    CHECK_FALSE(load.placement.choose(request, {}));
+}
+
 TEST_CASE("Placement does not move prompts between endpoints that name limits", "[gateway][placement][limit]")
 {
     LoadSimulation load;
