Let streams go on only at the version that began them (ORDER)

Callers got streams whose first events came from one software version of a service and the rest from another: from the host itself, which resumed a broken stream at any endpoint, and when they took a stream up at any host, which placed it like a new one.

Cause: the choice of the endpoint knew nothing of the stream's beginning. Class: state of one party that a later decision of another host needs, and never learns.

Change: the version is recorded before the first event is passed on; every later attempt is placed at endpoints of that version. A caller's return is placed by the record of this host, else by the only version that can have begun an open stream, else by what the stream's keepers know; otherwise it is refused at once, as not run. Three reasons tell apart an unknown version, none of its endpoints left, and endpoints that take nothing now.

--- a/src/berylwing/client/request_timeline.cpp
+++ b/src/berylwing/client/request_timeline.cpp
@@ -47,6 +47,10 @@
     case Refusal::Quarantined:
         return "the request, or a segment of its prompt, crashed several endpoints; see the quarantined lines of all "
                "hosts, and request_broken with the same target or segments";
+    case Refusal::StreamVersionUnknown:
+        return "several versions were in service and no host knew which one began the stream; see stream_taken_up";
+    case Refusal::NoEndpointOfVersion:
+        return "no endpoint of the version that began the stream was left; see endpoint_gone and endpoint_changed";
     case Refusal::HostLeaving:
         return "the host was stopping";
     default:
--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -68,10 +68,14 @@
     ConfigurationStale,
     /** The host failed for a reason of its own, such as lack of memory. */
     InternalError,
+    /** It is not known which software version began the stream that the caller resumes. */
+    StreamVersionUnknown,
+    /** No endpoint of the software version that began the stream is in service. */
+    NoEndpointOfVersion,
 };
 
 /** @brief Names of the refusal reasons in responses, logs and metrics. */
-inline constexpr EnumNames<Refusal, 44> kRefusalNames { {
+inline constexpr EnumNames<Refusal, 46> kRefusalNames { {
     "missing_key",
     "unknown_workspace",
     "bad_request",
@@ -116,6 +120,8 @@
     "configuration_unknown",
     "configuration_stale",
     "internal_error",
+    "stream_version_unknown",
+    "no_endpoint_of_version",
 } };
 
 /** @brief Reasons for which a request to an endpoint, a ledger or the platform is retried. */
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -79,7 +79,7 @@
             return this->dependencies.lease.isComplete() ? NotRun { Refusal::UnknownWorkspace }
                                                          : NotRun { Refusal::ConfigurationStale, retryAfter };
     }
-    context.service = context.route->selectService(context.requestHash);
+    chooseService(context);
     if (const auto* traits = context.plan->findService(context.service))
         context.traits = *traits;
     const auto timeout = std::min(metadata.timeout.value_or(context.route->timeout), context.route->timeout);
@@ -107,7 +107,8 @@
 {
     const bool isSticky = context.sharedSegment != nullptr;
     const auto key = isSticky ? context.promptKey : context.requestHash;
-    return { context.service, key, context.sharedTokens, isSticky, context.tried, context.requestHash };
+    return { context.service, key, context.sharedTokens, isSticky, context.tried, context.requestHash,
+        context.version };
 }
 
 Outcome Forwarder::failureOf(const RequestContext& context, Refusal reason, Duration delay) const
@@ -134,7 +135,8 @@
     if (!endpoint) {
         const auto delay = this->dependencies.rateLimits.delayOf(context.service);
         const bool isLimited = context.attempts == 0 && delay;
-        const auto reason = isLimited ? Refusal::EndpointAtBound : context.failureReason;
+        const auto reason
+            = isLimited ? Refusal::EndpointAtBound : this->findShortage(context).value_or(context.failureReason);
         return this->failureOf(context, reason, delay.value_or(Duration {}));
     }
     if (this->dependencies.log.isSampled(context.request.metadata.attemptId)) {
@@ -190,6 +192,11 @@
         co_return *refusal;
     this->dependencies.retryBudget.recordRequest(context.service);
     this->dependencies.unseenRequests.recordRequest(context.service);
+    if (context.isTakeUp) {
+        const auto refusal = co_await this->resolveVersion(context);
+        if (refusal)
+            co_return *refusal;
+    }
     while (true) {
         GatewayEndpointPtr endpoint;
         if (const auto outcome = this->chooseEndpoint(context, endpoint))
@@ -344,7 +351,7 @@
     line.add("route", context.route->name).add("plan", static_cast<std::int64_t>(context.plan->version()));
     line.add("plan_age_ms", this->dependencies.lease.age()).add("endpoint", endpoint.record.id);
     line.add("address", endpoint.record.address.toText()).add("reused", std::int64_t { session.isReused });
-    line.add("service", context.service);
+    line.add("service", context.service).add("version", endpoint.record.version);
     line.add("in_flight", std::int64_t { endpoint.inFlight }).add("send", std::int64_t { context.attempts });
     line.add("load_own", std::int64_t { context.load.own }).add("load_others", std::int64_t { context.load.others });
     line.add("load_mean", context.load.mean).add("load_limit", context.load.limit).add("load_age_ms", context.loadAge);
@@ -465,6 +472,8 @@
 
 Task<void> Forwarder::relayPart(RequestContext& context, const ResponseHead& head, std::string_view part)
 {
+    if (context.route->isResumable && isEventStream(head))
+        this->recordStreamVersion(context);
     co_await this->writeHead(context, head);
     co_await context.writer.body(part);
     if (++context.relayedParts == kClearingParts)
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -17,6 +17,8 @@
 namespace berylwing {
 
 class Metrics;
+class ServiceVersions;
+class StreamVersionIndex;
 
 /** @brief Writes the response to a caller; each function throws CallerGoneError if the caller has disconnected. */
 struct ResponseWriter {
@@ -45,6 +47,8 @@
     UnseenRequests& unseenRequests;
     EndpointRateLimits& rateLimits;
     AnnouncedStops& announcedStops;
+    StreamVersionIndex& streamVersions;
+    ServiceVersions& serviceVersions;
     SessionFactory openSession;
     /** Reports an endpoint that stopped responding. */
     std::function<void(GatewayEndpoint&)> reportSilence;
@@ -70,6 +74,14 @@
 
     /** Matches the request with a route and fills in the context. @return Refusal if the request is not acceptable. */
     [[nodiscard]] std::optional<NotRun> prepare(RequestContext& context) const;
+    /** Chooses the service of a request, and tells if the request resumes a stream and which one. */
+    static void chooseService(RequestContext& context);
+    /** Finds the software version at which a resumed stream has to go on. @return Refusal if it is not known. */
+    [[nodiscard]] Task<std::optional<NotRun>> resolveVersion(RequestContext& context);
+    /** Returns why no endpoint can be chosen, apart from the reason of the last attempt. */
+    [[nodiscard]] std::optional<Refusal> findShortage(const RequestContext& context) const;
+    /** Records which software version began the stream whose event is passed on. */
+    void recordStreamVersion(RequestContext& context);
     /** Chooses an endpoint for the next attempt. @return Outcome of the request if there is to be no such attempt. */
     [[nodiscard]] std::optional<Outcome> chooseEndpoint(RequestContext& context, GatewayEndpointPtr& endpoint);
     /**
--- a/src/berylwing/gateway/forwarder_context.hpp
+++ b/src/berylwing/gateway/forwarder_context.hpp
@@ -25,6 +25,16 @@
     std::uint64_t promptKey = 0;
     std::uint32_t sharedTokens = 0;
     TimePoint deadline {};
+    /** Whether the caller resumes a stream. */
+    bool isTakeUp = false;
+    /** Hash of the attempt that brought the first event of the stream; zero if the caller resumes one and names none.
+     */
+    std::uint64_t stream = 0;
+    /** Software version at which the stream goes on, as GatewayEndpoint::versionHash; nothing before its first event.
+     */
+    std::optional<std::uint32_t> version {};
+    /** Endpoint whose version is recorded for the stream. */
+    GatewayEndpointPtr recordedEndpoint {};
     /** Endpoints of earlier attempts, which are not chosen again. */
     std::vector<GatewayEndpointPtr> tried {};
     /** Load on which the last choice of an endpoint was based. */
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -101,6 +101,8 @@
     , hostFeed { hostClock, this->client, ObjectKind::Host,
         { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->storeEra,
         this->log }
+    , streamVersions { hostClock, this->roster, [](const HostEntry&, const wire::FleetMessage&) {} }
+    , serviceVersions { hostClock, this->directory, this->client, {}, this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
     , startHold { hostClock }
@@ -113,8 +115,9 @@
 {
     return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
         this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
-        this->unseenRequests, this->rateLimits, this->announcedStops, std::move(open),
-        [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log };
+        this->unseenRequests, this->rateLimits, this->announcedStops, this->streamVersions, this->serviceVersions,
+        std::move(open), [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics,
+        this->log };
 }
 
 std::shared_ptr<const RoutingPlan> Gateway::usablePlan() const
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -19,10 +19,12 @@
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reachability_prober.hpp"
+#include "berylwing/gateway/service_versions.hpp"
 #include "berylwing/gateway/start_hold.hpp"
 #include "berylwing/gateway/stop_schedule.hpp"
 #include "berylwing/gateway/store_era.hpp"
 #include "berylwing/gateway/store_feed.hpp"
+#include "berylwing/gateway/stream_version_index.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
@@ -214,6 +216,8 @@
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
     StoreFeed hostFeed;
+    StreamVersionIndex streamVersions;
+    ServiceVersions serviceVersions;
     FleetExchange exchange;
     Forwarder forwarder;
     StartHold startHold;
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -49,11 +49,12 @@
     LimitLearned,
     StopAnnounced,
     EndpointPaused,
+    StreamTakenUp,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 39> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 40> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -92,6 +93,7 @@
     "limit_learned",
     "stop_announced",
     "endpoint_paused",
+    "stream_taken_up",
     "lines_dropped",
 } };
 
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -45,6 +45,7 @@
     EndpointRecord record;
     record.id = name;
     record.service = value.at("service");
+    record.version = value.value("version", "v1");
     record.address = { name, kEndpointPort };
     record.domain = value.at("domain");
     record.isDraining = value.at("draining");
@@ -83,7 +84,8 @@
     this->protocol.markRefusal
         = [](HeaderFields& fields, const std::string& attemptId) { fields.set("attempt", attemptId); };
     this->protocol.prepareForEndpoint = [](HeaderFields& fields, const EndpointRequestMetadata& metadata) {
-        fields.set("resume-after", metadata.lastEventId);
+        if (!metadata.lastEventId.empty())
+            fields.set("resume-after", metadata.lastEventId);
         fields.set("copy-from", metadata.cacheSource ? metadata.cacheSource->address : "");
     };
     this->protocol.readPlan
@@ -152,6 +154,13 @@
             { "cold_ms", coldDuration.count() } });
 }
 
+void GatewayHarness::putEndpointOfVersion(const std::string& id, const std::string& version, bool isDraining)
+{
+    this->platform.store.write(ObjectKind::Endpoint, id,
+        { { "service", "engines" }, { "domain", "knox-a" }, { "version", version }, { "draining", isDraining },
+            { "cold_ms", 0 } });
+}
+
 void GatewayHarness::remove(ObjectKind kind, const std::string& name)
 {
     PlatformCall call;
@@ -186,8 +195,8 @@
     }
 }
 
-std::shared_ptr<GatewayHarness::Answer> GatewayHarness::sendRequest(
-    const std::string& attemptId, const std::string& path, const std::string& key, std::vector<PromptSegment> parts)
+std::shared_ptr<GatewayHarness::Caller> GatewayHarness::makeCaller(
+    const std::string& attemptId, const std::string& path, const std::string& key)
 {
     const auto caller = std::make_shared<Caller>();
     caller->answer = std::make_shared<Answer>();
@@ -197,7 +206,29 @@
     caller->request.arrivedAt = this->time;
     caller->request.metadata.attemptId = attemptId;
     caller->request.metadata.apiKey = key;
+    return caller;
+}
+
+std::shared_ptr<GatewayHarness::Answer> GatewayHarness::sendRequest(
+    const std::string& attemptId, const std::string& path, const std::string& key, std::vector<PromptSegment> parts)
+{
+    const auto caller = this->makeCaller(attemptId, path, key);
     caller->request.metadata.promptSegments = std::move(parts);
+    return this->send(caller);
+}
+
+std::shared_ptr<GatewayHarness::Answer> GatewayHarness::resumeChat(
+    const std::string& attemptId, const std::string& resumedAttemptId, const std::string& lastEventId)
+{
+    const auto caller = this->makeCaller(attemptId, "/chat/1", "shop-key");
+    caller->request.metadata.resumedAttemptId = resumedAttemptId;
+    caller->request.metadata.lastEventId = lastEventId;
+    caller->request.fields.set("resume-after", lastEventId);
+    return this->send(caller);
+}
+
+std::shared_ptr<GatewayHarness::Answer> GatewayHarness::send(const std::shared_ptr<Caller>& caller)
+{
     const auto answer = caller->answer;
     caller->sink.head = [answer](const ResponseHead& head) -> Task<void> {
         answer->status = head.status;
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -90,6 +90,9 @@
     void putEndpoint(
         const std::string& id, const std::string& domain, bool isDraining = false, Duration coldDuration = {});
 
+    /** @brief Writes the entry of an endpoint that runs a version of its software. */
+    void putEndpointOfVersion(const std::string& id, const std::string& version, bool isDraining = false);
+
     /** @brief Removes an object from the store. */
     void remove(ObjectKind kind, const std::string& name);
 
@@ -104,6 +107,15 @@
     std::shared_ptr<Answer> sendRequest(const std::string& attemptId, const std::string& path = "/chat/1",
         const std::string& key = "shop-key", std::vector<PromptSegment> parts = {});
 
+    /**
+     * @brief Sends a request of a caller that takes a chat up again.
+     * @param attemptId Attempt.
+     * @param resumedAttemptId Attempt that brought the first event; empty if the caller names none.
+     * @param lastEventId Last event that the caller has.
+     */
+    std::shared_ptr<Answer> resumeChat(
+        const std::string& attemptId, const std::string& resumedAttemptId, const std::string& lastEventId);
+
     /** @brief Sends several requests at the same time and advances the clock by one second. */
     std::vector<std::shared_ptr<Answer>> sendAllAndWait(const std::string& prefix, int count, const std::string& path);
 
@@ -148,6 +160,10 @@
     struct Caller;
 
     [[nodiscard]] Task<std::shared_ptr<EndpointSession>> openSession(std::string endpoint);
+    /** Sends the request of a caller. */
+    std::shared_ptr<Answer> send(const std::shared_ptr<Caller>& caller);
+    [[nodiscard]] std::shared_ptr<Caller> makeCaller(
+        const std::string& attemptId, const std::string& path, const std::string& key);
     /** Runs all ready handlers without advancing the clock. */
     void runReady();
 
