--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -28,6 +28,7 @@
 class StopSchedule;
 class StoreEra;
 class StoreFeed;
+class StreamKeepers;
 class UnseenRequests;
 struct CrashSuspect;
 struct EndpointNote;
--- a/src/berylwing/gateway/host_roster.cpp
+++ b/src/berylwing/gateway/host_roster.cpp
@@ -55,6 +55,7 @@
             return;
         this->erase(known);
     }
+    ++this->changes;
     this->allNames.push_back(entry.name);
     if (isReachable(entry)) {
         ++this->domainSizes[entry.domain];
@@ -67,6 +68,7 @@
 void HostRoster::erase(std::map<std::string, HostEntry, std::less<>>::iterator position)
 {
     const auto& entry = position->second;
+    ++this->changes;
     if (isReachable(entry)) {
         --this->domainSizes[entry.domain];
         // Another host may have taken over the address.
@@ -130,6 +132,19 @@
     }
 }
 
+std::vector<HostEntry> HostRoster::reachableHosts() const
+{
+    std::vector<HostEntry> reachable;
+    reachable.reserve(this->allNames.size());
+    if (isReachable(this->own))
+        reachable.push_back(this->own);
+    for (const auto& [name, entry] : this->hosts) {
+        if (isReachable(entry))
+            reachable.push_back(entry);
+    }
+    return reachable;
+}
+
 bool HostRoster::isFirstFor(std::uint64_t key) const
 {
     return rendezvousRank(key, this->own.name, this->allNames) == 0;
--- a/src/berylwing/gateway/host_roster.hpp
+++ b/src/berylwing/gateway/host_roster.hpp
@@ -71,6 +71,12 @@
     /** @brief Returns the names of all hosts. @return Names, including this host. */
     [[nodiscard]] const std::vector<std::string>& names() const noexcept { return this->allNames; }
 
+    /** @brief Returns all hosts that can receive messages. @return Entries with an address, this host's own first. */
+    [[nodiscard]] std::vector<HostEntry> reachableHosts() const;
+
+    /** @brief Counts the changes of the roster. @return Number that grows with each change. */
+    [[nodiscard]] std::uint64_t changeCount() const noexcept { return this->changes; }
+
     /** @brief Checks if this host comes first in the rendezvous order of a key. @param key Key. @return True if so. */
     [[nodiscard]] bool isFirstFor(std::uint64_t key) const;
 
@@ -105,6 +111,7 @@
     /** Hosts without an entry in the latest list, by the time at which they are removed. */
     std::map<std::string, TimePoint, std::less<>> missing;
     std::vector<std::string> allNames;
+    std::uint64_t changes = 0;
     /** Number of hosts with a valid entry in each failure domain. */
     std::map<std::string, std::size_t, std::less<>> domainSizes;
     /** Names by address. */
