--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -29,6 +29,7 @@
 class StoreEra;
 class StoreFeed;
 class StreamKeepers;
+class StreamVersionIndex;
 class UnseenRequests;
 struct CrashSuspect;
 struct EndpointNote;
@@ -43,5 +44,6 @@
 struct ResponseMetadata;
 struct Route;
 struct ServiceTraits;
+struct StreamVersion;
 
 } // namespace berylwing
--- a/src/berylwing/gateway/stream_version_index.hpp
+++ b/src/berylwing/gateway/stream_version_index.hpp
@@ -4,13 +4,17 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/host_roster.hpp"
-#include <cstddef>
+#include "berylwing/gateway/stream_keepers.hpp"
+#include <array>
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/set.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace berylwing {
@@ -32,6 +36,74 @@
  * cost of a stream does not depend on the size of the fleet.
  */
 class StreamVersionIndex {
+    using AutoUnlink = boost::intrusive::link_mode<boost::intrusive::auto_unlink>;
+
+    struct Record : boost::intrusive::set_base_hook<AutoUnlink>, boost::intrusive::list_base_hook<AutoUnlink> {
+        Record(std::uint64_t recordedStream, StreamVersion recordedVersion)
+            : stream { recordedStream }
+            , version { recordedVersion }
+        {
+        }
+
+        bool operator<(const Record& other) const noexcept { return this->version.expiresAt < other.version.expiresAt; }
+
+        std::uint64_t stream;
+        StreamVersion version;
+        /** Ids of the keepers that were told of the version. */
+        std::array<std::uint64_t, kKeeperCount> informed {};
+        /** End of the stream that they were told. */
+        TimePoint reportedEnd {};
+        /** Whether this host reports the stream, which it began, resumed or keeps. */
+        bool isReported = false;
+    };
+
+    /** Call of lookUp() that waits for answers. */
+    struct Question : boost::intrusive::set_base_hook<AutoUnlink> {
+        Question(Clock& clock, std::uint64_t askedStream)
+            : stream { askedStream }
+            , answered { clock }
+        {
+        }
+
+        bool operator<(const Question& other) const noexcept { return this->stream < other.stream; }
+        [[nodiscard]] bool isOpen() const noexcept { return !this->version && !this->unanswered.empty(); }
+
+        std::uint64_t stream;
+        Event answered;
+        /** Keepers that have not answered yet. */
+        std::vector<HostEntry> unanswered;
+        std::optional<std::uint32_t> version;
+    };
+
+    /** Compares questions with a stream. */
+    struct QuestionOrder {
+        bool operator()(const Question& left, std::uint64_t right) const noexcept { return left.stream < right; }
+        bool operator()(std::uint64_t left, const Question& right) const noexcept { return left < right.stream; }
+    };
+
+    using VariableSize = boost::intrusive::constant_time_size<false>;
+    using ExpiryOrder = boost::intrusive::multiset<Record, VariableSize>;
+    using DueRecords = boost::intrusive::list<Record, VariableSize>;
+    using Questions = boost::intrusive::multiset<Question, VariableSize>;
+
+    /** Messages to be sent, by the name of the recipient. */
+    using Outbox = std::map<std::string, std::pair<HostEntry, wire::FleetMessage>>;
+
+    /** Adds what was recorded or received. @return Record, and whether it is new or its version has changed. */
+    std::pair<Record&, bool> merge(std::uint64_t stream, StreamVersion version);
+    void limitRecords();
+    void answerQuestions(std::uint64_t stream, std::uint32_t version);
+    void makeDue(Record& record);
+    /** Makes the records due whose keepers can have changed with the roster. */
+    void applyRosterChange();
+    /** Adds a record to the messages for those of its keepers that were not told of it. */
+    void addReport(Record& record, Outbox& outbox);
+    [[nodiscard]] const Record* findOpen(std::uint64_t stream) const;
+    void appendTo(wire::StreamReport& report, const Record& record) const;
+    void receiveVersion(std::uint64_t stream, std::uint32_t hash, Duration ttl);
+    void receiveUnknown(const HostEntry& sender, std::uint64_t stream);
+    void answerQueries(const HostEntry& sender, const wire::FleetMessage& message) const;
+
 public:
     /** @brief Sends a message to another host; best effort. */
     using Sender = std::function<void(const HostEntry&, const wire::FleetMessage&)>;
@@ -80,6 +152,12 @@
     Clock& clock;
     const HostRoster& roster;
     Sender send;
+    StreamKeepers keepers;
+    std::uint64_t rosterChanges;
+    std::unordered_map<std::uint64_t, Record> records;
+    ExpiryOrder byExpiry;
+    DueRecords due;
+    Questions questions;
 };
 
 } // namespace berylwing
