--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -181,6 +181,11 @@
     return bytes.size() + kDatagramOverhead;
 }
 
+void FleetExchange::send(const HostEntry& host, const wire::FleetMessage& message)
+{
+    this->dependencies.metrics.addControlBytes(this->send(host, message.SerializeAsString()));
+}
+
 std::vector<HostEntry> FleetExchange::findDelegates(const std::vector<HostEntry>& members) const
 {
     const auto oldest = this->dependencies.clock.now() - kSummarySenderTimeout;
@@ -272,6 +277,7 @@
         this->handleReply(message.compressed_news());
     if (message.has_summary() && message.summary().host() == sender.name)
         this->handleSummary(message.summary());
+    this->dependencies.streams.receive(sender, message);
 }
 
 void FleetExchange::handleDigest(wire::Digest digest)
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -10,6 +10,7 @@
 #include "berylwing/gateway/host_roster.hpp"
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/store_feed.hpp"
+#include "berylwing/gateway/stream_version_index.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include <functional>
 #include <map>
@@ -36,6 +37,7 @@
     CrashQuarantine& crashes;
     EndpointRateLimits& rateLimits;
     AnnouncedStops& announcedStops;
+    StreamVersionIndex& streams;
     StoreEra& storeEra;
     /** Version of this host's routing plan; zero without one. */
     std::function<std::uint64_t()> planVersion;
@@ -102,6 +104,9 @@
     /** @brief Sends summaries while this host is a delegate. @return Awaitable that never completes. */
     [[nodiscard]] Task<void> runSummaries();
 
+    /** @brief Sends a message of another component. @param host Recipient. @param message Message. */
+    void send(const HostEntry& host, const wire::FleetMessage& message);
+
     /** @brief Handles a message of another host. @param address Address of the sender. @param bytes Message. */
     void receive(const std::string& address, std::string_view bytes);
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -83,6 +83,8 @@
     , rateLimits { hostClock, this->directory, this->log, gatewaySettings.host,
         [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , announcedStops { hostClock, this->directory, this->log }
+    , streams { hostClock, this->roster,
+        [this](const HostEntry& host, const wire::FleetMessage& message) { this->exchange.send(host, message); } }
     , holders { hostClock }
     , crashes { hostClock, this->log, [this](std::uint64_t subject) { return this->roster.isFirstFor(subject); } }
     , unseenRequests { hostClock, [this] { return this->roster.names().size(); },
@@ -130,8 +132,9 @@
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->settings.digests.port, this->fleet,
-        this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->storeEra,
-        [this] { return this->plan ? this->plan->version() : 0; }, [this] { return this->registration.isWanted(); },
+        this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streams,
+        this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
+        [this] { return this->registration.isWanted(); },
         { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
         this->hostMetrics, this->log };
 }
@@ -417,6 +420,8 @@
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
+        this->streams.report(false);
+        this->streams.removeExpired();
         this->crashes.update();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -206,6 +206,7 @@
     ColdRateLimit coldLimit;
     EndpointRateLimits rateLimits;
     AnnouncedStops announcedStops;
+    StreamVersionIndex streams;
     PromptCacheIndex holders;
     CrashQuarantine crashes;
     UnseenRequests unseenRequests;
--- a/test/berylwing/gateway/fleet_exchange_test.cpp
+++ b/test/berylwing/gateway/fleet_exchange_test.cpp
@@ -297,3 +297,30 @@
             CHECK((host->bytesSent - bytes) / 10 <= kMaxBytesPerSecond);
     }
 }
+
+TEST_CASE("Hosts answer queries for the versions of streams, from known hosts only", "[gateway][exchange][streams]")
+{
+    SettledFleet fleet { 2 };
+    auto& host = *fleet.hosts.at("10.0.0.1");
+    wire::FleetMessage query;
+    query.add_stream_queries(7);
+    wire::FleetMessage unknown;
+    unknown.add_unknown_streams(7);
+    const auto bytesBefore = host.bytesSent;
+    const auto controlBytesBefore = host.gateway->metrics().controlBytes();
+    host.gateway->receive("10.9.9.9", query.SerializeAsString());
+    CHECK(host.bytesSent == bytesBefore);
+    host.gateway->receive("10.1.0.2", query.SerializeAsString());
+    CHECK(host.bytesSent == bytesBefore + unknown.ByteSizeLong());
+    // The headers of the datagram count, too.
+    CHECK(host.gateway->metrics().controlBytes() > controlBytesBefore + unknown.ByteSizeLong());
+    // What other hosts report is known from then on.
+    auto& report = *query.mutable_stream_report();
+    report.add_streams(7);
+    report.add_versions(101);
+    report.add_ttls(10'000);
+    wire::FleetMessage known;
+    *known.mutable_stream_report() = report;
+    host.gateway->receive("10.1.0.2", query.SerializeAsString());
+    CHECK(host.bytesSent == bytesBefore + unknown.ByteSizeLong() + known.ByteSizeLong());
+}
--- a/test/support/placement_fleet.cpp
+++ b/test/support/placement_fleet.cpp
@@ -55,10 +55,12 @@
     , placement { fleet.clock, this->directory, this->coldRateLimit, this->rateLimits, this->promptCache,
         this->unseenRequests, this->entry.domain }
     , announcedStops { fleet.clock, this->directory, this->log }
+    , streams { fleet.clock, this->roster,
+        [this](const HostEntry& host, const wire::FleetMessage& message) { this->exchange.send(host, message); } }
     , storeEra { this->metrics, this->log, [] {} }
     , exchange { { fleet.clock, this->entry.domain, this->entry.name, kPort, this->view, this->roster,
-          this->promptCache, this->crashes, this->rateLimits, this->announcedStops, this->storeEra, [] { return 0; },
-          [] { return false; }, {},
+          this->promptCache, this->crashes, this->rateLimits, this->announcedStops, this->streams, this->storeEra,
+          [] { return 0; }, [] { return false; }, {},
           [this, &fleet](const SocketAddress& to, const std::string& bytes) { fleet.deliver(*this, to, bytes); },
           this->metrics, this->log } }
 {
--- a/test/support/placement_fleet.hpp
+++ b/test/support/placement_fleet.hpp
@@ -72,6 +72,7 @@
         UnseenRequests unseenRequests;
         Placement placement;
         AnnouncedStops announcedStops;
+        StreamVersionIndex streams;
         StoreEra storeEra;
         FleetExchange exchange;
         /** Whether messages between this host and others are dropped. */
