--- a/src/berylwing/gateway/routing_plan.cpp
+++ b/src/berylwing/gateway/routing_plan.cpp
@@ -5,6 +5,19 @@
 
 namespace berylwing {
 
+namespace {
+
+/** Attempts of a caller whose times add up: the one that began a stream and the one that takes it up. */
+constexpr int kAttemptsOfStream = 2;
+
+bool leadsTo(const Route& route, std::string_view service)
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+        [service](const WeightedService& share) { return share.service == service && share.weight > 0; });
+}
+
+} // namespace
+
 std::string_view Route::selectService(std::uint64_t requestHash) const noexcept
 {
     std::uint64_t total = 0;
@@ -45,6 +58,19 @@
     return found == this->services.end() ? nullptr : &found->second;
 }
 
+Duration RoutingPlan::streamLifetime(std::string_view service) const
+{
+    Duration longest {};
+    for (const auto& [hostname, routes] : this->routesByHostname) {
+        for (const auto& route : routes) {
+            const bool isResumable = route.kind == RouteKind::Streaming && route.isResumable;
+            if (isResumable && leadsTo(route, service))
+                longest = std::max(longest, route.timeout);
+        }
+    }
+    return kAttemptsOfStream * longest;
+}
+
 void RoutingPlan::add(Route route)
 {
     auto& routes = this->routesByHostname[route.hostname];
--- a/src/berylwing/gateway/routing_plan.hpp
+++ b/src/berylwing/gateway/routing_plan.hpp
@@ -122,6 +122,13 @@
     /** @brief Finds a service. @param name Name. @return Properties, or a null pointer. */
     [[nodiscard]] const ServiceTraits* findService(std::string_view name) const;
 
+    /**
+     * @brief Returns the longest time for which streams of a service can be open.
+     * @param service Service.
+     * @return Time in which a caller may resume a stream; zero if no route leads resumable streams to the service.
+     */
+    [[nodiscard]] Duration streamLifetime(std::string_view service) const;
+
     /** @brief Checks if requests need API keys. @return True if the plan lists workspaces, even if none is left. */
     [[nodiscard]] bool requiresKeys() const noexcept { return this->isKeyRequired; }
 
--- a/test/berylwing/gateway/routing_plan_test.cpp
+++ b/test/berylwing/gateway/routing_plan_test.cpp
@@ -56,3 +56,26 @@
     CHECK(plan.findKeyHolder("three") == nullptr);
     CHECK(plan.requiresKeys());
 }
+
+TEST_CASE("RoutingPlan bounds the time of streams by the longest resumable route to a service", "[gateway][plan]")
+{
+    RoutingPlan plan { 1 };
+    const auto add = [&plan](const std::string& name, RouteKind kind, bool isResumable, Duration timeout,
+                         std::vector<WeightedService> services) {
+        auto route = makeRoute(name, name + ".example", "/");
+        route.kind = kind;
+        route.isResumable = isResumable;
+        route.timeout = timeout;
+        route.services = std::move(services);
+        plan.add(std::move(route));
+    };
+    add("short", RouteKind::Streaming, true, Duration { 3000 }, { { "pool", 1 } });
+    add("split", RouteKind::Streaming, true, Duration { 8000 }, { { "pool", 99 }, { "next", 1 }, { "off", 0 } });
+    add("plain", RouteKind::Streaming, false, Duration { 20'000 }, { { "pool", 1 }, { "plain", 1 } });
+    add("document", RouteKind::Idempotent, true, Duration { 30'000 }, { { "pool", 1 }, { "plain", 1 } });
+    CHECK(plan.streamLifetime("pool") == Duration { 16'000 });
+    CHECK(plan.streamLifetime("next") == Duration { 16'000 });
+    CHECK(plan.streamLifetime("off") == Duration {});
+    CHECK(plan.streamLifetime("plain") == Duration {});
+    CHECK(plan.streamLifetime("unknown") == Duration {});
+}
