--- a/src/berylwing/config/catalog.cpp
+++ b/src/berylwing/config/catalog.cpp
@@ -130,6 +130,7 @@
         break;
     case ObjectKind::Ledger:
     case ObjectKind::RoutingPlan:
+    case ObjectKind::ServiceVersions:
         break;
     }
 }
--- a/src/berylwing/config/objects.cpp
+++ b/src/berylwing/config/objects.cpp
@@ -48,6 +48,7 @@
         return readRoster(value, path, findings).domain;
     case ObjectKind::Ledger:
     case ObjectKind::RoutingPlan:
+    case ObjectKind::ServiceVersions:
         break;
     }
     return {};
@@ -158,7 +159,9 @@
 {
     Findings findings;
     const auto documentName = readObjectName(kind, value, findings);
-    if (kind != ObjectKind::Ledger && kind != ObjectKind::RoutingPlan && documentName != name)
+    const bool hasRules
+        = kind != ObjectKind::Ledger && kind != ObjectKind::RoutingPlan && kind != ObjectKind::ServiceVersions;
+    if (hasRules && documentName != name)
         findings.add(
             kObjectKindNames[kind], "the name '" + documentName + "' in the document", "the object's own name");
     return findings;
--- a/src/berylwing/config/objects.hpp
+++ b/src/berylwing/config/objects.hpp
@@ -21,10 +21,12 @@
     Roster,
     Ledger,
     RoutingPlan,
+    /** Software versions that are or were in service together. */
+    ServiceVersions,
 };
 
 /** @brief Names of the object kinds in the paths of the platform's API. */
-inline constexpr EnumNames<ObjectKind, 8> kObjectKindNames { {
+inline constexpr EnumNames<ObjectKind, 9> kObjectKindNames { {
     "contracts",
     "endpoints",
     "services",
@@ -33,6 +35,7 @@
     "rosters",
     "ledgers",
     "routing_plans",
+    "service_versions",
 } };
 
 /** @brief Kinds of endpoints. */
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -25,6 +25,7 @@
 class PromptCacheIndex;
 class ReachabilityProber;
 class RoutingPlan;
+class ServiceVersions;
 class StopSchedule;
 class StoreEra;
 class StoreFeed;
@@ -44,6 +45,7 @@
 struct ResponseMetadata;
 struct Route;
 struct ServiceTraits;
+struct ServiceVersionsHooks;
 struct StreamVersion;
 
 } // namespace berylwing
--- a/src/berylwing/gateway/service_versions.hpp
+++ b/src/berylwing/gateway/service_versions.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/core/clock.hpp"
+#include "berylwing/core/event.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
@@ -22,6 +23,8 @@
     std::function<bool()> isCurrent;
     /** Checks if this host writes to the store for its group. */
     std::function<bool()> isWriter;
+    /** Checks if the endpoints are known from the era of the store that an answer names. */
+    std::function<bool(std::uint64_t era)> isListedEra = [](std::uint64_t) { return true; };
 };
 
 /**
@@ -31,6 +34,71 @@
  * was in service before a host started stands in the platform's store while a service has several versions.
  */
 class ServiceVersions {
+    using Versions = std::set<std::string, std::less<>>;
+
+    /** Object of a service in the store. */
+    struct StoredHistory {
+        Versions versions;
+        /** Revision of the object; zero if there is none. */
+        std::uint64_t revision = 0;
+        /** Time at which this host learned it. */
+        TimePoint knownAt {};
+    };
+
+    struct History {
+        /** Last time at which an endpoint of the version had an entry. */
+        std::map<std::string, TimePoint, std::less<>> lastSeen;
+        /** Time for which streams of a version can be open after its last entry is gone. */
+        Duration lifetime {};
+        /** Time until which streams can be open that began when the lifetime was as long as now. */
+        TimePoint lifetimeUntil {};
+        TimePoint watchedSince {};
+        bool isMixed = false;
+        /** Time since which there is only one version. */
+        TimePoint settledAt {};
+        bool wasMixed = false;
+        /** Whether the store may hold an object that has to be removed once the service is no longer mixed. */
+        bool mayBeStored = false;
+        /** Object in the store; nothing if this host does not know. */
+        std::optional<StoredHistory> stored;
+    };
+
+    using Histories = std::map<std::string, History, std::less<>>;
+
+    /** Objects of all services as listed once. A service whose object cannot be read has no versions. */
+    struct Listing {
+        TimePoint sentAt {};
+        std::map<std::string, std::optional<Versions>, std::less<>> versions;
+    };
+
+    /** Checks if all changes of the endpoints have been noted up to now. */
+    [[nodiscard]] bool isWatching() const;
+    /** Returns the time since which this host has seen each version of a service; requires that it is watching. */
+    [[nodiscard]] TimePoint watchedSince(const History& history) const;
+    /** Checks if this host itself knows all versions whose streams can be open. */
+    [[nodiscard]] bool hasWatchedLongEnough(const History& history) const;
+    void recordListed();
+    void updateHistory(std::string_view service, History& history);
+    void dropIdle();
+    /** Checks if the object of a service has to be written or removed by this host. */
+    [[nodiscard]] bool isSyncDue(const History& history) const;
+    /** Writes and removes the objects that are due. */
+    [[nodiscard]] Task<void> syncStore();
+    [[nodiscard]] Task<void> syncService(std::string service);
+    /** Writes or removes an object whose stored state is known or assumed. @return False on a conflict. */
+    [[nodiscard]] Task<bool> replaceObject(std::string service);
+    [[nodiscard]] Task<void> readObject(std::string service);
+    /** Versions to write: those in service, and those of other writers that this host has not watched. */
+    [[nodiscard]] Versions versionsToStore(const History& history) const;
+    [[nodiscard]] Task<void> listObjects();
+    void applyListing(TimePoint sentAt, const WatchBatch& batch);
+    /** Reads the versions of an object; logs if that is not possible. */
+    [[nodiscard]] std::optional<Versions> readVersions(std::string_view service, const nlohmann::json& value);
+    /** Finds the only version by the listed objects. */
+    [[nodiscard]] std::optional<std::uint32_t> findOnlyListed(std::string_view service, std::string_view version) const;
+    void logMixed(std::string_view service, const History& history);
+    void logFailure(PlatformOperation operation, std::string_view service, std::string_view error);
+
 public:
     /**
      * @brief Creates an empty history.
@@ -66,6 +134,21 @@
     PlatformClient& client;
     ServiceVersionsHooks hooks;
     DecisionLog& log;
+    Histories histories;
+    std::optional<TimePoint> updatedAt;
+    /** Time since which this host has known all changes; nothing while it does not. */
+    std::optional<TimePoint> currentSince;
+    std::optional<Listing> listing;
+    Event listEnded;
+    bool isListing = false;
+    TimePoint nextListAt {};
+    bool isSyncing = false;
+    TimePoint nextSyncAt {};
+    Duration syncRetryDelay;
+    /** Number of restores; what was asked before the last one says nothing of the restored store. */
+    unsigned restores = 0;
+    /** Time from which the objects are complete after a restore. */
+    TimePoint completeFrom {};
 };
 
 } // namespace berylwing
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -50,11 +50,14 @@
     StopAnnounced,
     EndpointPaused,
     StreamTakenUp,
+    VersionsMixed,
+    VersionsSettled,
+    VersionHistoryFailed,
     LinesDropped,
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 40> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 43> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -94,6 +97,9 @@
     "stop_announced",
     "endpoint_paused",
     "stream_taken_up",
+    "versions_mixed",
+    "versions_settled",
+    "version_history_failed",
     "lines_dropped",
 } };
 
