--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -46,6 +46,9 @@
 constexpr Duration kFirstRegistrationTimeout { 300 };
 /** Time in which a host that starts hears the watcher of its group. */
 constexpr Duration kFirstNewsTimeout { 800 };
+/** Longest age of the list of endpoints at a host in touch: a watch that brings a change confirms only the time at
+ * which it was sent, and the next one nothing before it ends; then the digest that tells it is on its way. */
+constexpr Duration kMaxEndpointAge = 2 * kEndpointWatchTimeout + kEndpointBatchDelay + kFirstNewsTimeout;
 
 std::string logPrefix(const GatewaySettings& settings)
 {
@@ -104,7 +107,7 @@
         { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->storeEra,
         this->log }
     , streamVersions { hostClock, this->roster, [](const HostEntry&, const wire::FleetMessage&) {} }
-    , serviceVersions { hostClock, this->directory, this->client, {}, this->log }
+    , serviceVersions { hostClock, this->directory, this->client, this->makeVersionHooks(), this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
     , startHold { hostClock }
@@ -242,7 +245,10 @@
         this->directory.retain(collectNames(objects));
     };
     hooks.change = [this](const VersionedObject& object) { this->applyEndpoint(object); };
-    hooks.reportRestore = [this] { this->directory.recordRestore(); };
+    hooks.reportRestore = [this] {
+        this->directory.recordRestore();
+        this->serviceVersions.recordRestore();
+    };
     hooks.confirm = [this](TimePoint) { this->directory.recordStoreRegained(); };
     hooks.reportFailure = [this] { this->directory.recordStoreLost(); };
     hooks.reportOutageEnd = [this](TimePoint endedAt) { this->directory.recordOutage(endedAt); };
@@ -282,6 +288,30 @@
     return hooks;
 }
 
+ServiceVersionsHooks Gateway::makeVersionHooks()
+{
+    ServiceVersionsHooks hooks;
+    hooks.streamLifetime
+        = [this](std::string_view service) { return this->plan ? this->plan->streamLifetime(service) : Duration {}; };
+    hooks.isCurrent = [this] { return this->isEndpointListCurrent(); };
+    // Hosts that start together would all write before they hear each other.
+    hooks.isWriter = [this] { return this->fleet.isWatcher() && !this->isWatcherAwaited(); };
+    hooks.isListedEra = [this](std::uint64_t era) {
+        this->storeEra.observe(era, {});
+        return this->endpointFeed.isCurrent() && era == this->endpointFeed.listedEra();
+    };
+    return hooks;
+}
+
+bool Gateway::isEndpointListCurrent() const
+{
+    // The plan is confirmed more often than the endpoints, so its age is the first to show that a host gets no news.
+    const auto now = this->clock.now();
+    const auto maxPlanAge = std::min(this->changeDeadlines.plan, this->changeDeadlines.endpoint);
+    const bool isInTouch = now < this->planConfirmedAt + maxPlanAge;
+    return this->endpointFeed.isCurrent() && isInTouch && now < this->endpointFeed.confirmationTime() + kMaxEndpointAge;
+}
+
 Duration Gateway::watcherTtl() const
 {
     return std::min(this->changeDeadlines.plan, this->changeDeadlines.endpoint) - kCatchUpTimeout;
@@ -415,6 +445,7 @@
         this->confirmPlan();
         this->logReadiness();
         this->directory.removeExpired();
+        this->serviceVersions.update();
         this->roster.removeMissing(this->clock.now());
         this->logHostCount();
         this->prober.startDueProbes();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] StoreFeedHooks makeEndpointHooks();
     [[nodiscard]] StoreFeedHooks makeDomainHooks();
     [[nodiscard]] StoreFeedHooks makeHostHooks();
+    [[nodiscard]] ServiceVersionsHooks makeVersionHooks();
+    /** Checks if this host knows all recent changes of the endpoints. */
+    [[nodiscard]] bool isEndpointListCurrent() const;
     [[nodiscard]] bool isWatchedByPeer(Duration ttl) const;
     [[nodiscard]] Duration watcherTtl() const;
     /** Registers this host, then follows the list of hosts. */
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -153,6 +153,9 @@
     /** @brief Checks if the last call to the store succeeded. @return False during an outage. */
     [[nodiscard]] bool isStoreReachable() const noexcept { return this->failures == 0; }
 
+    /** @brief Returns the time up to which all changes are known. @return Time; the epoch before the first list. */
+    [[nodiscard]] TimePoint confirmationTime() const noexcept { return this->confirmedAt; }
+
     /** @brief Returns the latest time at which the watcher is known to have been up to date. @return Time. */
     [[nodiscard]] TimePoint watcherConfirmationTime() const noexcept { return this->watcherConfirmedAt; }
 
--- a/test/berylwing/gateway/service_versions_test.cpp
+++ b/test/berylwing/gateway/service_versions_test.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/telemetry/metrics.hpp"
 #include "support/fake_platform.hpp"
+#include "support/gateway_harness.hpp"
 #include "support/runtime_context.hpp"
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -630,3 +631,26 @@
     fixture.advance(Duration { 1000 });
     CHECK_FALSE(host.versions.isAnyMixed());
 }
+
+TEST_CASE("A gateway stores the versions of a service that is mixed, also after a restore of the store", "[gateway]")
+{
+    GatewayHarness harness;
+    harness.putPlan(GatewayHarness::makePlan(1));
+    const auto put = [&harness](const std::string& id, const std::string& version) {
+        harness.platform.store.write(ObjectKind::Endpoint, id,
+            { { "service", "engines" }, { "version", version }, { "domain", "knox-a" }, { "draining", false },
+                { "cold_ms", 0 } });
+    };
+    const auto storedBody = [&harness] { return harness.platform.store.body(ObjectKind::ServiceVersions, "engines"); };
+    put("e1", "1");
+    harness.advance(Duration { 2000 });
+    CHECK(storedBody().empty());
+    const auto copy = harness.platform.store;
+    put("e2", "1.1");
+    harness.advance(Duration { 1000 });
+    CHECK(storedBody() == R"({"versions":["1","1.1"]})");
+    harness.platform.store.restore(copy);
+    REQUIRE(storedBody().empty());
+    harness.advance(Duration { 6000 });
+    CHECK(storedBody() == R"({"versions":["1","1.1"]})");
+}
