--- a/test/berylwing/gateway/service_versions_test.cpp
+++ b/test/berylwing/gateway/service_versions_test.cpp
@@ -305,6 +305,22 @@
     CHECK(hosts[2]->calls.empty());
 }
 
+TEST_CASE("A single writer makes one call when a service becomes mixed, and one for the end", "[gateway]")
+{
+    VersionsFixture fixture;
+    auto& writer = fixture.addHost("a", true);
+    writer.put("e1", "1");
+    fixture.advance(kLifetime + Duration { 200 });
+    writer.put("e2", "1.1");
+    fixture.advance(kLifetime);
+    CHECK(writer.calls.size() == 1);
+    CHECK(writer.countCalls(PlatformOperation::Put) == 1);
+    writer.directory.remove("e1");
+    fixture.advance(4 * kLifetime);
+    CHECK(writer.calls.size() == 2);
+    CHECK(writer.countCalls(PlatformOperation::Remove) == 1);
+}
+
 TEST_CASE("A host that starts late learns of a version that left before", "[gateway]")
 {
     VersionsFixture fixture;
@@ -514,6 +530,7 @@
     fixture.advance(Duration { 200 });
     // The store answers in an era in which this host does not know the endpoints yet.
     CHECK_FALSE(fixture.find(reader));
+    fixture.advance(Duration { 600 });
     writer.listedEra = reader.listedEra = 2;
     writer.versions.recordRestore();
     reader.versions.recordRestore();
