--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -86,7 +86,7 @@
     , rateLimits { hostClock, this->directory, this->log, gatewaySettings.host,
         [this]() -> const std::vector<std::string>& { return this->roster.names(); } }
     , announcedStops { hostClock, this->directory, this->log }
-    , streams { hostClock, this->roster,
+    , streamVersions { hostClock, this->roster,
         [this](const HostEntry& host, const wire::FleetMessage& message) { this->exchange.send(host, message); } }
     , holders { hostClock }
     , crashes { hostClock, this->log, [this](std::uint64_t subject) { return this->roster.isFirstFor(subject); } }
@@ -106,7 +106,6 @@
     , hostFeed { hostClock, this->client, ObjectKind::Host,
         { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->storeEra,
         this->log }
-    , streamVersions { hostClock, this->roster, [](const HostEntry&, const wire::FleetMessage&) {} }
     , serviceVersions { hostClock, this->directory, this->client, this->makeVersionHooks(), this->log }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
     , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
@@ -135,7 +134,7 @@
     std::function<void(const SocketAddress&, const std::string&)> sendToHost)
 {
     return { this->clock, this->settings.domain, this->settings.host, this->settings.digests.port, this->fleet,
-        this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streams,
+        this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streamVersions,
         this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
         [this] { return this->registration.isWanted(); },
         { &this->planFeed, &this->endpointFeed, &this->domainFeed, &this->hostFeed }, std::move(sendToHost),
@@ -451,8 +450,8 @@
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
-        this->streams.report(false);
-        this->streams.removeExpired();
+        this->streamVersions.report(this->serviceVersions.isAnyMixed());
+        this->streamVersions.removeExpired();
         this->crashes.update();
         this->log.flush();
         co_await this->clock.sleepFor(kMaintenanceInterval);
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -209,7 +209,7 @@
     ColdRateLimit coldLimit;
     EndpointRateLimits rateLimits;
     AnnouncedStops announcedStops;
-    StreamVersionIndex streams;
+    StreamVersionIndex streamVersions;
     PromptCacheIndex holders;
     CrashQuarantine crashes;
     UnseenRequests unseenRequests;
@@ -220,7 +220,6 @@
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
     StoreFeed hostFeed;
-    StreamVersionIndex streamVersions;
     ServiceVersions serviceVersions;
     FleetExchange exchange;
     Forwarder forwarder;
