--- a/test/berylwing/gateway/cold_rate_limit_test.cpp
+++ b/test/berylwing/gateway/cold_rate_limit_test.cpp
@@ -22,8 +22,7 @@
             this->names.push_back("host-" + std::to_string(number));
         for (const auto& name : this->names) {
             this->limits.emplace_back(name, [this]() -> const std::vector<std::string>& { return this->names; });
-            this->views.emplace_back(
-                new GatewayEndpoint { EndpointRecord { "engine", {}, {}, {}, {}, 0, false, {}, 0 } });
+            this->views.emplace_back(new GatewayEndpoint { EndpointRecord { "engine", {}, {}, {}, 0, false, {}, 0 } });
         }
     }
 
