Do not send a request whose caller left while its host stood still (GONE)

An order on an idle connection is sent to its endpoint, and runs, although its caller has closed the connection before the host has read the request: the process was suspended, or its event loop was late, so that both wait in the socket.

Cause: the caller's end is known only when the monitor of its connection has run. A request that goes out on an idle connection to the endpoint is sent in the turn in which it was read, before the monitor runs for the first time. What is checked after the wait for a connection doesn't help, as there is no wait.

Ruled out: that an attempt runs twice by this, or is refused after a run: it runs once, and nobody gets its answer. Hosts that stood still are not in touch, so that the bound of GONE doesn't hold for them.

Change: before each send, the caller's socket is asked whether the caller has closed it.

--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -291,8 +291,8 @@
         co_return AttemptResult::NotRun;
     }
     // While the connection was established, the caller and the endpoint may have left, and the key may have been
-    // revoked.
-    if (context.request.isCallerGone)
+    // revoked. If the process stood still, the request and its caller's end are read in the same turn.
+    if (context.request.hasCallerLeft())
         throw CallerGoneError {};
     if (!this->dependencies.directory.isAvailable(*endpoint) || this->dependencies.rateLimits.isPaused(*endpoint)
         || !this->isAuthorized(context) || this->endOf(context)) {
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -47,6 +47,12 @@
         return std::string_view { this->target }.substr(0, this->target.find('?'));
     }
 
+    /** @brief Checks if the caller has closed its connection, also if no event has told of it yet. */
+    [[nodiscard]] bool hasCallerLeft() const
+    {
+        return this->isCallerGone || (this->isCallerClosed && this->isCallerClosed());
+    }
+
     std::string method;
     /** Path and query, unmodified. */
     std::string target;
@@ -61,6 +67,8 @@
     unsigned sends = 0;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
+    /** Checks the caller's connection for its end; empty if that cannot be asked. */
+    std::function<bool()> isCallerClosed;
     /** Whether this host ends the request, since its process is about to exit. */
     bool isEndedByHost = false;
     /** Aborts the call to an endpoint; set by the forwarder while a call is in progress, otherwise empty. */
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -89,6 +89,15 @@
     return this->isAwaitingRequest && this->socket.available(ignored) == 0;
 }
 
+bool GatewayConnection::isClosedByCaller()
+{
+    char byte = 0;
+    boost::system::error_code error;
+    this->socket.non_blocking(true, error);
+    this->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error && error != asio::error::would_block;
+}
+
 void GatewayConnection::endReading()
 {
     if (!this->isReading)
@@ -239,6 +248,7 @@
     request.body = std::move(message.body());
     request.fields = std::move(message.base());
     removeConnectionFields(request.fields);
+    request.isCallerClosed = [this] { return this->isClosedByCaller(); };
     this->setDeadline(TimePoint::max());
     // Set before the monitor is spawned, since handle() may finish before the monitor first runs.
     this->isMonitoring = true;
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -34,6 +34,7 @@
     [[nodiscard]] Task<void> write(std::string_view bytes);
     [[nodiscard]] Task<void> monitorCaller(GatewayRequest& request);
     [[nodiscard]] Task<void> stopMonitoring();
+    [[nodiscard]] bool isClosedByCaller();
     void logCallerGone();
     void setDeadline(TimePoint deadline);
     /** Closes the connection, unless input is left to read or a newer plan allows it to be idle for longer. */
