--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -294,8 +294,9 @@
     // revoked. If the process stood still, the request and its caller's end are read in the same turn.
     if (context.request.hasCallerLeft())
         throw CallerGoneError {};
-    if (!this->dependencies.directory.isAvailable(*endpoint) || this->dependencies.rateLimits.isPaused(*endpoint)
-        || !this->isAuthorized(context) || this->endOf(context)) {
+    const bool isOtherVersion = context.version && endpoint->isVersionUncertain;
+    if (isOtherVersion || !this->dependencies.directory.isAvailable(*endpoint)
+        || this->dependencies.rateLimits.isPaused(*endpoint) || !this->isAuthorized(context) || this->endOf(context)) {
         context.failureReason = Refusal::EndpointLeaving;
         co_return AttemptResult::NotRun;
     }
@@ -472,8 +473,10 @@
 
 Task<void> Forwarder::relayPart(RequestContext& context, const ResponseHead& head, std::string_view part)
 {
-    if (context.route->isResumable && isEventStream(head))
-        this->recordStreamVersion(context);
+    if (context.route->isResumable && isEventStream(head) && !this->recordStreamVersion(context)) {
+        context.isAbortedByHost = true;
+        throw EndpointError { EndpointFault::Broken, "the endpoint may run another version than the stream's" };
+    }
     co_await this->writeHead(context, head);
     co_await context.writer.body(part);
     if (++context.relayedParts == kClearingParts)
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -80,8 +80,11 @@
     [[nodiscard]] Task<std::optional<NotRun>> resolveVersion(RequestContext& context);
     /** Returns why no endpoint can be chosen, apart from the reason of the last attempt. */
     [[nodiscard]] std::optional<Refusal> findShortage(const RequestContext& context) const;
-    /** Records which software version began the stream whose event is passed on. */
-    void recordStreamVersion(RequestContext& context);
+    /**
+     * Records which software version began the stream whose event is to be passed on. @return False if the endpoint may
+     * run another version than the one that began the stream, so that nothing of it may be passed on.
+     */
+    [[nodiscard]] bool recordStreamVersion(RequestContext& context);
     /** Chooses an endpoint for the next attempt. @return Outcome of the request if there is to be no such attempt. */
     [[nodiscard]] std::optional<Outcome> chooseEndpoint(RequestContext& context, GatewayEndpointPtr& endpoint);
     /**
--- a/src/berylwing/gateway/forwarder_versions.cpp
+++ b/src/berylwing/gateway/forwarder_versions.cpp
@@ -69,17 +69,21 @@
     return isFull ? Refusal::EndpointAtBound : Refusal::NoEndpointOfVersion;
 }
 
-void Forwarder::recordStreamVersion(RequestContext& context)
+bool Forwarder::recordStreamVersion(RequestContext& context)
 {
     const auto& endpoint = context.tried.back();
     const auto version = endpoint->isVersionUncertain ? kUnknownVersion : endpoint->versionHash;
-    if (context.recordedEndpoint == endpoint && context.version == version)
-        return;
-    context.version = context.version && *context.version != version ? kUnknownVersion : version;
+    const bool isSameRun = context.recordedEndpoint == endpoint;
+    if (isSameRun && context.version == version)
+        return true;
+    if (!isSameRun && context.version && *context.version != version)
+        return false;
+    context.version = version;
     context.recordedEndpoint = endpoint;
     if (context.stream != kUnknownStream)
         this->dependencies.streamVersions.record(
             context.stream, { *context.version, context.request.arrivedAt + 2 * context.route->timeout });
+    return true;
 }
 
 } // namespace berylwing
--- a/test/berylwing/gateway/stream_version_test.cpp
+++ b/test/berylwing/gateway/stream_version_test.cpp
@@ -85,6 +85,7 @@
     VersionHarness harness;
     harness.beginChat("one", [&harness] { harness.putEndpointOfVersion("b", "v2"); });
     harness.putEndpointOfVersion("c", "v1");
+    harness.behaviors["a"] = EndpointBehavior::Refuse;
     harness.advance(kSettleDelay);
     const auto answer = harness.resumeChat("two", "one", "2");
     harness.advance(kSettleDelay);
@@ -193,6 +194,25 @@
     CHECK(isRefused(*again, Refusal::StreamVersionUnknown));
 }
 
+TEST_CASE(
+    "A stream is not taken up at an endpoint whose id another version takes over meanwhile", "[gateway][versions]")
+{
+    for (const bool isConnecting : { true, false }) {
+        CAPTURE(isConnecting);
+        VersionHarness harness;
+        harness.beginChat("one", [&harness] { harness.putEndpointOfVersion("b", "v2"); });
+        harness.behaviors["a"] = EndpointBehavior::Answer;
+        (isConnecting ? harness.connectTime : harness.answerTime) = 2 * kSettleDelay;
+        const auto answer = harness.resumeChat("two", "one", "2");
+        harness.putEndpointOfVersion("a", "v2");
+        harness.advance(4 * kSettleDelay);
+        REQUIRE(answer->outcome);
+        CHECK(answer->outcome->reason == Refusal::NoEndpointOfVersion);
+        CHECK(answer->body.empty());
+        CHECK(harness.countRuns("two") == (isConnecting ? 0 : 1));
+    }
+}
+
 TEST_CASE("A request that brought no event may run at any version", "[gateway][versions]")
 {
     VersionHarness harness;
