--- a/src/berylwing/gateway/service_versions.cpp
+++ b/src/berylwing/gateway/service_versions.cpp
@@ -140,14 +140,20 @@
                 [&stored](const auto& version) { return stored->versions.contains(version.first); });
         return !isStored && this->hooks.isWriter();
     }
-    const auto now = this->clock.now();
-    if (!history.mayBeStored || !this->hasWatchedLongEnough(history) || now < history.settledAt + history.lifetime)
+    if (!this->hasWatchedLongEnough(history))
         return false;
     const bool isWriter = this->hooks.isWriter();
-    if (!stored || stored->revision == 0)
-        return isWriter;
+    const bool isInService = !history.lastSeen.empty();
+    if (!stored)
+        return isWriter && (isInService || history.mayBeStored);
+    if (stored->revision == 0)
+        return isWriter && isInService;
+    if (stored->versions == namesOf(history))
+        return false;
     // No writer may know of an object that a host has found after a start of the whole fleet.
-    return now >= stored->knownAt + (isWriter ? 1 : 2) * history.lifetime;
+    const auto now = this->clock.now();
+    return now >= history.settledAt + history.lifetime
+        && now >= stored->knownAt + (isWriter ? 1 : 2) * history.lifetime;
 }
 
 Task<void> ServiceVersions::syncStore()
@@ -162,7 +168,7 @@
         try {
             co_await this->syncService(service);
             this->syncRetryDelay = kMinSyncRetryDelay;
-        } catch (const PlatformError& error) {
+        } catch (const std::exception& error) {
             const bool isFirst = this->syncRetryDelay == kMinSyncRetryDelay;
             if (isFirst)
                 this->logFailure(PlatformOperation::Put, service, error.what());
@@ -194,12 +200,11 @@
     const auto restoresBefore = this->restores;
     const auto revision = history.stored ? history.stored->revision : 0;
     StoredHistory next;
-    if (history.isMixed)
-        next.versions = this->versionsToStore(history);
-    else if (!history.stored)
+    if (!history.isMixed && !history.stored)
         co_return false;
+    next.versions = history.isMixed ? this->versionsToStore(history) : namesOf(history);
     try {
-        if (history.isMixed) {
+        if (!next.versions.empty()) {
             const nlohmann::json document { { kVersionsField, next.versions } };
             next.revision = co_await this->client.put(ObjectKind::ServiceVersions, service, document, revision);
         } else if (revision > 0) {
@@ -230,14 +235,21 @@
         stored.revision = object->version;
         stored.versions = this->readVersions(service, object->value).value_or(Versions {});
     }
+    this->histories[service].mayBeStored = stored.revision > 0;
     this->histories[service].stored = std::move(stored);
 }
 
-ServiceVersions::Versions ServiceVersions::versionsToStore(const History& history) const
+ServiceVersions::Versions ServiceVersions::namesOf(const History& history)
 {
     Versions versions;
     for (const auto& [version, seenAt] : history.lastSeen)
         versions.insert(version);
+    return versions;
+}
+
+ServiceVersions::Versions ServiceVersions::versionsToStore(const History& history) const
+{
+    auto versions = namesOf(history);
     if (history.stored && !this->hasWatchedLongEnough(history))
         versions.insert(history.stored->versions.begin(), history.stored->versions.end());
     return versions;
@@ -292,11 +304,12 @@
 
 std::optional<std::uint32_t> ServiceVersions::findOnlyListed(std::string_view service, std::string_view version) const
 {
+    // Without an object nobody has watched the service for long enough to know what was in it.
     const auto found = this->listing->versions.find(service);
     if (found == this->listing->versions.end())
-        return hashVersion(service, version);
+        return std::nullopt;
     const auto& versions = found->second;
-    const bool isOnly = versions
+    const bool isOnly = versions && !versions->empty()
         && std::all_of(versions->begin(), versions->end(), [version](const auto& other) { return other == version; });
     return isOnly ? std::optional { hashVersion(service, version) } : std::nullopt;
 }
--- a/src/berylwing/gateway/service_versions.hpp
+++ b/src/berylwing/gateway/service_versions.hpp
@@ -31,7 +31,8 @@
  * @brief Software versions whose endpoints can have begun the streams of a service that are still open.
  *
  * If there is only one, any stream may go on, whoever began it. Hosts see the entries of endpoints come and go; what
- * was in service before a host started stands in the platform's store while a service has several versions.
+ * was in service before a host started stands in the platform's store, written by hosts that have watched the service
+ * for so long that they know all of it, or that see several versions.
  */
 class ServiceVersions {
     using Versions = std::set<std::string, std::less<>>;
@@ -88,6 +89,8 @@
     /** Writes or removes an object whose stored state is known or assumed. @return False on a conflict. */
     [[nodiscard]] Task<bool> replaceObject(std::string service);
     [[nodiscard]] Task<void> readObject(std::string service);
+    /** Versions that count as in service. */
+    [[nodiscard]] static Versions namesOf(const History& history);
     /** Versions to write: those in service, and those of other writers that this host has not watched. */
     [[nodiscard]] Versions versionsToStore(const History& history) const;
     [[nodiscard]] Task<void> listObjects();
