Tell keepers of streams also while a host may miss a version (ORDER, LOST)

With one version in service and the store away, a host that does not know whether a version has come refused every stream of a host that was killed, since nothing had been reported. And a host that knew that its list of endpoints lacks changes still concluded from it.

Streams are reported while several versions serve or while the list may be old; a list with known gaps is not current.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -308,7 +308,8 @@
     const auto now = this->clock.now();
     const auto maxPlanAge = std::min(this->changeDeadlines.plan, this->changeDeadlines.endpoint);
     const bool isInTouch = now < this->planConfirmedAt + maxPlanAge;
-    return this->endpointFeed.isCurrent() && isInTouch && now < this->endpointFeed.confirmationTime() + kMaxEndpointAge;
+    return this->endpointFeed.isCurrent() && !this->endpointFeed.missingAfter() && isInTouch
+        && now < this->endpointFeed.confirmationTime() + kMaxEndpointAge;
 }
 
 Duration Gateway::watcherTtl() const
@@ -450,7 +451,8 @@
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
-        this->streamVersions.report(this->serviceVersions.isAnyMixed());
+        // A host that may have missed a version relies on what it is told of the streams of others.
+        this->streamVersions.report(this->serviceVersions.isAnyMixed() || !this->isEndpointListCurrent());
         this->streamVersions.removeExpired();
         this->crashes.update();
         this->log.flush();
