--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr unsigned kMisdirectedRequest = 421;
-constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -241,27 +240,6 @@
         context.request.metadata.attemptId, isRetryable, isRetryable && context.route->isResumable };
 }
 
-void Forwarder::recordResult(GatewayEndpoint& endpoint, EndpointResult result)
-{
-    const auto now = this->dependencies.clock.now();
-    const bool wasEjected = endpoint.health.isEjected(now);
-    endpoint.health.record(result, now);
-    if (wasEjected || !endpoint.health.isEjected(now) || result == EndpointResult::Shed)
-        return;
-    LogLine line { LogEvent::EndpointEjected };
-    line.add("endpoint", endpoint.record.id).add("service", endpoint.record.service);
-    line.add("unreachable", std::int64_t { result == EndpointResult::Unreachable });
-    this->dependencies.log.write(line);
-}
-
-void Forwarder::recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result)
-{
-    const bool isSilent = error.fault() == EndpointFault::Silent;
-    this->recordResult(endpoint, isSilent ? EndpointResult::Unreachable : result);
-    if (isSilent)
-        this->dependencies.reportSilence(endpoint);
-}
-
 ConnectionReuse Forwarder::chooseConnectionReuse(const RequestContext& context, const GatewayEndpoint& endpoint)
 {
     // All sends of a request carry the same id, so a late copy of an earlier answer would pass for that of this send.
@@ -412,18 +390,6 @@
     co_return result;
 }
 
-void Forwarder::recordUnprovenRejection(RequestContext& context, GatewayEndpoint& endpoint, unsigned status)
-{
-    ++context.executions;
-    context.failureReason = context.isHeadWritten ? Refusal::StreamIncomplete : Refusal::EndpointBroken;
-    this->recordResult(endpoint, EndpointResult::Failed);
-    LogLine line { LogEvent::RequestBroken };
-    line.add("endpoint", endpoint.record.id);
-    line.add("error", "the rejection does not state that the request did not run");
-    line.add("status", std::int64_t { status }).add("runs", std::int64_t { context.executions });
-    this->dependencies.log.write(context.request.metadata.attemptId, std::move(line));
-}
-
 Task<void> Forwarder::skipRejection(EndpointSession& session, TimePoint deadline)
 {
     try {
@@ -453,18 +419,6 @@
     co_await context.writer.head(written);
 }
 
-void Forwarder::recordAnnouncements(GatewayEndpoint& endpoint, const ResponseHead& head)
-{
-    const auto& metadata = head.metadata;
-    // A rejection that names no limit does not prove that there is none.
-    if (metadata.requestLimit || !metadata.isNotRun)
-        this->dependencies.rateLimits.recordAnswer(endpoint, metadata.requestLimit);
-    if (metadata.retryAfter && head.status == kServiceUnavailable)
-        this->dependencies.rateLimits.recordPause(endpoint, *metadata.retryAfter);
-    if (metadata.isLeaving)
-        this->dependencies.announcedStops.recordAnswer(endpoint);
-}
-
 void Forwarder::recordAnswer(RequestContext& context, const ResponseHead& head)
 {
     if (isSuccess(head.status) && !this->dependencies.crashQuarantine.isEmpty())
