--- a/review/7/case_2.cpp
+++ b/review/7/case_2.cpp
@@ -1,84 +1,76 @@
-// Clients that the operators don't control send heads of legal size with many short fields, stop short of the end of
-// their bodies and stay open. The parsed fields count for nothing in the host's budget of memory.
+// A release has ended, one host was restarted as planned, and its neighbour dies: the streams that it carried cannot go
+// on at the restarted host, although only one software version serves.
 
-#include "fleet.hpp"
+#include "streams.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/http.hpp>
+#include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <iostream>
-#include <list>
 
 namespace {
 
 using namespace review;
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using nlohmann::json;
 
-constexpr unsigned kMemoryMb = 260;
-constexpr unsigned kDescriptors = 4100;
-/** Limit of a head in the configuration, as on the protocol's page. */
-constexpr std::size_t kMaxHeaderBytes = 16384;
-constexpr unsigned kClients = 1500;
+constexpr unsigned kEngines = 4;
+constexpr unsigned kStreams = 40;
+/** Taken-up streams from which on the rule counts. */
+constexpr unsigned kMinTakenUp = 12;
+/** Time for which a version can have open streams: twice the timeout, and what engines serve on without an entry. */
+constexpr Duration kHistoryTime { 10'000 };
+/** Time after a start from which on a machine is in touch. */
+constexpr Duration kContactTime { 3000 };
+constexpr std::size_t kNeighbour = 0;
+constexpr std::size_t kRestarted = 1;
 
-/** Returns a line of /proc/PID/status in megabytes. */
-double memoryOf(pid_t pid, const std::string& name)
+Task<void> play(Fleet& fleet, std::vector<Stream>& taken, std::vector<Stream>& fresh, bool isTroubled)
 {
-    std::ifstream file { fmt::format("/proc/{}/status", pid) };
-    std::string line;
-    while (std::getline(file, line)) {
-        if (line.starts_with(name + ":"))
-            return std::atof(line.substr(name.size() + 1).c_str()) / 1024;
+    auto& clock = fleet.clock;
+    const std::vector<std::string> zones { "knox-a", "knox-b", "chatt-a", "chatt-b" };
+    co_await clock.sleepFor(kHistoryTime + Duration { 2000 });
+    fleet.note("release: engines of v2 come, those of v1 drain and leave");
+    for (unsigned number = 0; number < kEngines; ++number) {
+        fleet.putEngine(fmt::format("i-new-{}", number), "pool", zones[number], 20 + number, "v2");
+        fleet.putEngine(
+            fmt::format("i-old-{}", number), "pool", zones[number], number + 1, "v1", { { "state", "draining" } });
+        co_await clock.sleepFor(Duration { 500 });
     }
-    return 0;
-}
-
-/** Returns the head of a request, whose size stays below the limit. */
-std::string makeHead(unsigned number, bool isTroubled)
-{
-    auto head = fmt::format("POST /order/2f HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: c{}\r\nDeadline-Ms: "
-                            "10000\r\nContent-Length: 2\r\n",
-        number);
-    while (isTroubled && head.size() + 5 + 2 < kMaxHeaderBytes - 64)
-        head += "x:1\r\n";
-    return head + "\r\n";
-}
-
-Task<void> play(Fleet& fleet, bool isTroubled, double& peakMb, bool& isAnswered, bool& isAlive)
-{
-    const auto pid = fleet.hosts[0]->process.id();
-    fleet.note(fmt::format("before: {:.1f} MB resident", memoryOf(pid, "VmRSS")));
-    const auto& target = fleet.hosts[0]->process.addresses().callers;
-    std::list<asio::ip::tcp::socket> sockets;
-    unsigned sent = 0;
-    for (unsigned number = 0; number < kClients; ++number) {
-        auto& socket = sockets.emplace_back(fleet.clock.executor());
-        boost::system::error_code error;
-        const asio::ip::tcp::endpoint endpoint { asio::ip::make_address(target.address), target.port };
-        co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
-        const auto text = makeHead(number, isTroubled) + "1";
-        if (!error)
-            co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
-        sent += error ? 0 : 1;
-        if (number % 100 == 99)
-            fleet.note(fmt::format("sent: {} heads of {} bytes with one byte of two of a body; {:.1f} MB resident",
-                sent, text.size() - 1, memoryOf(pid, "VmRSS")));
-        if (fleet.hosts[0]->process.pollExit())
-            break;
+    co_await clock.sleepFor(Duration { 2500 });
+    for (unsigned number = 0; number < kEngines; ++number) {
+        fleet.store.remove("servers", fmt::format("i-old-{}", number));
+        fleet.stopEngine(number + 1);
+    }
+    fleet.note("release: v1 is gone");
+    const auto goneAt = clock.now();
+    co_await clock.sleepFor(kHistoryTime + Duration { 1500 });
+    auto& restarted = fleet.hosts[kRestarted]->process;
+    const char* trouble = std::getenv("TROUBLE");
+    if (trouble == nullptr || std::string { trouble } != "norestart") {
+        fleet.note(fmt::format("planned: SIGTERM to {}", restarted.addresses().host));
+        restarted.signal(SIGTERM);
+        while (!restarted.pollExit())
+            co_await clock.sleepFor(Duration { 20 });
+        restarted.start();
+        const bool isReady = co_await fleet.waitUntilReady(kRestarted, Duration { 10'000 });
+        fleet.note(fmt::format("planned: it has started again and is {}", isReady ? "ready" : "not ready"));
+    }
+    co_await clock.sleepFor(kContactTime + Duration { 300 });
+    unsigned done = 0;
+    for (unsigned number = 0; number < kStreams; ++number) {
+        taken[number].attempt = fmt::format("s{}", number);
+        spawn(clock.executor(), "client", runStreamClient(fleet, taken[number], kNeighbour, kRestarted, done));
+        fresh[number].attempt = fmt::format("n{}", number);
+        spawn(clock.executor(), "client", runStreamClient(fleet, fresh[number], kRestarted, kRestarted, done));
+        co_await clock.sleepFor(Duration { 15 });
     }
-    co_await fleet.clock.sleepFor(Duration { 1000 });
-    isAlive = fleet.hosts[0]->process.isRunning();
-    peakMb = memoryOf(pid, "VmHWM");
-    fleet.note(fmt::format("after: {:.1f} MB resident, {:.1f} MB at the most", memoryOf(pid, "VmRSS"), peakMb));
-    const std::string ordinary = "POST /order/2f HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: ordinary\r\n"
-                                 "Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n11";
-    const auto answer = co_await fleet.send(0, ordinary, fleet.clock.now() + Duration { 5000 });
-    isAnswered = answer.status == 200;
-    fleet.note(fmt::format("answered: an ordinary request got {}", answer.status));
+    co_await clock.sleepFor(Duration { 300 });
+    if (isTroubled) {
+        fleet.note(fmt::format("disruption: {} is killed {} ms after v1 was gone",
+            fleet.hosts[kNeighbour]->process.addresses().host, (clock.now() - goneAt).count()));
+        fleet.hosts[kNeighbour]->process.signal(SIGKILL);
+    }
+    while (done < 2 * kStreams)
+        co_await clock.sleepFor(Duration { 20 });
 }
 
 } // namespace
@@ -88,40 +80,29 @@
     if (count != 3)
         return 2;
     const bool isTroubled = hasTrouble();
-    Fleet fleet { { arguments[1], arguments[2], { "knox-a" },
-        json { { "memory_mb", kMemoryMb }, { "max_fds", kDescriptors } } } };
-    fleet.store.write("config", "main",
-        { { "version", 1 },
-            { "routes",
-                { { { "name", "order" }, { "hostname", "review.example" }, { "path_prefix", "/order/" },
-                    { "route_kind", "non_idempotent" }, { "service", "desk" }, { "timeout_ms", 5000 },
-                    { "target_latency_ms", 300 }, { "priority", 0 }, { "max_attempts", 1 }, { "sticky", false },
-                    { "public", true }, { "resumable", false } } } },
-            { "services", { { { "name", "desk" }, { "max_connections", 100 }, { "health_path", "/healthz" } } } },
-            { "limits",
-                { { "max_header_bytes", kMaxHeaderBytes }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 },
-                    { "idle_timeout_ms", 15000 } } } });
-    fleet.listenEngine(1, [&fleet](boost::beast::tcp_stream& stream, const StandInRequest& request) -> Task<bool> {
-        const auto attempt = header(request, "Attempt-Id");
-        fleet.note("run: " + attempt);
-        StandInResponse answer { http::status::ok, 11 };
-        answer.set("Attempt-Id", attempt);
-        answer.set("Server-Signature", "desk." + attempt);
-        answer.body() = "ok";
-        co_await respond(stream, std::move(answer));
-        co_return true;
-    });
-    fleet.putEngine("i-desk", "desk", "knox-a", 1, "v1");
+    Fleet fleet { { arguments[1], arguments[2],
+        { "knox-a", "knox-a", "knox-b", "knox-b", "chatt-a", "chatt-a", "chatt-b" } } };
+    writeStreamRoute(fleet);
+    const std::vector<std::string> zones { "knox-a", "knox-b", "chatt-a", "chatt-b" };
+    for (unsigned number = 0; number < kEngines; ++number) {
+        const auto id = fmt::format("i-old-{}", number);
+        fleet.listenEngine(number + 1, makeStreamEngine(fleet, id, "v1"));
+        fleet.putEngine(id, "pool", zones[number], number + 1, "v1");
+        fleet.listenEngine(20 + number, makeStreamEngine(fleet, fmt::format("i-new-{}", number), "v2"));
+    }
     if (!fleet.start())
         return 2;
-    double peakMb = 0;
-    bool isAnswered = false;
-    bool isAlive = true;
-    fleet.run(play(fleet, isTroubled, peakMb, isAnswered, isAlive));
-    const bool isBroken = peakMb > kMemoryMb || !isAlive;
-    const auto result = fmt::format("{:.1f} MB of {} MB at the most, an ordinary request {} answered: {}", peakMb,
-        kMemoryMb, isAnswered ? "was" : "was not",
-        isBroken ? "the process exceeds the memory of its machine" : "the process stays within its memory");
+    std::vector<Stream> taken(kStreams);
+    std::vector<Stream> fresh(kStreams);
+    fleet.run(play(fleet, taken, fresh, isTroubled));
+    const auto takenUp = std::count_if(taken.begin(), taken.end(), [](const Stream& each) { return each.isTakenUp; });
+    const auto goneOn = std::count_if(taken.begin(), taken.end(), [](const Stream& each) { return each.hasGoneOn; });
+    const auto begun = std::count_if(fresh.begin(), fresh.end(), [](const Stream& each) { return !each.text.empty(); });
+    const auto goOnShare = static_cast<double>(goneOn) / static_cast<double>(std::max<std::ptrdiff_t>(takenUp, 1));
+    const auto beginShare = static_cast<double>(begun) / kStreams;
+    const bool isBroken = takenUp >= kMinTakenUp && goOnShare < beginShare / 2;
+    const auto result = fmt::format("{} streams taken up again, {} of them went on; {} of {} new streams began: {}",
+        takenUp, goneOn, begun, kStreams, isBroken ? "LOST is broken" : "LOST holds");
     fleet.note(result);
     std::cout << result << '\n';
     return isBroken ? 1 : 0;
