--- a/review/7/case_2.cpp
+++ b/review/7/case_2.cpp
@@ -33,7 +33,7 @@
         fleet.putEngine(fmt::format("i-new-{}", number), "pool", zones[number], 20 + number, "v2");
         fleet.putEngine(
             fmt::format("i-old-{}", number), "pool", zones[number], number + 1, "v1", { { "state", "draining" } });
-        co_await clock.sleepFor(Duration { 500 });
+        co_await clock.sleepFor(Duration { 1000 });
     }
     co_await clock.sleepFor(Duration { 2500 });
     for (unsigned number = 0; number < kEngines; ++number) {
