--- a/src/berylwing/core/json_text.cpp
+++ b/src/berylwing/core/json_text.cpp
@@ -110,6 +110,27 @@
     std::size_t position = 0;
 };
 
+bool isNested(std::string_view value) { return value.starts_with('{') || value.starts_with('['); }
+
+/** Checks if the text of a member is small and of its form. */
+bool canKeep(std::string_view value, JsonMemberForm form)
+{
+    if (value.size() > kMaxJsonMemberBytes)
+        return false;
+    if (form == JsonMemberForm::Scalar || !value.starts_with('['))
+        return !isNested(value);
+    const auto items = splitJsonArray(value);
+    return std::none_of(items.begin(), items.end(), isNested);
+}
+
+void checkJsonText(std::string_view text)
+{
+    if (Scanner { text }.measureDepth() > kMaxJsonDepth)
+        throw JsonTextError { "nested too deeply" };
+    if (!nlohmann::json::accept(text))
+        throw JsonTextError { "not valid JSON" };
+}
+
 std::string readName(std::string_view text)
 {
     if (text.find('\\') == std::string_view::npos)
@@ -176,6 +197,33 @@
     }
 }
 
+nlohmann::json readDocumentMembers(std::string_view text, std::span<const JsonMember> members, std::string_view place)
+{
+    try {
+        if (!text.substr(std::min(text.find_first_not_of(kSpaces), text.size())).starts_with('{')) {
+            if (text.size() > kMaxJsonMemberBytes)
+                throw JsonTextError { "a large document that is no object" };
+            return parseJsonText(text);
+        }
+        checkJsonText(text);
+        const JsonObjectText object { text };
+        auto kept = nlohmann::json::object();
+        for (const auto& member : members) {
+            const auto value = object.find(member.name);
+            if (!value)
+                continue;
+            const bool isKept = canKeep(*value, member.form);
+            if (!isKept)
+                spdlog::warn("leaving out the value of {} in {}, of {} bytes", member.name, place, value->size());
+            kept[std::string { member.name }] = isKept ? parseJsonText(*value) : nlohmann::json::object();
+        }
+        return kept;
+    } catch (const JsonTextError& error) {
+        spdlog::warn("cannot read the document of {}: {}", place, error.what());
+        return nlohmann::json::value_t::discarded;
+    }
+}
+
 nlohmann::json readDocument(std::string_view text, std::string_view place)
 {
     try {
--- a/src/berylwing/core/json_text.hpp
+++ b/src/berylwing/core/json_text.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -59,6 +60,34 @@
  */
 [[nodiscard]] nlohmann::json readDocument(std::string_view text, std::string_view place);
 
+/** @brief Lists the forms in which a member of a document is kept. */
+enum class JsonMemberForm {
+    /** Text, number, boolean or null. */
+    Scalar,
+    /** List of those. */
+    ScalarList,
+};
+
+/** @brief Member of a document that its readers need. */
+struct JsonMember {
+    std::string_view name;
+    JsonMemberForm form = JsonMemberForm::Scalar;
+};
+
+/** @brief Maximum bytes of a member that is kept; parsed, a list can take many times the memory of its text. */
+inline constexpr std::size_t kMaxJsonMemberBytes = 4096;
+
+/**
+ * @brief Parses the members of a document that its readers need and checks the rest, which any process may have
+ * written; logs an error. The memory of the result depends on the members, not on the size of the document.
+ * @param text JSON text.
+ * @param members Members to keep. One that is too large or has another form is replaced by an empty object.
+ * @param place Kind and name of the object.
+ * @return Document; a discarded value if it cannot be read. A document that is no object is kept if it is small.
+ */
+[[nodiscard]] nlohmann::json readDocumentMembers(
+    std::string_view text, std::span<const JsonMember> members, std::string_view place);
+
 /**
  * @brief Reads a number that may be written as a decimal; decimals are rounded down.
  * @param value Value of another process.
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -216,6 +216,7 @@
 StoreFeedHooks Gateway::makeFeedHooks(std::function<Duration()> watcherTtl)
 {
     StoreFeedHooks hooks;
+    hooks.readDocument = this->protocol.readDocument;
     hooks.isWatcher = [this] { return this->fleet.isWatcher(); };
     hooks.isWatcherAwaited = [this] { return this->isWatcherAwaited(); };
     hooks.newsTtl = watcherTtl;
--- a/src/berylwing/gateway/protocol.hpp
+++ b/src/berylwing/gateway/protocol.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "berylwing/config/objects.hpp"
+#include "berylwing/core/json_text.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/request.hpp"
 #include "berylwing/gateway/routing_plan.hpp"
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 
 namespace berylwing {
 
@@ -25,6 +28,9 @@
     std::function<EndpointRecord(const std::string& name, const nlohmann::json&)> readEndpoint;
     /** Path of the readiness check that the load balancer polls. */
     std::string readinessPath;
+    /** Parses what is needed of the document of an object; returns a discarded value if it cannot be read. */
+    std::function<nlohmann::json(ObjectKind kind, std::string_view name, std::string_view text)> readDocument
+        = [](ObjectKind, std::string_view name, std::string_view text) { return berylwing::readDocument(text, name); };
 };
 
 } // namespace berylwing
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -290,7 +290,7 @@
             continue;
         nlohmann::json value;
         if (!change.value().empty())
-            value = readDocument(change.value(), change.name());
+            value = this->hooks.readDocument(this->kind, change.name(), change.value());
         const auto version = change.version() == 0 ? change.revision() : change.version();
         this->applyChange({ this->kind, change.name(), version, std::move(value) }, change.revision());
     }
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/core/clock.hpp"
 #include "berylwing/core/event.hpp"
+#include "berylwing/core/json_text.hpp"
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/store_era.hpp"
 #include "berylwing/store/platform_client.hpp"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -31,6 +33,9 @@
     std::function<void(const std::vector<VersionedObject>&)> replaceAll;
     /** Receives one change; the value is null if the object was removed, discarded if it cannot be read. */
     std::function<void(const VersionedObject&)> change;
+    /** Parses a document that another host relays. */
+    std::function<nlohmann::json(ObjectKind kind, std::string_view name, std::string_view text)> readDocument
+        = [](ObjectKind, std::string_view name, std::string_view text) { return berylwing::readDocument(text, name); };
     /** Receives the time up to which all changes are known. */
     std::function<void(TimePoint)> confirm = [](TimePoint) {};
     /** Called when a call to the store has failed. */
--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -22,7 +22,8 @@
     if (!error)
         return;
     const bool isTimeout = error == beast::error::timeout;
-    throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message() };
+    throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message(),
+        error == http::error::body_limit };
 }
 
 } // namespace
--- a/src/berylwing/http/http_call.hpp
+++ b/src/berylwing/http/http_call.hpp
@@ -33,18 +33,28 @@
 /** @brief Reports a failed call. */
 class HttpCallError : public std::runtime_error {
 public:
-    /** @brief Creates the error. @param kind Kind of failure. @param text Description. */
-    HttpCallError(HttpFault kind, const std::string& text)
+    /**
+     * @brief Creates the error.
+     * @param kind Kind of failure.
+     * @param text Description.
+     * @param isOverLimit Whether the body of the response exceeds the limit.
+     */
+    HttpCallError(HttpFault kind, const std::string& text, bool isOverLimit = false)
         : std::runtime_error { text }
         , kind { kind }
+        , hasTooLargeBody { isOverLimit }
     {
     }
 
     /** @brief Returns the kind of failure. */
     [[nodiscard]] HttpFault fault() const noexcept { return this->kind; }
 
+    /** @brief Checks if the body of the response exceeds the limit. @return False for all other failures. */
+    [[nodiscard]] bool isOverLimit() const noexcept { return this->hasTooLargeBody; }
+
 private:
     HttpFault kind;
+    bool hasTooLargeBody;
 };
 
 /**
--- a/test/berylwing/core/json_text_test.cpp
+++ b/test/berylwing/core/json_text_test.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/core/json_text.hpp"
 
+#include <array>
 #include <catch2/catch.hpp>
 
 using namespace berylwing;
@@ -44,6 +45,29 @@
         CHECK(readDocument(text, "a").is_discarded());
 }
 
+TEST_CASE("readDocumentMembers keeps small members of their form and checks the rest", "[core]")
+{
+    constexpr std::array<JsonMember, 5> kMembers { { { "a" }, { "b" }, { "list", JsonMemberForm::ScalarList },
+        { "absent" }, { "null" } } };
+    const auto read = [&kMembers](const std::string& text) { return readDocumentMembers(text, kMembers, "x"); };
+    CHECK(read(R"( {"a":1,"b":"text","list":["v1",2],"other":{"x":[]},"null":null})")
+        == nlohmann::json { { "a", 1 }, { "b", "text" }, { "list", { "v1", 2 } }, { "null", nullptr } });
+    CHECK(read(R"({"a":1,"a":2})") == nlohmann::json { { "a", 2 } });
+    const auto empty = nlohmann::json::object();
+    CHECK(read("{}") == empty);
+    // A value of another form stays one that no reader takes for the member.
+    const auto large = std::string(kMaxJsonMemberBytes, 'v');
+    for (const auto& odd : { std::string { "[1]" }, std::string { R"({"c":1})" }, '"' + large + '"' })
+        CHECK(read("{\"a\":" + odd + ",\"b\":1}") == nlohmann::json { { "a", empty }, { "b", 1 } });
+    CHECK(read(R"({"list":["v1",["v2"]]})") == nlohmann::json { { "list", empty } });
+    CHECK(read(R"({"list":[")" + large + "\"]}") == nlohmann::json { { "list", empty } });
+    for (const auto* text : { "{", R"({"other":1e999})", "{\"other\":\"\xff\"}", "{} {}", R"({"other":"\ud800"})" })
+        CHECK(read(text).is_discarded());
+    CHECK(read("null").is_null());
+    CHECK(read("[1]").is_array());
+    CHECK(read("\"" + large + "\"").is_discarded());
+}
+
 TEST_CASE("parseJsonText bounds the depth of a document", "[core]")
 {
     const auto nest = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -54,6 +54,12 @@
                     this->apply(object);
             };
             result.change = [this](const VersionedObject& object) { this->apply(object); };
+            result.readDocument = [this](ObjectKind, std::string_view name, std::string_view text) {
+                auto value = readDocument(text, name);
+                if (!this->ignoredMember.empty() && value.is_object())
+                    value.erase(this->ignoredMember);
+                return value;
+            };
             result.confirm = [this](TimePoint when) { this->confirmedAt = std::max(this->confirmedAt, when); };
             result.reportFailure = [this] { this->isLost = true; };
             result.reportOutageEnd = [this](TimePoint endedAt) { this->outageEndedAt = endedAt; };
@@ -85,6 +91,8 @@
         TimePoint confirmedAt {};
         TimePoint outageEndedAt {};
         std::map<std::string, nlohmann::json> objects;
+        /** Member of relayed documents that the host does not keep. */
+        std::string ignoredMember;
         /** Object whose changes cannot be applied. */
         std::string rejectedName;
         PlatformClient client;
@@ -132,6 +140,22 @@
 
 } // namespace
 
+// Guards against hosts that keep whole documents of another writer because another host relays them.
+TEST_CASE("StoreFeed keeps of a relayed document what its host reads", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.advance(Duration { 1000 });
+    fixture.follower.hasWatcher = true;
+    fixture.advance(Duration { 3000 });
+    fixture.follower.ignoredMember = "models";
+    fixture.write("engine-1", { { "slots", 1 }, { "models", { 1, 2, 3 } } });
+    fixture.advance(Duration { 1000 });
+    CHECK(fixture.follower.objects.at("engine-1") == nlohmann::json { { "slots", 1 } });
+    const auto relayed = fixture.follower.feed.makeRecentNews();
+    REQUIRE(relayed.changes_size() == 1);
+    CHECK(relayed.changes(0).value() == R"({"slots":1})");
+}
+
 TEST_CASE("StoreFeed applies changes and removals from news without calling the store", "[gateway][feed]")
 {
     FeedFixture fixture;
--- a/test/platform/store_transport_test.cpp
+++ b/test/platform/store_transport_test.cpp
@@ -146,6 +146,61 @@
     }
 }
 
+// Guards against a watch that fails for good because its changes are larger than what a host reads at once.
+TEST_CASE("A watch whose changes are too large for one response asks for a list", "[platform][odd]")
+{
+    constexpr std::size_t kObjectBytes = 1024 * 1024;
+    TransportFixture fixture;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    const auto before = fixture.batch.through;
+    for (int number = 0; number < 10; ++number)
+        fixture.store.write(
+            "servers", "large-" + std::to_string(number), { { "note", std::string(kObjectBytes, 'a') } });
+    fixture.run(fixture.client.watchKind(ObjectKind::Endpoint, before, kShortWait));
+    CHECK(fixture.fault == PlatformFault::HistoryGone);
+    fixture.store.maxPageItems = 1;
+    fixture.run(fixture.client.listAll(ObjectKind::Endpoint, false));
+    CHECK_FALSE(fixture.fault);
+    CHECK(fixture.batch.changes.size() == 10);
+}
+
+TEST_CASE("A list keeps what hosts read of the objects of each kind", "[platform][odd]")
+{
+    TransportFixture fixture;
+    const auto read = [&fixture](ObjectKind kind, const std::string& name, nlohmann::json spec) {
+        spec["models"] = nlohmann::json::array({ nlohmann::json::object() });
+        fixture.store.write(name, "one", spec);
+        fixture.run(fixture.client.listAll(kind, false));
+        REQUIRE_FALSE(fixture.fault);
+        return fixture.batch.changes.back().value;
+    };
+    const nlohmann::json endpoint { { "service", "s1" }, { "version", "v1" }, { "address", "10.0.0.1:80" },
+        { "zone", "nabeul" }, { "slots", 4 }, { "state", "ready" }, { "cold_remaining_ms", 5 }, { "born", 7 } };
+    CHECK(read(ObjectKind::Endpoint, "servers", endpoint) == endpoint);
+    const nlohmann::json host { { "domain", "nabeul" }, { "address", "10.0.0.2" }, { "port", 7000 } };
+    CHECK(read(ObjectKind::Host, "berylwing-hosts", host) == host);
+    const nlohmann::json versions { { "versions", { "v1", "v2" } } };
+    CHECK(read(ObjectKind::ServiceVersions, "berylwing-versions", versions) == versions);
+    const auto order
+        = read(ObjectKind::Rollout, "rollouts", { { "service", "s1" }, { "to", "v2" }, { "duration_s", 14 } });
+    CHECK(order.at("service") == "s1");
+    CHECK(order.at("version") == "v2");
+    CHECK(order.at("duration_ms") == 14'000);
+    CHECK(read(ObjectKind::FailureDomain, "evacuations", {}) == nlohmann::json::object());
+}
+
+// Guards against a configuration that was never given under the name that the pages name.
+TEST_CASE("A host follows no plan but the object with the name of the plan", "[platform][odd]")
+{
+    TransportFixture fixture;
+    fixture.store.write("config", "main", { { "version", 7 } });
+    fixture.store.write("config", "main-copy", { { "version", 9 } });
+    fixture.run(fixture.client.listAll(ObjectKind::RoutingPlan, false));
+    REQUIRE(fixture.batch.changes.size() == 2);
+    CHECK(fixture.batch.changes[0].value == nlohmann::json { { "version", 7 } });
+    CHECK(fixture.batch.changes[1].value.is_discarded());
+}
+
 // Guards against a list that is taken for complete although the store has more objects.
 TEST_CASE("A list fails if a page names no object after which it goes on", "[platform][odd]")
 {
--- a/test/platform/uncontrolled_callers_test.cpp
+++ b/test/platform/uncontrolled_callers_test.cpp
@@ -3,13 +3,13 @@
 // load, and in release builds only, as sanitizers multiply the memory of a process.
 #include "platform/daemon_harness.hpp"
 #include "platform/names.hpp"
+#include "platform/process_memory.hpp"
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <list>
 #include <sstream>
@@ -142,7 +142,7 @@
     {
         CHECK_FALSE(this->harness.process->pollExit());
         CHECK(this->isServed("ordinary"));
-        const auto peak = this->peakMegabytes();
+        const auto peak = peakMegabytes(this->harness.process->id());
         std::cout << "peak " << peak << " MB, " << this->peakDescriptors << " descriptors\n";
         CHECK(peak <= kMemoryMegabytes);
         CHECK(this->peakDescriptors <= kDescriptors);
@@ -180,18 +180,6 @@
 
     [[nodiscard]] std::string folder() const { return "/proc/" + std::to_string(this->harness.process->id()); }
 
-    /** Returns the largest resident memory of the host so far. */
-    [[nodiscard]] std::size_t peakMegabytes() const
-    {
-        std::ifstream status { this->folder() + "/status" };
-        std::string word;
-        std::size_t kilobytes = 0;
-        while (status >> word && word != "VmHWM:") { }
-        status >> kilobytes;
-        REQUIRE(kilobytes > 0);
-        return kilobytes / kKilobyte;
-    }
-
     DaemonHarness harness { nlohmann::json { { "memory_mb", kMemoryMegabytes }, { "max_fds", kDescriptors } } };
     std::list<Tcp::socket> sockets;
     int ended = 0;
