--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "berylwing/gateway/compression.hpp"
 #include "berylwing/gateway/gateway_rollouts.hpp"
+#include "berylwing/gateway/version_exchange.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <algorithm>
 #include <limits>
@@ -285,6 +286,8 @@
     if (message.has_summary() && message.summary().host() == sender.name)
         this->handleSummary(message.summary());
     this->dependencies.streams.receive(sender, message);
+    if (this->dependencies.versions != nullptr)
+        this->dependencies.versions->receive(sender, message);
     if (this->dependencies.rollouts != nullptr)
         this->dependencies.rollouts->receive(message);
 }
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -24,6 +24,7 @@
 
 class GatewayRollouts;
 class Metrics;
+class VersionExchange;
 
 /** @brief Components of a host that the exchange with other hosts depends on. */
 struct FleetExchangeDependencies {
@@ -54,6 +55,8 @@
     DecisionLog& log;
     /** Roll-outs; a null pointer if the deployment has none. */
     GatewayRollouts* rollouts = nullptr;
+    /** Questions about the versions of services; a null pointer if this host neither asks nor answers. */
+    VersionExchange* versions = nullptr;
 };
 
 /**
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -32,6 +32,7 @@
 class StreamKeepers;
 class StreamVersionIndex;
 class UnseenRequests;
+class VersionExchange;
 struct CrashSuspect;
 struct EndpointNote;
 struct EndpointRecord;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -110,6 +110,9 @@
     , hostFeed { hostClock, this->client, ObjectKind::Host,
         { kHostWatchTimeout, kHostBatchDelay, false, kHostBatchDelay }, this->makeHostHooks(), this->storeEra,
         this->log }
+    , versionExchange { hostClock, this->roster,
+        [this](const HostEntry& host, const wire::FleetMessage& message) { this->exchange.send(host, message); },
+        [this](std::uint32_t service) { return this->serviceVersions.tellVersion(service); } }
     , serviceVersions { hostClock, this->directory, this->client, this->makeVersionHooks(), this->log }
     , rollouts { this->makeRollouts() }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
@@ -145,7 +148,7 @@
         this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streamVersions,
         this->demandExchange, this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
         [this] { return this->registration.isWanted(); }, this->feeds(), std::move(sendToHost), this->hostMetrics,
-        this->log, this->rollouts.get() };
+        this->log, this->rollouts.get(), &this->versionExchange };
 }
 
 void Gateway::start()
@@ -309,6 +312,7 @@
     hooks.isCurrent = [this] { return this->isEndpointListCurrent(); };
     // Hosts that start together would all write before they hear each other.
     hooks.isWriter = [this] { return this->fleet.isWatcher() && !this->isWatcherAwaited(); };
+    hooks.askHosts = [this](std::string service) { return this->versionExchange.ask(std::move(service)); };
     hooks.isListedEra = [this](std::uint64_t era) {
         this->storeEra.observe(era, {});
         return this->endpointFeed.isCurrent() && era == this->endpointFeed.listedEra();
@@ -471,8 +475,7 @@
         this->prober.startDueProbes();
         this->fleet.dropExpired();
         this->holders.removeExpired();
-        // A host that may have missed a version relies on what it is told of the streams of others.
-        this->streamVersions.report(this->serviceVersions.isAnyMixed() || !this->isEndpointListCurrent());
+        this->streamVersions.report(this->serviceVersions.isReportRequired());
         this->streamVersions.removeExpired();
         this->crashes.update();
         this->admission.update();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -29,6 +29,7 @@
 #include "berylwing/gateway/store_era.hpp"
 #include "berylwing/gateway/store_feed.hpp"
 #include "berylwing/gateway/stream_version_index.hpp"
+#include "berylwing/gateway/version_exchange.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
@@ -238,6 +239,7 @@
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
     StoreFeed hostFeed;
+    VersionExchange versionExchange;
     ServiceVersions serviceVersions;
     /** Null pointer if the deployment has no roll-outs. */
     std::unique_ptr<GatewayRollouts> rollouts;
--- a/src/berylwing/gateway/service_versions.cpp
+++ b/src/berylwing/gateway/service_versions.cpp
@@ -1,5 +1,6 @@
 #include "berylwing/gateway/service_versions.hpp"
 
+#include "berylwing/gateway/version_exchange.hpp"
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -14,6 +15,10 @@
 constexpr Duration kMaxUpdateGap { 1000 };
 /** Delay after a failed list, in which take-ups are refused without a call. */
 constexpr Duration kListRetryDelay { 500 };
+/** Delay after other hosts did not know a version, in which take-ups do not ask them again. */
+constexpr Duration kMinAskDelay { 500 };
+/** Longest delay while no other host knows it either, as after a start of the whole fleet. */
+constexpr Duration kMaxAskDelay { 4000 };
 constexpr Duration kMinSyncRetryDelay { 500 };
 /** Longest delay after failed writes; an outage of the store is priced by the call. */
 constexpr Duration kMaxSyncRetryDelay { 4000 };
@@ -34,6 +39,7 @@
     , hooks { std::move(versionHooks) }
     , log { decisionLog }
     , listEnded { hostClock }
+    , askingEnded { hostClock }
     , syncRetryDelay { kMinSyncRetryDelay }
 {
 }
@@ -51,6 +57,7 @@
     for (auto& [service, history] : this->histories)
         this->updateHistory(service, history);
     this->dropIdle();
+    this->askHostsIfDue();
     const bool isDue = std::any_of(this->histories.begin(), this->histories.end(),
         [this](const auto& entry) { return this->isSyncDue(entry.second); });
     if (this->isSyncing || !isDue || now < this->nextSyncAt)
@@ -131,6 +138,60 @@
     return this->currentSince && this->clock.now() >= this->watchedSince(history) + history.lifetime;
 }
 
+bool ServiceVersions::hasOneVersion(const History& history)
+{
+    // Endpoints that tell no version can differ.
+    return history.lastSeen.size() == 1 && !history.lastSeen.begin()->first.empty();
+}
+
+bool ServiceVersions::isOnlyVersion(std::string_view service, const History& history) const
+{
+    if (!hasOneVersion(history))
+        return false;
+    if (this->hasWatchedLongEnough(history))
+        return true;
+    const auto& told = history.told;
+    // What began after the answers this host has seen itself.
+    return told && told->askedAt >= this->watchedSince(history)
+        && told->hash == hashVersion(service, history.lastSeen.begin()->first);
+}
+
+void ServiceVersions::askHostsIfDue()
+{
+    if (!this->isWatching() || !this->hooks.askHosts)
+        return;
+    for (auto& [service, history] : this->histories) {
+        const bool isKnown = !hasOneVersion(history) || this->isOnlyVersion(service, history);
+        if (isKnown)
+            history.askDelay = {};
+        else if (!history.isAsking && this->clock.now() >= history.nextAskAt)
+            this->startAsking(service, history);
+    }
+}
+
+void ServiceVersions::startAsking(const std::string& service, History& history)
+{
+    history.isAsking = true;
+    spawn(this->clock.executor(), "version question", this->askHosts(service));
+}
+
+Task<void> ServiceVersions::askHosts(std::string service)
+{
+    const auto askedAt = this->clock.now();
+    const auto version = co_await this->hooks.askHosts(service);
+    const auto found = this->histories.find(service);
+    if (found != this->histories.end()) {
+        auto& history = found->second;
+        history.isAsking = false;
+        history.told = version ? std::optional { ToldVersion { *version, askedAt } } : std::nullopt;
+        history.askDelay = std::clamp(2 * history.askDelay, kMinAskDelay, kMaxAskDelay);
+        history.canAskAt = this->clock.now() + kMinAskDelay;
+        history.nextAskAt = this->clock.now() + history.askDelay;
+        this->logAnswer(service, version);
+    }
+    this->askingEnded.notifyAll();
+}
+
 bool ServiceVersions::isSyncDue(const History& history) const
 {
     const auto& stored = history.stored;
@@ -274,21 +335,54 @@
         this->histories.begin(), this->histories.end(), [](const auto& entry) { return entry.second.isMixed; });
 }
 
+bool ServiceVersions::isReportRequired() const
+{
+    if (!this->isWatching())
+        return true;
+    return std::any_of(this->histories.begin(), this->histories.end(), [this](const auto& entry) {
+        const auto& [service, history] = entry;
+        return history.isMixed || (hasOneVersion(history) && !this->isOnlyVersion(service, history));
+    });
+}
+
+std::optional<std::uint32_t> ServiceVersions::tellVersion(std::uint32_t service)
+{
+    if (!this->isWatching())
+        return std::nullopt;
+    this->recordListed();
+    const auto found = std::find_if(this->histories.begin(), this->histories.end(),
+        [service](const auto& entry) { return VersionExchange::hashService(entry.first) == service; });
+    if (found == this->histories.end())
+        return std::nullopt;
+    const auto& [name, history] = *found;
+    if (history.lastSeen.size() > 1)
+        return VersionExchange::kSeveralVersions;
+    if (!this->isOnlyVersion(name, history))
+        return std::nullopt;
+    return hashVersion(name, history.lastSeen.begin()->first);
+}
+
 Task<std::optional<std::uint32_t>> ServiceVersions::findOnlyVersion(std::string service)
 {
     while (this->isWatching()) {
         this->recordListed();
         const auto found = this->histories.find(service);
-        if (found == this->histories.end() || found->second.lastSeen.size() != 1)
+        if (found == this->histories.end() || !hasOneVersion(found->second))
             co_return std::nullopt;
-        const auto& history = found->second;
+        auto& history = found->second;
         const auto& version = history.lastSeen.begin()->first;
-        // Endpoints that tell no version can differ.
-        if (version.empty())
-            co_return std::nullopt;
-        if (this->hasWatchedLongEnough(history))
+        if (this->isOnlyVersion(service, history))
             co_return hashVersion(service, version);
         const auto now = this->clock.now();
+        if (this->hooks.askHosts && (history.isAsking || now >= history.canAskAt)) {
+            if (!history.isAsking)
+                this->startAsking(service, history);
+            co_await this->askingEnded.waitUntil(TimePoint::max());
+            continue;
+        }
+        // Other hosts know of another version whose streams can be open.
+        if (history.told && history.told->askedAt >= this->watchedSince(history))
+            co_return std::nullopt;
         if (now < this->completeFrom)
             co_return std::nullopt;
         if (this->listing && this->listing->sentAt >= this->watchedSince(history))
@@ -366,6 +460,15 @@
     this->log.write(line.add("service", service).add("versions", names));
 }
 
+void ServiceVersions::logAnswer(std::string_view service, std::optional<std::uint32_t> version)
+{
+    std::string_view answer = "unknown";
+    if (version)
+        answer = *version == VersionExchange::kSeveralVersions ? "several" : "only";
+    LogLine line { LogEvent::VersionAsked };
+    this->log.write(line.add("service", service).add("answer", answer));
+}
+
 void ServiceVersions::logFailure(PlatformOperation operation, std::string_view service, std::string_view error)
 {
     LogLine line { LogEvent::VersionHistoryFailed };
--- a/src/berylwing/gateway/service_versions.hpp
+++ b/src/berylwing/gateway/service_versions.hpp
@@ -23,6 +23,8 @@
     std::function<bool()> isCurrent;
     /** Checks if this host writes to the store for its group. */
     std::function<bool()> isWriter;
+    /** Asks other hosts for the hash of a service's only version; returns as VersionExchange::ask(). */
+    std::function<Task<std::optional<std::uint32_t>>(std::string service)> askHosts;
     /** Checks if the endpoints are known from the era of the store that an answer names. */
     std::function<bool(std::uint64_t era)> isListedEra = [](std::uint64_t) { return true; };
 };
@@ -31,8 +33,9 @@
  * @brief Software versions whose endpoints can have begun the streams of a service that are still open.
  *
  * If there is only one, any stream may go on, whoever began it. Hosts see the entries of endpoints come and go; what
- * was in service before a host started stands in the platform's store, written by hosts that have watched the service
- * for so long that they know all of it, or that see several versions.
+ * was in service before a host started is known to hosts that have watched the service meanwhile, and stands in the
+ * platform's store, written by hosts that have watched the service for so long that they know all of it, or that see
+ * several versions.
  */
 class ServiceVersions {
     using Versions = std::set<std::string, std::less<>>;
@@ -46,6 +49,14 @@
         TimePoint knownAt {};
     };
 
+    /** Answer of other hosts about a service. */
+    struct ToldVersion {
+        /** Hash of the only version, or VersionExchange::kSeveralVersions. */
+        std::uint32_t hash = 0;
+        /** Time at which they were asked. */
+        TimePoint askedAt {};
+    };
+
     struct History {
         /** Last time at which an endpoint of the version had an entry. */
         std::map<std::string, TimePoint, std::less<>> lastSeen;
@@ -62,6 +73,14 @@
         bool mayBeStored = false;
         /** Object in the store; nothing if this host does not know. */
         std::optional<StoredHistory> stored;
+        /** Last answer of other hosts; nothing if none of them knew the version. */
+        std::optional<ToldVersion> told;
+        bool isAsking = false;
+        /** Time from which a caller's return asks other hosts again. */
+        TimePoint canAskAt {};
+        /** Time at which this host asks others again without a caller's return. */
+        TimePoint nextAskAt {};
+        Duration askDelay {};
     };
 
     using Histories = std::map<std::string, History, std::less<>>;
@@ -78,6 +97,14 @@
     [[nodiscard]] TimePoint watchedSince(const History& history) const;
     /** Checks if this host itself knows all versions whose streams can be open. */
     [[nodiscard]] bool hasWatchedLongEnough(const History& history) const;
+    /** Checks if no stream of another version than the one in service can be open; requires that it is watching. */
+    [[nodiscard]] bool isOnlyVersion(std::string_view service, const History& history) const;
+    /** Checks if a service has one version in service that its endpoints tell. */
+    [[nodiscard]] static bool hasOneVersion(const History& history);
+    void askHostsIfDue();
+    [[nodiscard]] Task<void> askHosts(std::string service);
+    void startAsking(const std::string& service, History& history);
+    void logAnswer(std::string_view service, std::optional<std::uint32_t> version);
     void recordListed();
     void updateHistory(std::string_view service, History& history);
     void dropIdle();
@@ -123,6 +150,20 @@
     /** @brief Checks if any service had several versions of late. @return True while streams of either can be open. */
     [[nodiscard]] bool isAnyMixed() const;
 
+    /**
+     * @brief Checks if other hosts have to be told of the streams that this host begins.
+     * @return True while this host cannot tell the only version of a service; others may not know it either.
+     */
+    [[nodiscard]] bool isReportRequired() const;
+
+    /**
+     * @brief Returns what this host tells others of the version of a service.
+     * @param service Hash of the service, as VersionExchange::hashService().
+     * @return Hash of the only version whose streams can be open, VersionExchange::kSeveralVersions, or nothing if this
+     * host cannot know.
+     */
+    [[nodiscard]] std::optional<std::uint32_t> tellVersion(std::uint32_t service);
+
     /**
      * @brief Finds the version that must have begun each stream of a service that is still open.
      * @param service Service.
@@ -143,6 +184,7 @@
     std::optional<TimePoint> currentSince;
     std::optional<Listing> listing;
     Event listEnded;
+    Event askingEnded;
     bool isListing = false;
     TimePoint nextListAt {};
     bool isSyncing = false;
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -52,6 +52,7 @@
     StreamTakenUp,
     VersionsMixed,
     VersionsSettled,
+    VersionAsked,
     VersionHistoryFailed,
     RolloutOrdered,
     RolloutShareChanged,
@@ -66,7 +67,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 52> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 53> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -108,6 +109,7 @@
     "stream_taken_up",
     "versions_mixed",
     "versions_settled",
+    "version_asked",
     "version_history_failed",
     "rollout_ordered",
     "rollout_share_changed",
--- a/test/support/versions_fixture.hpp
+++ b/test/support/versions_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "berylwing/gateway/service_versions.hpp"
+#include "berylwing/gateway/version_exchange.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include "support/fake_platform.hpp"
 #include "support/gateway_harness.hpp"
@@ -33,7 +34,7 @@
                 "" }
             , directory { fixture.clock, this->log }
             , client { this->counting(fixture.platform.createTransport(hostName, fixture.clock)), this->metrics }
-            , versions { fixture.clock, this->directory, this->client, this->hooks(), this->log }
+            , versions { fixture.clock, this->directory, this->client, this->hooks(fixture), this->log }
         {
         }
 
@@ -45,7 +46,7 @@
             };
         }
 
-        ServiceVersionsHooks hooks()
+        ServiceVersionsHooks hooks(VersionsFixture& fixture)
         {
             ServiceVersionsHooks result;
             result.streamLifetime
@@ -53,6 +54,8 @@
             result.isCurrent = [this] { return this->isCurrent; };
             result.isWriter = [this] { return this->isWriter; };
             result.isListedEra = [this](std::uint64_t era) { return era == this->listedEra; };
+            if (fixture.isAskingOthers)
+                result.askHosts = [this, &fixture](std::string service) { return fixture.askOthers(*this, service); };
             return result;
         }
 
@@ -91,6 +94,8 @@
         bool isWriter = false;
         bool isSuspended = false;
         std::uint64_t listedEra = 1;
+        /** Number of times that the host has asked the others. */
+        int questions = 0;
         PlatformClient client;
         ServiceVersions versions;
     };
@@ -136,6 +141,22 @@
         this->context.poll();
     }
 
+    /** Returns what the other hosts tell of a service, after a short time. */
+    Task<std::optional<std::uint32_t>> askOthers(Host& asking, std::string service)
+    {
+        ++asking.questions;
+        co_await this->clock.sleepFor(kStep);
+        std::optional<std::uint32_t> told;
+        for (auto& host : this->hosts) {
+            const bool isAsked = &host != &asking && !host.isSuspended;
+            const auto version
+                = isAsked ? host.versions.tellVersion(VersionExchange::hashService(service)) : std::nullopt;
+            if (version)
+                told = told.value_or(*version) == *version ? *version : VersionExchange::kSeveralVersions;
+        }
+        co_return told;
+    }
+
     static Task<void> answer(Host& host, std::string service, std::shared_ptr<Question> question)
     {
         question->answer = co_await host.versions.findOnlyVersion(std::move(service));
@@ -168,6 +189,8 @@
         return nlohmann::json::parse(body).at("versions").get<std::set<std::string>>();
     }
 
+    /** Whether hosts that are added ask the others for versions. */
+    bool isAskingOthers = false;
     RuntimeContext context;
     TimePoint time { Duration { 1'000'000 } };
     Clock clock { this->context.get_executor(), [this] { return this->time; } };
