Ask the keepers of a stream before relying on the only version in sight (ORDER)

What callers see: during a release a host misses a new version, being cut off from the others, standing still, or because its watch of the endpoints gets no answer. Streams that the version began through other hosts are taken up there and go on at an endpoint of another version.

Cause: a host judged by its own list of endpoints how complete that list is. Up to 6.1 s old, it counted as current while the plan was confirmed, and the only version in it for the only one there is; the keepers, which knew better, were not asked.

Change: the keepers of a stream are asked before the only version counts, for 60 ms at most. If none answers, other hosts have to confirm the version, or the store. A host that knows no endpoint of a stream's version fetches the changes of the endpoints first, on a connection of its own (StoreFeed::refresh), so that the stream goes on instead of being refused.

Evidence: the new case of a host that has missed a version failed in its three sections with the order of before, and passes; streams go on while both keepers are down.

--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -54,6 +54,8 @@
     AnnouncedStops& announcedStops;
     StreamVersionIndex& streamVersions;
     ServiceVersions& serviceVersions;
+    /** Brings the list of endpoints up to date; returns false if the store does not answer. */
+    std::function<Task<bool>()> refreshEndpoints;
     SessionFactory openSession;
     /** Reports an endpoint that stopped responding. */
     std::function<void(GatewayEndpoint&)> reportSilence;
@@ -65,6 +67,12 @@
 
 /** @brief Forwards callers' requests to endpoints, relays the responses and retries failed attempts. */
 class Forwarder {
+    /** Version that began a stream, and how this host knows it. */
+    struct StreamOrigin {
+        std::optional<std::uint32_t> version;
+        std::string_view source;
+    };
+
     /** Result of one attempt to have an endpoint answer the request. */
     enum class AttemptResult {
         /** The response was relayed completely. */
@@ -83,6 +91,10 @@
     [[nodiscard]] std::optional<NotRun> prepare(RequestContext& context) const;
     /** Chooses the service of a request, and tells if the request resumes a stream and which one. */
     static void chooseService(RequestContext& context);
+    /** Finds the software version that began a stream of which this host has no record. */
+    [[nodiscard]] Task<StreamOrigin> findVersion(const RequestContext& context);
+    /** Checks if this host knows an endpoint of a version, available or not. */
+    [[nodiscard]] bool hasEndpointOf(std::string_view service, std::uint32_t version) const;
     /** Finds the software version at which a resumed stream has to go on. @return Refusal if it is not known. */
     [[nodiscard]] Task<std::optional<NotRun>> resolveVersion(RequestContext& context);
     /** Returns why no endpoint can be chosen, apart from the reason of the last attempt. */
--- a/src/berylwing/gateway/forwarder_versions.cpp
+++ b/src/berylwing/gateway/forwarder_versions.cpp
@@ -34,16 +34,14 @@
     std::string_view source = "own_record";
     auto found = this->dependencies.streamVersions.find(context.stream);
     if (!found) {
-        source = "only_version";
-        const auto only = co_await this->dependencies.serviceVersions.findOnlyVersion(context.service);
-        found = only;
-    }
-    if (!found && context.stream != kUnknownStream) {
-        source = "other_host";
-        const auto reported = co_await this->dependencies.streamVersions.lookUp(context.stream);
-        found = reported;
+        const auto origin = co_await this->findVersion(context);
+        found = origin.version;
+        source = origin.source;
     }
     const bool isKnown = found && *found != kUnknownVersion;
+    // The version may have come after what this host has seen of the endpoints last.
+    if (isKnown && !this->hasEndpointOf(context.service, *found))
+        co_await this->dependencies.refreshEndpoints();
     const auto& metadata = context.request.metadata;
     LogLine line { LogEvent::StreamTakenUp };
     line.add("resumes", metadata.resumedAttemptId).add("after_event", metadata.lastEventId);
@@ -55,6 +53,37 @@
     co_return std::nullopt;
 }
 
+Task<Forwarder::StreamOrigin> Forwarder::findVersion(const RequestContext& context)
+{
+    auto& versions = this->dependencies.serviceVersions;
+    StreamOrigin origin { std::nullopt, "only_version" };
+    if (context.stream == kUnknownStream) {
+        const auto only = co_await versions.findOnlyVersion(context.service);
+        origin.version = only;
+        co_return origin;
+    }
+    // A version may have come that this host has not seen yet, and begun the stream elsewhere: the keepers know of it.
+    const auto patience = versions.isOnlyVersionKnown(context.service) ? kKeeperAnswerTimeout : kLookUpTimeout;
+    const auto answer = co_await this->dependencies.streamVersions.lookUp(context.stream, patience);
+    if (answer.version) {
+        origin = { answer.version, "other_host" };
+        co_return origin;
+    }
+    auto search
+        = answer.isHeard ? versions.findOnlyVersion(context.service) : versions.confirmOnlyVersion(context.service);
+    const auto only = co_await std::move(search);
+    origin.version = only;
+    co_return origin;
+}
+
+bool Forwarder::hasEndpointOf(std::string_view service, std::uint32_t version) const
+{
+    const auto& all = this->dependencies.directory.all();
+    return std::any_of(all.begin(), all.end(), [service, version](const auto& entry) {
+        return entry.second->record.service == service && entry.second->versionHash == version;
+    });
+}
+
 std::optional<Refusal> Forwarder::findShortage(const RequestContext& context) const
 {
     if (!context.version)
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -37,6 +37,9 @@
 constexpr Duration kFetchDelay { 500 };
 /** Time between two calls of a host without access to the store while the watcher of its group also retries. */
 constexpr Duration kProbedRetryInterval { 3000 };
+/** Time between two calls to the store for streams whose version has no endpoint: the endpoints may be gone for good.
+ */
+constexpr Duration kMinRefreshInterval { 300 };
 constexpr Duration kMaintenanceInterval { 100 };
 /** Time after which a host that has listed the others has heard each of them. */
 constexpr Duration kFirstDigestsTimeout { 300 };
@@ -128,11 +131,19 @@
     return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
         this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
         this->unseenRequests, this->costs, this->admission, this->rateLimits, this->announcedStops,
-        this->streamVersions, this->serviceVersions, std::move(open),
+        this->streamVersions, this->serviceVersions, [this] { return this->refreshEndpoints(); }, std::move(open),
         [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log,
         this->rollouts.get() };
 }
 
+Task<bool> Gateway::refreshEndpoints()
+{
+    if (this->clock.now() < this->endpointFeed.confirmationTime() + kMinRefreshInterval)
+        co_return true;
+    const bool isRefreshed = co_await this->endpointFeed.refresh();
+    co_return isRefreshed;
+}
+
 std::shared_ptr<const RoutingPlan> Gateway::usablePlan() const
 {
     // A host that knows of no others would take the whole retry budget and cold rate of the fleet for its own share.
@@ -313,6 +324,7 @@
     // Hosts that start together would all write before they hear each other.
     hooks.isWriter = [this] { return this->fleet.isWatcher() && !this->isWatcherAwaited(); };
     hooks.askHosts = [this](std::string service) { return this->versionExchange.ask(std::move(service)); };
+    hooks.refreshEndpoints = [this] { return this->endpointFeed.refresh(); };
     hooks.isListedEra = [this](std::uint64_t era) {
         this->storeEra.observe(era, {});
         return this->endpointFeed.isCurrent() && era == this->endpointFeed.listedEra();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -95,6 +95,8 @@
     [[nodiscard]] FleetExchangeDependencies makeExchangeDependencies(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open);
+    /** Brings the list of endpoints up to date unless it was confirmed a moment ago. */
+    [[nodiscard]] Task<bool> refreshEndpoints();
     [[nodiscard]] AdmissionHooks makeAdmissionHooks();
     /** Adds up what the endpoints of a service can do that may get requests. */
     [[nodiscard]] ServiceCapacity capacityOf(std::string_view service) const;
--- a/src/berylwing/gateway/service_versions.cpp
+++ b/src/berylwing/gateway/service_versions.cpp
@@ -396,6 +396,33 @@
     co_return std::nullopt;
 }
 
+bool ServiceVersions::isOnlyVersionKnown(std::string_view service) const
+{
+    const auto found = this->histories.find(service);
+    return this->isWatching() && found != this->histories.end() && this->isOnlyVersion(service, found->second);
+}
+
+Task<std::optional<std::uint32_t>> ServiceVersions::confirmOnlyVersion(std::string service)
+{
+    const auto only = co_await this->findOnlyVersion(service);
+    if (!only)
+        co_return std::nullopt;
+    std::optional<std::uint32_t> told;
+    if (this->hooks.askHosts) {
+        const auto answer = co_await this->hooks.askHosts(service);
+        told = answer;
+    }
+    if (told) {
+        const auto confirmed = *told == *only ? only : std::nullopt;
+        co_return confirmed;
+    }
+    const bool isRefreshed = co_await this->hooks.refreshEndpoints();
+    if (!isRefreshed)
+        co_return std::nullopt;
+    const auto current = co_await this->findOnlyVersion(service);
+    co_return current;
+}
+
 std::optional<std::uint32_t> ServiceVersions::findOnlyListed(std::string_view service, std::string_view version) const
 {
     // Without an object nobody has watched the service for long enough to know what was in it.
--- a/src/berylwing/gateway/service_versions.hpp
+++ b/src/berylwing/gateway/service_versions.hpp
@@ -25,6 +25,8 @@
     std::function<bool()> isWriter;
     /** Asks other hosts for the hash of a service's only version; returns as VersionExchange::ask(). */
     std::function<Task<std::optional<std::uint32_t>>(std::string service)> askHosts;
+    /** Brings the list of endpoints up to date; returns false if the store does not answer. */
+    std::function<Task<bool>()> refreshEndpoints;
     /** Checks if the endpoints are known from the era of the store that an answer names. */
     std::function<bool(std::uint64_t era)> isListedEra = [](std::uint64_t) { return true; };
 };
@@ -172,6 +174,21 @@
      */
     [[nodiscard]] Task<std::optional<std::uint32_t>> findOnlyVersion(std::string service);
 
+    /**
+     * @brief Finds the version that must have begun each open stream, for a host that hears no keeper and so may be out
+     * of step: it asks other hosts, and the store if none of them knows.
+     * @param service Service.
+     * @return As findOnlyVersion().
+     */
+    [[nodiscard]] Task<std::optional<std::uint32_t>> confirmOnlyVersion(std::string service);
+
+    /**
+     * @brief Checks if findOnlyVersion() needs no call.
+     * @param service Service.
+     * @return True if this host itself knows the only version.
+     */
+    [[nodiscard]] bool isOnlyVersionKnown(std::string_view service) const;
+
 private:
     Clock& clock;
     const EndpointDirectory& directory;
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -32,6 +32,9 @@
 /** Time for which news report an outage; longer than the grace period of entries that expired during it. */
 constexpr Duration kOutageTtl { 4000 };
 
+/** Time after a failed refresh in which callers do not wait for another one. */
+constexpr Duration kRefreshRetryDelay { 500 };
+
 /** Text of a document that could not be read; other hosts cannot read it either. */
 constexpr std::string_view kUnreadableDocument = "unreadable";
 
@@ -56,6 +59,7 @@
     , random { static_cast<unsigned>(hostClock.now().time_since_epoch().count()) }
     , newsArrived { hostClock }
     , watchEnded { hostClock }
+    , refreshEnded { hostClock }
 {
 }
 
@@ -151,13 +155,7 @@
     const auto batch = co_await this->watchUntilRestored(length);
     if (!batch)
         co_return false;
-    // News may have brought later changes meanwhile.
-    if (batch->through >= this->revision) {
-        for (const auto& change : batch->changes)
-            this->applyChange(change, batch->through);
-        this->revision = batch->through;
-    }
-    this->missingSince.reset();
+    this->applyBatch(*batch);
     const bool hasChanges = !batch->changes.empty();
     // The store responds to a watch without changes only at the end of its wait, so the response covers that time.
     const auto when = hasChanges ? sentAt : std::min(sentAt + length, this->clock.now());
@@ -170,6 +168,56 @@
     co_return true;
 }
 
+void StoreFeed::applyBatch(const WatchBatch& batch)
+{
+    if (batch.through >= this->revision) {
+        for (const auto& change : batch.changes)
+            this->applyChange(change, batch.through);
+        this->revision = batch.through;
+    }
+    this->missingSince.reset();
+}
+
+Task<bool> StoreFeed::refresh()
+{
+    const auto calledAt = this->clock.now();
+    // A call that is on its way may have been answered before.
+    while (this->isRefreshing)
+        co_await this->refreshEnded.waitUntil(TimePoint::max());
+    const bool isRequired = this->refreshedUntil < calledAt && this->clock.now() >= this->nextRefreshAt;
+    if (isRequired && this->isCurrent()) {
+        this->isRefreshing = true;
+        spawn(this->clock.executor(), "store refresh", this->completeRefresh());
+        while (this->isRefreshing)
+            co_await this->refreshEnded.waitUntil(TimePoint::max());
+    }
+    co_return this->refreshedUntil >= calledAt;
+}
+
+Task<void> StoreFeed::completeRefresh()
+{
+    const auto sentAt = this->clock.now();
+    try {
+        this->logCall(PlatformOperation::WatchKind, PlatformCallReason::Refresh);
+        const auto batch
+            = co_await this->client.watchKind(this->kind, this->revision, kProbeTimeout, PlatformCallReason::Refresh);
+        this->era.observe(batch.era, {});
+        if (this->isCurrent() && batch.era == this->listEra) {
+            this->applyBatch(batch);
+            this->confirmedAt = std::max(this->confirmedAt, sentAt);
+            this->hooks.confirm(sentAt);
+            this->refreshedUntil = sentAt;
+        }
+    } catch (const PlatformError& error) {
+        this->era.observe(error.era(), {});
+        LogLine line { LogEvent::RefreshFailed };
+        this->log.write(line.add("kind", kObjectKindNames[this->kind]).add("error", error.what()));
+        this->nextRefreshAt = this->clock.now() + kRefreshRetryDelay;
+    }
+    this->isRefreshing = false;
+    this->refreshEnded.notifyAll();
+}
+
 Task<void> StoreFeed::completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending)
 {
     try {
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -103,6 +103,9 @@
     /** Waits for changes. @return Changes; nothing if the objects have to be listed again meanwhile. */
     [[nodiscard]] Task<std::optional<WatchBatch>> watchUntilRestored(Duration length);
     [[nodiscard]] Task<void> completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending);
+    /** Applies what a watch returned. News may have brought later changes meanwhile. */
+    void applyBatch(const WatchBatch& batch);
+    [[nodiscard]] Task<void> completeRefresh();
     /** Returns an exponential delay with jitter, so that hosts do not retry at the same time. */
     [[nodiscard]] Duration nextRetryDelay();
     /** Checks if news or the probes of other hosts make a call to the store unnecessary for now. */
@@ -152,6 +155,12 @@
     /** @brief Lists the objects again as soon as possible, because the store was restored from a copy. */
     void requireList();
 
+    /**
+     * @brief Fetches the changes of the last moment, beside whatever run() waits for; calls at the same time share one.
+     * @return True if all changes up to the call are applied now.
+     */
+    [[nodiscard]] Task<bool> refresh();
+
     /** @brief Returns the kind of the objects. @return Kind. */
     [[nodiscard]] ObjectKind objectKind() const noexcept { return this->kind; }
 
@@ -197,6 +206,11 @@
     std::minstd_rand random;
     Event newsArrived;
     Event watchEnded;
+    Event refreshEnded;
+    bool isRefreshing = false;
+    /** Time up to which the last call of refresh() that was answered has applied all changes. */
+    TimePoint refreshedUntil {};
+    TimePoint nextRefreshAt {};
     /** Era of the last list, which all revisions here belong to. */
     std::uint64_t listEra = 0;
     std::uint64_t revision = 0;
--- a/src/berylwing/gateway/stream_version_index.cpp
+++ b/src/berylwing/gateway/stream_version_index.cpp
@@ -15,9 +15,6 @@
 constexpr int kMaxMessageStreams = 2000;
 /** Streams of one call of report(): if a second version comes, all open streams are due at once. */
 constexpr int kMaxReportStreams = kMaxMessageStreams;
-constexpr Duration kLookUpTimeout { 200 };
-/** Time after which a query or its answer counts as lost. */
-constexpr Duration kAnswerTimeout { 60 };
 
 } // namespace
 
@@ -72,6 +69,7 @@
     const auto [first, last] = this->questions.equal_range(stream, QuestionOrder {});
     for (auto question = first; question != last; ++question) {
         question->version = question->version.value_or(version) == version ? version : 0;
+        question->isHeard = true;
         question->answered.notifyAll();
     }
 }
@@ -103,10 +101,11 @@
     return record == nullptr ? std::nullopt : std::optional { record->version.hash };
 }
 
-Task<std::optional<std::uint32_t>> StreamVersionIndex::lookUp(std::uint64_t stream)
+Task<StreamAnswer> StreamVersionIndex::lookUp(std::uint64_t stream, Duration timeout)
 {
-    if (const auto known = this->find(stream))
-        co_return known;
+    StreamAnswer answer { this->find(stream), true };
+    if (answer.version)
+        co_return answer;
     Question question { this->clock, stream };
     for (const auto* keeper : this->keepers.find(stream)) {
         if (keeper != nullptr && !keeper->isThisHost)
@@ -115,16 +114,17 @@
     this->questions.insert(question);
     wire::FleetMessage query;
     query.add_stream_queries(stream);
-    const auto deadline = this->clock.now() + kLookUpTimeout;
+    const auto deadline = this->clock.now() + timeout;
     while (question.isOpen() && this->clock.now() < deadline) {
         const auto recipients = question.unanswered;
         for (const auto& recipient : recipients)
             this->send(recipient, query);
-        const auto askAgainAt = std::min(this->clock.now() + kAnswerTimeout, deadline);
+        const auto askAgainAt = std::min(this->clock.now() + kKeeperAnswerTimeout, deadline);
         while (question.isOpen() && this->clock.now() < askAgainAt)
             co_await question.answered.waitUntil(askAgainAt);
     }
-    co_return question.version;
+    answer = { question.version, question.isHeard };
+    co_return answer;
 }
 
 void StreamVersionIndex::applyRosterChange()
@@ -221,7 +221,9 @@
 {
     const auto [first, last] = this->questions.equal_range(stream, QuestionOrder {});
     for (auto question = first; question != last; ++question) {
-        std::erase_if(question->unanswered, [&](const HostEntry& asked) { return asked.name == sender.name; });
+        const auto erased
+            = std::erase_if(question->unanswered, [&](const HostEntry& asked) { return asked.name == sender.name; });
+        question->isHeard = question->isHeard || erased > 0;
         if (!question->isOpen())
             question->answered.notifyAll();
     }
--- a/src/berylwing/gateway/stream_version_index.hpp
+++ b/src/berylwing/gateway/stream_version_index.hpp
@@ -27,6 +27,19 @@
     TimePoint expiresAt {};
 };
 
+/** @brief What the keepers of a stream have told of it. */
+struct StreamAnswer {
+    /** Version that began the stream; nothing if no host that answered in time knows it, zero if it cannot be told. */
+    std::optional<std::uint32_t> version;
+    /** Whether a keeper has answered, also if it does not know the stream. */
+    bool isHeard = false;
+};
+
+/** @brief Time for which a look-up waits for the keepers of a stream; it repeats the question meanwhile. */
+inline constexpr Duration kLookUpTimeout { 200 };
+/** @brief Time after which a question to a keeper, or its answer, counts as lost. */
+inline constexpr Duration kKeeperAnswerTimeout { 60 };
+
 /**
  * @brief Software versions that began the open streams.
  *
@@ -73,6 +86,7 @@
         /** Keepers that have not answered yet. */
         std::vector<HostEntry> unanswered;
         std::optional<std::uint32_t> version;
+        bool isHeard = false;
     };
 
     /** Compares questions with a stream. */
@@ -130,9 +144,10 @@
     /**
      * @brief Finds the version that began a stream, and asks its keepers if this host does not know it.
      * @param stream Stream.
-     * @return Version; nothing if no host that answers in time knows it, zero if it cannot be told.
+     * @param timeout Time for which it waits for keepers that do not answer.
+     * @return Answer; this host's own record counts as one.
      */
-    [[nodiscard]] Task<std::optional<std::uint32_t>> lookUp(std::uint64_t stream);
+    [[nodiscard]] Task<StreamAnswer> lookUp(std::uint64_t stream, Duration timeout = kLookUpTimeout);
 
     /**
      * @brief Reports the recorded streams that are due to their keepers.
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -63,10 +63,12 @@
     NoWatcher,
     /** Repetition of a call that has failed. */
     Retry,
+    /** Short watch because a caller's request depends on changes of the last moment. */
+    Refresh,
 };
 
 /** @brief Names of the reasons in logs and metrics. */
-inline constexpr EnumNames<PlatformCallReason, 12> kPlatformCallReasonNames { {
+inline constexpr EnumNames<PlatformCallReason, 13> kPlatformCallReasonNames { {
     "access",
     "registration",
     "start",
@@ -79,6 +81,7 @@
     "no_news",
     "no_watcher",
     "retry",
+    "refresh",
 } };
 
 /** @brief Request to the object API. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -53,6 +53,7 @@
     VersionsMixed,
     VersionsSettled,
     VersionAsked,
+    RefreshFailed,
     VersionHistoryFailed,
     RolloutOrdered,
     RolloutShareChanged,
@@ -67,7 +68,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 53> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 54> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -110,6 +111,7 @@
     "versions_mixed",
     "versions_settled",
     "version_asked",
+    "refresh_failed",
     "version_history_failed",
     "rollout_ordered",
     "rollout_share_changed",
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -3,6 +3,7 @@
 #include "berylwing/telemetry/metrics.hpp"
 #include "support/fake_platform.hpp"
 #include "support/runtime_context.hpp"
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <stdexcept>
@@ -33,6 +34,7 @@
         {
             return [this, transport = std::move(transport)](const PlatformCall& call) {
                 ++this->calls;
+                this->refreshes += call.reason == PlatformCallReason::Refresh ? 1 : 0;
                 return this->delayAnswer(transport(call));
             };
         }
@@ -86,6 +88,7 @@
         Metrics metrics;
         DecisionLog log;
         int calls = 0;
+        int refreshes = 0;
         bool hasWatcher = false;
         bool isLost = false;
         TimePoint confirmedAt {};
@@ -140,6 +143,45 @@
 
 } // namespace
 
+// Guards against a host that decides by objects that it could have known to be outdated.
+TEST_CASE("StoreFeed fetches the changes of the last moment beside a watch that gets no answer", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    auto& host = fixture.follower;
+    host.hasWatcher = true;
+    fixture.advance(Duration { 3000 }, {});
+    const auto refresh = [&fixture, &host](std::optional<bool>& result) {
+        spawn(
+            fixture.context.get_executor(), "refresh", [](StoreFeed& feed, std::optional<bool>& isDone) -> Task<void> {
+                const bool isRefreshed = co_await feed.refresh();
+                isDone = isRefreshed;
+            }(host.feed, result));
+    };
+    fixture.platform.silentHosts.insert("follower");
+    fixture.advance(Duration { 500 }, {});
+    fixture.platform.silentHosts.clear();
+    fixture.write("engine-2", { { "slots", 2 } });
+    std::array<std::optional<bool>, 3> results;
+    for (auto& result : results)
+        refresh(result);
+    fixture.advance(Duration { 50 }, {});
+    for (const auto& result : results)
+        CHECK(result == true);
+    CHECK(host.refreshes == 1);
+    CHECK(host.objects.contains("engine-2"));
+
+    fixture.platform.failureMode = PlatformFailureMode::Down;
+    std::array<std::optional<bool>, 3> failures;
+    for (auto& result : failures) {
+        refresh(result);
+        fixture.advance(Duration { 50 }, {});
+        CHECK(result == false);
+    }
+    CHECK(host.refreshes == 2);
+}
+
 // Guards against hosts that keep whole documents of another writer because another host relays them.
 TEST_CASE("StoreFeed keeps of a relayed document what its host reads", "[gateway][feed]")
 {
--- a/test/berylwing/gateway/stream_take_up_test.cpp
+++ b/test/berylwing/gateway/stream_take_up_test.cpp
@@ -2,6 +2,7 @@
 // messages and a store.
 #include "berylwing/relay/response_sink.hpp"
 #include "support/gateway_fleet.hpp"
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
@@ -15,6 +16,8 @@
 /** Time for which streams of a version can be open after its last entry is gone. */
 constexpr Duration kLifetime = 2 * kRouteTimeout + Duration { 4000 };
 constexpr Duration kSettleDelay { 500 };
+/** Time in which hosts in touch learn of endpoints, and keepers of streams. */
+constexpr Duration kNewsDelay { 300 };
 constexpr int kEndpoints = 4;
 
 /** Hosts of three domains before endpoints that send one event and then nothing. */
@@ -66,6 +69,16 @@
         return *std::next(this->fleet.hosts.begin(), static_cast<std::ptrdiff_t>(index))->second;
     }
 
+    /** Returns a host that does not watch the store itself. */
+    std::size_t findFollower()
+    {
+        const auto watchers = this->fleet.watchers();
+        std::size_t index = 0;
+        while (std::find(watchers.begin(), watchers.end(), &this->host(index)) != watchers.end())
+            ++index;
+        return index;
+    }
+
     /** Kills a host for good. */
     void kill(std::size_t index)
     {
@@ -73,7 +86,8 @@
         this->host(index).isSuspended = true;
     }
 
-    std::shared_ptr<Attempt> send(std::size_t index, const std::string& attemptId, const std::string& resumed = {})
+    std::shared_ptr<Attempt> send(
+        std::size_t index, const std::string& attemptId, const std::string& resumed = {}, Duration wait = kSettleDelay)
     {
         auto attempt = std::make_shared<Attempt>();
         attempt->request.method = "POST";
@@ -94,7 +108,7 @@
                 sent->outcome = outcome;
             }(this->host(index).gateway.get(), attempt));
         this->attempts.push_back(attempt);
-        this->fleet.advance(kSettleDelay);
+        this->fleet.advance(wait);
         return attempt;
     }
 
@@ -191,6 +205,59 @@
         CHECK(isOfVersion(*hosts.send(other, "again" + std::to_string(other), "one"), version));
 }
 
+// Guards against streams that go on at another version at a host that has missed the one that began them (ORDER).
+TEST_CASE("A host that has missed a new version sends none of its streams to another one", "[gateway][versions]")
+{
+    StreamHosts hosts;
+    hosts.fleet.advance(kLifetime + Duration { 2000 });
+    const auto late = hosts.findFollower();
+    const std::size_t other = late == 0 ? 1 : 0;
+    hosts.host(late).isIsolated = true;
+    hosts.putVersion("v2");
+    hosts.removeVersion("v1");
+    hosts.fleet.advance(kNewsDelay);
+    const auto stream = hosts.send(other, "one", {}, kNewsDelay);
+    REQUIRE(isOfVersion(*stream, "v2"));
+    REQUIRE(hosts.host(late).logText.find("v2-0") == std::string::npos);
+    SECTION("if it hears the others again, before their news")
+    {
+        hosts.host(late).isIsolated = false;
+        const auto attempt = hosts.send(late, "again", "one");
+        CHECK(isOfVersion(*attempt, "v2"));
+    }
+    SECTION("if it hears nobody but the store")
+    {
+        const auto attempt = hosts.send(late, "again", "one");
+        CHECK(attempt->body.empty());
+        REQUIRE(attempt->outcome);
+        CHECK(attempt->outcome->reason == Refusal::StreamVersionUnknown);
+    }
+    SECTION("if it hears nobody at all")
+    {
+        hosts.fleet.platform.unreachableHosts.insert(hosts.host(late).settings.host);
+        const auto attempt = hosts.send(late, "again", "one");
+        CHECK(attempt->body.empty());
+        REQUIRE(attempt->outcome);
+        CHECK(attempt->outcome->reason == Refusal::StreamVersionUnknown);
+    }
+}
+
+// Guards against a check of the version that refuses what can go on.
+TEST_CASE("A stream goes on at the only version although the hosts that keep it are down", "[gateway][versions]")
+{
+    StreamHosts hosts;
+    hosts.fleet.advance(kLifetime + Duration { 2000 });
+    const auto stream = hosts.send(0, "one");
+    REQUIRE(isOfVersion(*stream, "v1"));
+    for (std::size_t index = 0; index < 5; ++index) {
+        if (index != 2)
+            hosts.kill(index);
+    }
+    SECTION("and another host tells") { }
+    SECTION("and the store tells") { hosts.kill(5); }
+    CHECK(isOfVersion(*hosts.send(2, "again", "one"), "v1"));
+}
+
 // Guards against streams that go on at a guess once hosts tell each other which version is left.
 TEST_CASE("A stream that no host knows is refused while streams of two versions can be open", "[gateway][versions]")
 {
--- a/test/support/stream_fleet.hpp
+++ b/test/support/stream_fleet.hpp
@@ -20,7 +20,6 @@
 inline constexpr std::uint64_t kStream = 7;
 inline constexpr Duration kTtl { 30'000 };
 inline constexpr Duration kReportInterval { 100 };
-inline constexpr Duration kLookUpTimeout { 200 };
 inline constexpr Duration kAnswerTimeout { 60 };
 
 inline HostEntry makeEntry(const std::string& domain, int number)
@@ -51,6 +50,7 @@
     struct Answer {
         bool isDone = false;
         std::optional<std::uint32_t> version;
+        bool isHeard = false;
         TimePoint endedAt {};
     };
 
@@ -157,7 +157,9 @@
         auto answer = std::make_shared<Answer>();
         auto run = [](StreamFleet& fleet, StreamVersionIndex& index, std::uint64_t stream,
                        std::shared_ptr<Answer> answer) -> Task<void> {
-            answer->version = co_await index.lookUp(stream);
+            const auto found = co_await index.lookUp(stream);
+            answer->version = found.version;
+            answer->isHeard = found.isHeard;
             answer->isDone = true;
             answer->endedAt = fleet.time;
         };
