Send the watcher's news between its digests, and replace one that has left at once (CONFIG)

What callers see: requests are handled by an older version of the configuration than one that was acknowledged longer ago than changes may take, at hosts without trouble, under load and while hosts of their group restart or die.

Cause: news of the store travelled in digests only, whose interval follows from their size (up to 3.7 s in a burst). A host that becomes the watcher slept out its former interval before its first news. A killed watcher counted as live for three of its intervals; one that stops is no longer heard once its entry is gone, but kept its role. Late replies made hosts forget that a later change was missing.

Change: a watcher sends news each 0.4 s between digests, counts as silent 1.2 s after the last of them, and has no role once its entry is gone. A feed misses changes until it has reached the revision that told it. New log line: digest_interval_changed, which told the hypotheses apart.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -15,6 +15,8 @@
 
 /** Shortest interval between digests; even a busy host sends only one or two requests to an endpoint in it. */
 constexpr Duration kDigestInterval { 200 };
+/** Longest interval between the news of a watcher, whose digests can be rarer because of their size. */
+constexpr Duration kNewsInterval { 400 };
 /** Shortest interval between summaries for other groups, whose loads matter less than those of the own group. */
 constexpr Duration kSummaryInterval { 400 };
 /** Maximum bytes per millisecond that a host sends in digests: the control traffic allowed at the target fleet size. */
@@ -67,6 +69,7 @@
     : dependencies { std::move(exchangeDependencies) }
     , usesForOtherGroups { this->dependencies.clock }
     , usesForOwnGroup { this->dependencies.clock }
+    , loggedInterval { kDigestInterval }
     , summaryInterval { kSummaryInterval }
 {
 }
@@ -86,10 +89,42 @@
         this->dependencies.metrics.addControlBytes(sent);
         const auto rate = isDelegate ? kMaxDelegateBytesPerMs - this->summaryBytesPerMs : kMaxHostBytesPerMs;
         this->digestInterval = std::max(kDigestInterval, sendTime(sent, rate));
-        co_await this->dependencies.clock.sleepFor(startedAt + this->digestInterval - this->dependencies.clock.now());
+        this->logIntervalChange(sent);
+        co_await this->sendNewsUntil(startedAt + this->digestInterval);
     }
 }
 
+Task<void> FleetExchange::sendNewsUntil(TimePoint nextDigestAt)
+{
+    const auto& clock = this->dependencies.clock;
+    while (clock.now() < nextDigestAt) {
+        co_await this->dependencies.clock.sleepFor(std::min(nextDigestAt - clock.now(), kNewsInterval));
+        // A host may have become the watcher since its last digest.
+        if (clock.now() >= nextDigestAt || !this->dependencies.fleet.isWatcher())
+            continue;
+        auto update = this->dependencies.fleet.makeNewsUpdate();
+        update.set_interval_ms(static_cast<std::uint64_t>(kNewsInterval.count()));
+        this->appendNews(update);
+        for (const auto& peer : this->dependencies.roster.groupMembers()) {
+            *update.mutable_echo() = this->dependencies.fleet.makeEcho(peer.name);
+            wire::FleetMessage message;
+            *message.mutable_news_update() = update;
+            this->send(peer, message);
+        }
+    }
+}
+
+void FleetExchange::logIntervalChange(std::size_t sent)
+{
+    const auto logged = this->loggedInterval;
+    if (this->digestInterval < 2 * logged && 2 * this->digestInterval > logged)
+        return;
+    LogLine line { LogEvent::DigestIntervalChanged };
+    line.add("interval_ms", this->digestInterval).add("bytes", static_cast<std::int64_t>(sent));
+    this->dependencies.log.write(line);
+    this->loggedInterval = this->digestInterval;
+}
+
 Task<void> FleetExchange::runSummaries()
 {
     while (true) {
@@ -127,15 +162,22 @@
         this->usesForOwnGroup.appendTo(*digest.mutable_uses());
     if (this->dependencies.rollouts != nullptr)
         this->dependencies.rollouts->appendTo(digest);
+    this->appendNews(digest);
+    for (const auto* feed : this->dependencies.feeds) {
+        if (this->dependencies.clock.now() >= this->newsRequestedAt + kRequestRepeatInterval)
+            addRequest(*feed, *digest.mutable_requests());
+    }
+    return digest;
+}
+
+void FleetExchange::appendNews(wire::Digest& digest)
+{
     digest.set_store_era(this->dependencies.storeEra.current());
     digest.set_plan_version(this->dependencies.planVersion());
     for (auto* feed : this->dependencies.feeds) {
         if (digest.is_watcher() && feed->isCurrent())
             *digest.add_news() = feed->makeRecentNews();
-        if (this->dependencies.clock.now() >= this->newsRequestedAt + kRequestRepeatInterval)
-            addRequest(*feed, *digest.mutable_requests());
     }
-    return digest;
 }
 
 void FleetExchange::requestMissingNews(const HostEntry& watcher)
@@ -280,6 +322,10 @@
         if (hasNews)
             this->requestMissingNews(sender);
     }
+    if (message.has_news_update() && message.news_update().host() == sender.name) {
+        this->handleNewsUpdate(message.news_update());
+        this->requestMissingNews(sender);
+    }
     this->handleNewsRequests(sender, message.requests());
     if (!message.compressed_news().empty())
         this->handleReply(message.compressed_news());
@@ -303,18 +349,29 @@
         this->dependencies.rollouts->merge(digest);
     if (this->isDelegate && !digest.is_delegate())
         this->usesForOtherGroups.push(uses);
-    const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
-    this->dependencies.storeEra.observe(digest.store_era(), digest.host());
-    if (digest.reaches_store()) {
-        const auto interval = std::min(digest.interval_ms(), kMaxNewsIntervalMs);
-        for (const auto& news : digest.news())
-            this->handleNews(news, sentAt, Duration { static_cast<Duration::rep>(interval) });
-    }
+    this->receiveNews(digest);
     const auto isNew = this->dependencies.fleet.applyDigest(std::move(digest));
     if (isNew && *isNew)
         this->dependencies.holders.repeatAnnouncements();
 }
 
+void FleetExchange::handleNewsUpdate(const wire::Digest& update)
+{
+    if (this->dependencies.fleet.applyNewsUpdate(update))
+        this->receiveNews(update);
+}
+
+void FleetExchange::receiveNews(const wire::Digest& digest)
+{
+    const auto sentAt = this->dependencies.fleet.earliestSendTime(digest);
+    this->dependencies.storeEra.observe(digest.store_era(), digest.host());
+    if (!digest.reaches_store())
+        return;
+    const auto interval = std::min(digest.interval_ms(), kMaxNewsIntervalMs);
+    for (const auto& news : digest.news())
+        this->handleNews(news, sentAt, Duration { static_cast<Duration::rep>(interval) });
+}
+
 StoreFeed* FleetExchange::findFeed(std::uint32_t kind) const
 {
     const auto found = std::find_if(this->dependencies.feeds.begin(), this->dependencies.feeds.end(),
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -79,6 +79,13 @@
     using NewsRequests = google::protobuf::RepeatedPtrField<wire::NewsRequest>;
 
     [[nodiscard]] wire::Digest makeDigest();
+    /** Waits for the next digest, and sends news meanwhile if this host watches the store. */
+    [[nodiscard]] Task<void> sendNewsUntil(TimePoint nextDigestAt);
+    /** Adds what a watcher tells of the store. */
+    void appendNews(wire::Digest& digest);
+    void handleNewsUpdate(const wire::Digest& update);
+    /** Hands the news of a digest to the feeds. */
+    void receiveNews(const wire::Digest& digest);
     /** Sends a digest to each host of the group. @return Bytes on the wire. */
     [[nodiscard]] Task<std::size_t> sendDigest(wire::Digest digest);
     [[nodiscard]] std::size_t sendSummaries();
@@ -101,6 +108,8 @@
     [[nodiscard]] bool reserveReply(std::size_t bytes);
     [[nodiscard]] StoreFeed* findFeed(std::uint32_t kind) const;
     void logRoleChange(const wire::Digest& digest);
+    /** Logs the interval between digests when it has at least doubled or halved. @param sent Bytes of the last one. */
+    void logIntervalChange(std::size_t sent);
 
 public:
     /** @brief Creates an exchange; run() starts it. @param exchangeDependencies Components of the host. */
@@ -128,6 +137,8 @@
     std::map<std::string, TimePoint, std::less<>> summarySenders;
     /** Time until the next digest, and until the next summaries. */
     Duration digestInterval {};
+    /** Interval between digests as last logged. */
+    Duration loggedInterval;
     Duration summaryInterval;
     Duration::rep summaryBytesPerMs = 0;
     std::size_t summaryTurn = 0;
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -70,11 +70,39 @@
         peer.formerIncarnation = peer.digest.incarnation();
     peer.digest = std::move(digest);
     peer.receivedAt = this->clock.now();
+    // The digest that tells of its sender's departure does not bring it back.
+    peer.hasLeft = peer.hasLeft && !isNew;
     this->newestPlan = std::max(this->newestPlan, peer.digest.plan_version());
     this->updateDirectoryLoads();
     return isNew;
 }
 
+bool FleetView::applyNewsUpdate(const wire::Digest& update)
+{
+    const auto found = this->peers.find(update.host());
+    if (found == this->peers.end() || found->second.digest.incarnation() != update.incarnation())
+        return false;
+    auto& peer = found->second;
+    peer.newsAt = this->clock.now();
+    peer.digest.set_is_watcher(update.is_watcher());
+    peer.digest.set_reaches_store(update.reaches_store());
+    this->newestPlan = std::max(this->newestPlan, update.plan_version());
+    return true;
+}
+
+void FleetView::setListed(std::string_view host, bool isListed)
+{
+    const auto found = this->peers.find(host);
+    if (found != this->peers.end())
+        found->second.hasLeft = !isListed;
+}
+
+void FleetView::retain(const std::set<std::string, std::less<>>& names)
+{
+    for (auto& [host, peer] : this->peers)
+        peer.hasLeft = !names.contains(host);
+}
+
 void FleetView::applySummary(const wire::GroupSummary& summary)
 {
     const Duration loadsAge { static_cast<Duration::rep>(summary.loads_age_ms()) };
@@ -112,6 +140,17 @@
     return digest;
 }
 
+wire::Digest FleetView::makeNewsUpdate() const
+{
+    wire::Digest update;
+    update.set_host(this->name);
+    update.set_incarnation(this->incarnation);
+    update.set_sent_at_ms(static_cast<std::uint64_t>(this->clock.now().time_since_epoch().count()));
+    update.set_reaches_store(this->isStoreReachable);
+    update.set_is_watcher(this->isWatcher());
+    return update;
+}
+
 wire::EndpointLoads FleetView::makeGroupLoads() const
 {
     Loads totals;
@@ -163,8 +202,13 @@
 
 bool FleetView::isLive(const Peer& peer) const
 {
-    const auto timeout = std::max(kDelegateTimeout, kMissedIntervals * intervalOf(peer.digest.interval_ms()));
-    return this->clock.now() < peer.receivedAt + timeout;
+    const auto now = this->clock.now();
+    if (peer.hasLeft)
+        return false;
+    // A watcher sends news at short intervals, however long those between its digests are.
+    if (peer.digest.is_watcher() && peer.newsAt != TimePoint {})
+        return now < std::max(peer.newsAt, peer.receivedAt) + kDelegateTimeout;
+    return now < peer.receivedAt + std::max(kDelegateTimeout, kMissedIntervals * intervalOf(peer.digest.interval_ms()));
 }
 
 std::size_t FleetView::countHigherRankedPeers() const
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -26,6 +27,10 @@
         /** Hash of the name, as in `rank` of this host. */
         std::uint64_t rank = 0;
         wire::Digest digest;
+        /** Time of the last news that came between two digests. */
+        TimePoint newsAt {};
+        /** Whether the host has left the list of hosts, so that its messages are ignored. */
+        bool hasLeft = false;
         TimePoint receivedAt {};
         /** Process that the sender of the digest has replaced. Incarnations have no order: clocks can be set back. */
         std::uint64_t formerIncarnation = 0;
@@ -93,12 +98,31 @@
      */
     std::optional<bool> applyDigest(wire::Digest digest);
 
+    /**
+     * @brief Takes note of news that a watcher sends between two digests.
+     * @param update Digest with the sender's state and news only.
+     * @return False if they are of a process that no digest has come from.
+     */
+    bool applyNewsUpdate(const wire::Digest& update);
+
+    /**
+     * @brief Takes note that a host has left the list of hosts, or is in it again.
+     * @param host Host. @param isListed Whether it is in the list; else it has no role until it starts again.
+     */
+    void setListed(std::string_view host, bool isListed);
+
+    /** @brief Takes note of a complete list of hosts, as setListed() of each. @param names Names. */
+    void retain(const std::set<std::string, std::less<>>& names);
+
     /** @brief Applies the summary of another group. @param summary Summary sent by a delegate of the group. */
     void applySummary(const wire::GroupSummary& summary);
 
     /** @brief Creates the next digest of this host. @return Digest. */
     [[nodiscard]] wire::Digest makeDigest();
 
+    /** @brief Creates a digest without loads, for news between two digests. @return Digest without a number. */
+    [[nodiscard]] wire::Digest makeNewsUpdate() const;
+
     /** @brief Adds up the loads of this host and its group. @return Loads. */
     [[nodiscard]] wire::EndpointLoads makeGroupLoads() const;
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -304,7 +304,7 @@
         if (std::exchange(this->isHostListRestored, false))
             this->roster.keepMissing(names, this->clock.now() + kRegistrationTimeout);
         else
-            this->roster.retain(names);
+            this->retainHosts(names);
         this->registration.applyList(names);
         this->logHostCount();
         if (!this->hostsListedAt)
@@ -423,6 +423,7 @@
 {
     if (object.value.is_null()) {
         this->roster.remove(object.name);
+        this->fleet.setListed(object.name, false);
         this->registration.applyRemoval(object.name);
         return;
     }
@@ -438,6 +439,13 @@
         spdlog::warn("invalid entry of host {}: {}", object.name, error.what());
     }
     this->roster.put(std::move(entry));
+    this->fleet.setListed(object.name, true);
+}
+
+void Gateway::retainHosts(const std::set<std::string, std::less<>>& names)
+{
+    this->roster.retain(names);
+    this->fleet.retain(names);
 }
 
 void Gateway::logHostCount()
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -34,6 +34,7 @@
 #include "berylwing/telemetry/decision_log.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +86,7 @@
     /** Checks if the answer to a request can end before the exit, by the longest answer of late of its route. */
     [[nodiscard]] bool canEndBeforeExit(const GatewayRequest& request, const Route* route) const;
     void applyHost(const VersionedObject& object);
+    void retainHosts(const std::set<std::string, std::less<>>& names);
     void logHostCount();
     void logWatcher();
     void logReadiness();
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -139,7 +139,7 @@
         this->setVersion(object.name, object.version);
     this->isListRequired = false;
     this->hasList = true;
-    this->missingSince.reset();
+    this->forgetMissing();
     if (isRestored)
         this->hooks.reportRestore();
     this->hooks.replaceAll(all.changes);
@@ -175,7 +175,7 @@
             this->applyChange(change, batch.through);
         this->revision = batch.through;
     }
-    this->missingSince.reset();
+    this->forgetMissing();
 }
 
 Task<bool> StoreFeed::refresh()
@@ -260,11 +260,17 @@
     this->newsValidUntil = {};
     this->watcherConfirmedAt = {};
     this->lastAttemptAt = {};
-    this->missingSince.reset();
+    this->forgetMissing();
     this->newsArrived.notifyAll();
     this->watchEnded.notifyAll();
 }
 
+void StoreFeed::forgetMissing()
+{
+    this->missingSince.reset();
+    this->missingUntil = 0;
+}
+
 wire::StoreNews StoreFeed::makeNewsHeader() const
 {
     const auto now = this->clock.now();
@@ -363,12 +369,15 @@
     if (this->revision < news.after() && !hasSameObjects) {
         if (!this->missingSince)
             this->missingSince = now;
+        this->missingUntil = std::max(this->missingUntil, news.after());
         this->newsArrived.notifyAll();
         return;
     }
     this->applyChanges(news);
     this->revision = std::max(this->revision, news.through());
-    this->missingSince.reset();
+    // A late reply, or another watcher, may tell less than what is missing.
+    if (this->revision >= this->missingUntil)
+        this->forgetMissing();
     if (!confirmed)
         return;
     this->confirmedAt = std::max(this->confirmedAt, *confirmed);
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -116,6 +116,8 @@
     void applyChange(const VersionedObject& change, std::uint64_t through);
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
+    /** Takes note that no changes are known to be missing any more. */
+    void forgetMissing();
     [[nodiscard]] wire::StoreNews makeNewsHeader() const;
     static void addChange(wire::StoreNews& news, const RecentChange& recent);
     /** Records the version of an object, which is zero if it was removed, for the fingerprint. */
@@ -234,6 +236,8 @@
     std::optional<TimePoint> outageEndedAt;
     /** Time since which changes are known to be missing, for example because news omitted their documents. */
     std::optional<TimePoint> missingSince;
+    /** Revision up to which news have told that changes are missing. */
+    std::uint64_t missingUntil = 0;
     bool hasList = false;
     bool isListRequired = true;
     /** Why the objects have to be listed again. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -22,6 +22,7 @@
     StoreCalled,
     StoreEraAdvanced,
     RolesChanged,
+    DigestIntervalChanged,
     WatcherChanged,
     PlanTaken,
     PlanRejected,
@@ -68,7 +69,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 54> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 55> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -80,6 +81,7 @@
     "store_called",
     "store_era_advanced",
     "roles_changed",
+    "digest_interval_changed",
     "watcher_changed",
     "plan_taken",
     "plan_rejected",
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -52,6 +52,61 @@
     CHECK(fixture.here.endpoint().load() == 2);
 }
 
+// Guards against a group that waits for the news of a host that it no longer hears.
+TEST_CASE(
+    "FleetView gives no role to a host that has left, and counts its requests until they are old", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    fixture.there.endpoint().inFlight = 3;
+    auto digest = fixture.there.view.makeDigest();
+    digest.set_interval_ms(3000);
+    fixture.here.view.applyDigest(digest);
+    REQUIRE(fixture.here.view.isPeerLive("there"));
+    const bool isByList = GENERATE(false, true);
+    if (isByList)
+        fixture.here.view.retain({ "here" });
+    else
+        fixture.here.view.setListed("there", false);
+    CHECK_FALSE(fixture.here.view.isPeerLive("there"));
+    CHECK(fixture.here.view.isWatcher());
+    CHECK(fixture.here.endpoint().load() == 3);
+    // It may have told of its departure itself.
+    fixture.here.view.applyDigest(fixture.there.view.makeDigest());
+    CHECK_FALSE(fixture.here.view.isPeerLive("there"));
+    SECTION("until it starts again")
+    {
+        auto next = fixture.there.view.makeDigest();
+        next.set_incarnation(2);
+        fixture.here.view.applyDigest(next);
+        CHECK(fixture.here.view.isPeerLive("there"));
+    }
+    SECTION("until it is listed again")
+    {
+        fixture.here.view.setListed("there", true);
+        CHECK(fixture.here.view.isPeerLive("there"));
+    }
+}
+
+TEST_CASE("FleetView counts a watcher as silent soon after its last news", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    auto digest = fixture.there.view.makeDigest();
+    digest.set_interval_ms(3000);
+    digest.set_is_watcher(true);
+    fixture.here.view.applyDigest(digest);
+    fixture.time += Duration { 2500 };
+    CHECK(fixture.here.view.isPeerLive("there"));
+    auto update = fixture.there.view.makeNewsUpdate();
+    update.set_is_watcher(true);
+    CHECK(fixture.here.view.applyNewsUpdate(update));
+    fixture.time += Duration { 1000 };
+    CHECK(fixture.here.view.isPeerLive("there"));
+    fixture.time += Duration { 300 };
+    CHECK_FALSE(fixture.here.view.isPeerLive("there"));
+    update.set_incarnation(2);
+    CHECK_FALSE(fixture.here.view.applyNewsUpdate(update));
+}
+
 TEST_CASE("FleetView ignores reordered and duplicated digests and its own", "[gateway][fleet]")
 {
     FleetFixture fixture;
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -182,6 +182,29 @@
     CHECK(host.refreshes == 2);
 }
 
+// Guards against changes that a host never fetches because late replies about earlier ones arrive again and again.
+TEST_CASE("StoreFeed goes on missing changes after news that tell less", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.advance(Duration { 1000 });
+    auto& host = fixture.follower;
+    host.hasWatcher = true;
+    fixture.advance(Duration { 3000 });
+    const auto late = fixture.watcher.feed.makeRecentNews();
+    fixture.write("engine-1", { { "text", std::string(2000, 'x') } });
+    fixture.advance(Duration { 50 }, {});
+    host.feed.receiveNews(fixture.watcher.feed.makeRecentNews(), fixture.time);
+    REQUIRE(host.feed.missingAfter());
+    host.feed.receiveNews(late, std::nullopt);
+    CHECK(host.feed.missingAfter());
+    for (int count = 0; count < 4; ++count) {
+        host.feed.receiveNews(late, fixture.time);
+        fixture.advance(Duration { 50 }, {});
+    }
+    CHECK(host.objects.contains("engine-1"));
+    CHECK_FALSE(host.feed.missingAfter());
+}
+
 // Guards against hosts that keep whole documents of another writer because another host relays them.
 TEST_CASE("StoreFeed keeps of a relayed document what its host reads", "[gateway][feed]")
 {
