Let the tests of endless responses wait for a connection that pauses

Its loop took 20 ms of real time without an event for the end; on a busy machine a full connection pauses for longer. It now takes 2 s. The checks and bounds are as before.

--- a/test/berylwing/http/endless_response_test.cpp
+++ b/test/berylwing/http/endless_response_test.cpp
@@ -23,6 +23,9 @@
 constexpr unsigned kHttpVersion = 11;
 /** So long that only the size of the response can end the call. */
 constexpr Duration kStoreTimeout { 600'000 };
+/** Real time without an event after which nothing more happens; a full connection goes on when its reader is run again.
+ */
+constexpr std::chrono::seconds kIdleTimeout { 2 };
 
 /** Endpoint that answers a request with a prefix and then repeats a filler until the connection is closed. */
 class EndlessEndpoint {
@@ -118,7 +121,7 @@
     bool step()
     {
         this->context.restart();
-        return this->context.run_one_for(std::chrono::milliseconds { 20 }) > 0;
+        return this->context.run_one_for(kIdleTimeout) > 0;
     }
 
     berylwing::test::RuntimeContext context;
