Tell in plan_taken for how long another host was known to have a newer plan

Digests name their sender's plan, but summaries of other groups did not, and nobody kept the time of the first mention. Summaries now name the plan, delegates pass the highest one on, and plan_taken has behind_ms. No decision rests on it yet; the lease judges as before by the plans of the own group.

--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -259,6 +259,7 @@
     summary.set_host(this->dependencies.host);
     *summary.mutable_loads() = this->dependencies.fleet.makeGroupLoads();
     summary.set_loads_age_ms(static_cast<std::uint64_t>(this->dependencies.fleet.groupLoadAge().count()));
+    summary.set_plan_version(this->dependencies.planVersion());
     this->usesForOtherGroups.appendTo(*summary.mutable_uses());
     this->dependencies.holders.appendTo(*summary.mutable_uses());
     if (!this->dependencies.crashes.isEmpty())
--- a/src/berylwing/gateway/fleet_view.cpp
+++ b/src/berylwing/gateway/fleet_view.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kDelegateTimeout { 1200 };
 /** Number of intervals after which a sender that needs longer ones counts as silent; a single digest may be lost. */
 constexpr int kMissedIntervals = 3;
+/** Versions of the routing plan whose first mention is remembered. */
+constexpr std::size_t kMaxHeardPlans = 64;
 
 Duration intervalOf(std::uint64_t milliseconds)
 {
@@ -73,6 +75,7 @@
     // The digest that tells of its sender's departure does not bring it back.
     peer.hasLeft = peer.hasLeft && !isNew;
     this->newestPlan = std::max(this->newestPlan, peer.digest.plan_version());
+    this->recordPlan(std::max(peer.digest.plan_version(), peer.digest.plan_version_elsewhere()));
     this->updateDirectoryLoads();
     return isNew;
 }
@@ -87,9 +90,37 @@
     peer.digest.set_is_watcher(update.is_watcher());
     peer.digest.set_reaches_store(update.reaches_store());
     this->newestPlan = std::max(this->newestPlan, update.plan_version());
+    this->recordPlan(update.plan_version());
     return true;
 }
 
+void FleetView::recordPlan(std::uint64_t version)
+{
+    const auto highest = this->plansHeardAt.empty() ? 0 : this->plansHeardAt.rbegin()->first;
+    if (version <= highest)
+        return;
+    this->plansHeardAt.emplace_hint(this->plansHeardAt.end(), version, this->clock.now());
+    if (this->plansHeardAt.size() <= kMaxHeardPlans)
+        return;
+    // A host that lacks the forgotten version has lacked the next one for as long.
+    const auto oldest = this->plansHeardAt.extract(this->plansHeardAt.begin());
+    this->plansHeardAt.begin()->second = oldest.mapped();
+}
+
+std::optional<TimePoint> FleetView::findNewerPlan(std::uint64_t version) const
+{
+    const auto newer = this->plansHeardAt.upper_bound(version);
+    return newer == this->plansHeardAt.end() ? std::nullopt : std::optional { newer->second };
+}
+
+std::uint64_t FleetView::newestPlanElsewhere() const
+{
+    std::uint64_t newest = 0;
+    for (const auto& [group, summary] : this->summaries)
+        newest = std::max(newest, summary.planVersion);
+    return newest;
+}
+
 void FleetView::setListed(std::string_view host, bool isListed)
 {
     const auto found = this->peers.find(host);
@@ -107,7 +138,9 @@
 {
     const Duration loadsAge { static_cast<Duration::rep>(summary.loads_age_ms()) };
     this->summaries.insert_or_assign(summary.group(),
-        Summary { summary.loads(), this->clock.now(), loadsAge, summary.domain(), intervalOf(summary.interval_ms()) });
+        Summary { summary.loads(), this->clock.now(), loadsAge, summary.domain(), intervalOf(summary.interval_ms()),
+            summary.plan_version() });
+    this->recordPlan(summary.plan_version());
     this->updateDirectoryLoads();
 }
 
@@ -131,6 +164,8 @@
         return digest;
     digest.set_is_delegate(true);
     digest.set_hears_other_domains(this->hasSummaryOfOtherDomain());
+    if (const auto newest = this->newestPlanElsewhere(); newest > 0)
+        digest.set_plan_version_elsewhere(newest);
     for (const auto& [endpoint, load] : this->usesSummaries() ? this->otherGroupLoads() : Loads {}) {
         appendPace(*digest.mutable_elsewhere(), endpoint, paceOf(load));
         if (load.inFlight > 0)
--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -44,6 +44,8 @@
         std::string domain;
         /** Time until the sender's next summary. */
         Duration interval {};
+        /** Version of the sender's routing plan. */
+        std::uint64_t planVersion = 0;
     };
 
     /** Load of one endpoint. */
@@ -77,6 +79,9 @@
     /** Checks if the loads of other groups come from their summaries, not from the digest of a delegate. */
     [[nodiscard]] bool usesSummaries() const;
     [[nodiscard]] bool hasSummaryOfOtherDomain() const;
+    [[nodiscard]] std::uint64_t newestPlanElsewhere() const;
+    /** Takes note that another host has a version of the routing plan. */
+    void recordPlan(std::uint64_t version);
     void updateDirectoryLoads();
 
 public:
@@ -172,6 +177,13 @@
     /** @brief Returns the highest version of a routing plan that a peer has named. @return Version; zero if unknown. */
     [[nodiscard]] std::uint64_t newestPlanVersion() const noexcept { return this->newestPlan; }
 
+    /**
+     * @brief Returns the time at which a host was first known to have a newer routing plan, also one of another group.
+     * @param version Version of the plan that is known here.
+     * @return Time; nothing if no host has told of a newer one.
+     */
+    [[nodiscard]] std::optional<TimePoint> findNewerPlan(std::uint64_t version) const;
+
     /** @brief Checks if this host or a live peer receives summaries of groups in other domains. @return True if so. */
     [[nodiscard]] bool hasLiveOtherDomains() const;
 
@@ -192,6 +204,8 @@
     std::uint64_t sequence = 0;
     bool isStoreReachable = true;
     std::uint64_t newestPlan = 0;
+    /** Times at which versions of the routing plan were heard of first, of those that were the highest by then. */
+    std::map<std::uint64_t, TimePoint> plansHeardAt;
     std::map<std::string, Peer, std::less<>> peers;
     /** Last summary of each other group, by the group's name. */
     std::map<std::string, Summary, std::less<>> summaries;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -366,6 +366,8 @@
         LogLine line { LogEvent::PlanTaken };
         line.add("plan", static_cast<std::int64_t>(next.version()));
         line.add("revision", static_cast<std::int64_t>(object.version));
+        if (const auto heardAt = this->plan ? this->fleet.findNewerPlan(this->plan->version()) : std::nullopt)
+            line.add("behind_ms", this->clock.now() - *heardAt);
         this->log.write(line.add("era", static_cast<std::int64_t>(this->storeEra.current())));
         this->plan = std::make_shared<const RoutingPlan>(std::move(next));
     } catch (const std::exception& error) {
--- a/test/berylwing/gateway/fleet_view_test.cpp
+++ b/test/berylwing/gateway/fleet_view_test.cpp
@@ -306,3 +306,45 @@
     const FleetFixture::Host restarted { fixture.clock, "here", 2 };
     CHECK_FALSE(restarted.view.earliestSendTime(digest));
 }
+
+TEST_CASE("FleetView tells since when a newer plan is known of its own group and of others", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    auto digest = fixture.there.view.makeDigest();
+    digest.set_plan_version(5);
+    fixture.here.view.applyDigest(digest);
+    const auto firstHeardAt = fixture.time;
+    CHECK_FALSE(fixture.here.view.findNewerPlan(5));
+    fixture.time += Duration { 300 };
+    wire::GroupSummary summary;
+    summary.set_group("ohio-a");
+    summary.set_plan_version(7);
+    fixture.here.view.applySummary(summary);
+    CHECK(fixture.here.view.findNewerPlan(4) == firstHeardAt);
+    CHECK(fixture.here.view.findNewerPlan(5) == fixture.time);
+    CHECK(fixture.here.view.findNewerPlan(6) == fixture.time);
+    // A delegate passes on what other groups have, also to hosts that receive no summaries.
+    fixture.there.view.applyDigest(fixture.here.view.makeDigest());
+    CHECK(fixture.there.view.findNewerPlan(6) == fixture.time);
+    // A late summary of another group tells nothing new.
+    fixture.time += Duration { 300 };
+    summary.set_group("utah-a");
+    summary.set_plan_version(6);
+    fixture.here.view.applySummary(summary);
+    CHECK(fixture.here.view.findNewerPlan(6) == fixture.time - Duration { 300 });
+    CHECK_FALSE(fixture.here.view.findNewerPlan(7));
+}
+
+TEST_CASE("FleetView remembers a bounded number of plans", "[gateway][fleet]")
+{
+    FleetFixture fixture;
+    const auto firstHeardAt = fixture.time;
+    for (std::uint64_t version = 1; version <= 200; ++version) {
+        auto update = fixture.there.view.makeDigest();
+        update.set_plan_version(version);
+        fixture.here.view.applyDigest(update);
+        fixture.time += Duration { 10 };
+    }
+    CHECK(fixture.here.view.findNewerPlan(0) == firstHeardAt);
+    CHECK(fixture.here.view.findNewerPlan(199) == fixture.time - Duration { 10 });
+}
