Ask the store for a plan that another host is known to have (CONFIG)

Callers were answered by an older configuration, or refused as configuration_stale, at all hosts of a group while the other groups had the new one. A host that heard of a newer plan only stopped renewing its lease and waited: for its own watcher, whose last confirmation counts for 2.6 of 3 s, or for its next probe of the store, 3 s after the last.

A host now asks the store itself, beside whatever else it waits for, half a second after it first heard of a newer plan; one call since then settles it, as a restored store may lack the plan. A host whose call is answered goes on watching at once instead of leaving the store to its watcher.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -144,6 +144,20 @@
     co_return isRefreshed;
 }
 
+bool Gateway::isPlanOvertaken() const
+{
+    const auto heardAt = this->plan ? this->fleet.findNewerPlan(this->plan->version()) : std::nullopt;
+    // A store that was restored from a copy may lack the plan, which one call since then has shown.
+    return heardAt && this->planFeed.confirmationTime() < *heardAt && this->clock.now() >= *heardAt + kFetchDelay;
+}
+
+Task<void> Gateway::fetchNewerPlan()
+{
+    this->isFetchingPlan = true;
+    static_cast<void>(co_await this->planFeed.refresh(PlatformCallReason::NewerPlan));
+    this->isFetchingPlan = false;
+}
+
 std::shared_ptr<const RoutingPlan> Gateway::usablePlan() const
 {
     // A host that knows of no others would take the whole retry budget and cold rate of the fleet for its own share.
@@ -487,6 +501,8 @@
     while (true) {
         this->logWatcher();
         this->confirmPlan();
+        if (!this->isFetchingPlan && this->isPlanOvertaken())
+            spawn(this->clock.executor(), "plan refresh", this->fetchNewerPlan());
         this->logReadiness();
         this->directory.removeExpired();
         this->serviceVersions.update();
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -97,6 +97,9 @@
     [[nodiscard]] FleetExchangeDependencies makeExchangeDependencies(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open);
+    /** Checks if another host has a newer plan and neither news nor a call to the store have brought it in time. */
+    [[nodiscard]] bool isPlanOvertaken() const;
+    [[nodiscard]] Task<void> fetchNewerPlan();
     /** Brings the list of endpoints up to date unless it was confirmed a moment ago. */
     [[nodiscard]] Task<bool> refreshEndpoints();
     [[nodiscard]] AdmissionHooks makeAdmissionHooks();
@@ -211,6 +214,7 @@
     std::shared_ptr<const RoutingPlan> plan;
     /** Time up to which the store is known to have held no other plan. */
     TimePoint planConfirmedAt {};
+    bool isFetchingPlan = false;
     TimePoint startedAt {};
     /** Time of the first list of hosts. */
     std::optional<TimePoint> hostsListedAt;
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -178,7 +178,7 @@
     this->forgetMissing();
 }
 
-Task<bool> StoreFeed::refresh()
+Task<bool> StoreFeed::refresh(PlatformCallReason reason)
 {
     const auto calledAt = this->clock.now();
     // A call that is on its way may have been answered before.
@@ -187,20 +187,19 @@
     const bool isRequired = this->refreshedUntil < calledAt && this->clock.now() >= this->nextRefreshAt;
     if (isRequired && this->isCurrent()) {
         this->isRefreshing = true;
-        spawn(this->clock.executor(), "store refresh", this->completeRefresh());
+        spawn(this->clock.executor(), "store refresh", this->completeRefresh(reason));
         while (this->isRefreshing)
             co_await this->refreshEnded.waitUntil(TimePoint::max());
     }
     co_return this->refreshedUntil >= calledAt;
 }
 
-Task<void> StoreFeed::completeRefresh()
+Task<void> StoreFeed::completeRefresh(PlatformCallReason reason)
 {
     const auto sentAt = this->clock.now();
     try {
-        this->logCall(PlatformOperation::WatchKind, PlatformCallReason::Refresh);
-        const auto batch
-            = co_await this->client.watchKind(this->kind, this->revision, kProbeTimeout, PlatformCallReason::Refresh);
+        this->logCall(PlatformOperation::WatchKind, reason);
+        const auto batch = co_await this->client.watchKind(this->kind, this->revision, kProbeTimeout, reason);
         this->era.observe(batch.era, {});
         if (this->isCurrent() && batch.era == this->listEra) {
             this->applyBatch(batch);
@@ -213,6 +212,11 @@
         LogLine line { LogEvent::RefreshFailed };
         this->log.write(line.add("kind", kObjectKindNames[this->kind]).add("error", error.what()));
         this->nextRefreshAt = this->clock.now() + kRefreshRetryDelay;
+        if (error.fault() == PlatformFault::HistoryGone) {
+            this->isListRequired = true;
+            this->listReason = PlatformCallReason::HistoryLost;
+            this->watchEnded.notifyAll();
+        }
     }
     this->isRefreshing = false;
     this->refreshEnded.notifyAll();
@@ -393,7 +397,7 @@
     if (isWatched && this->missingSince && !this->isListRequired)
         return now < *this->missingSince + this->timing.fetchDelay;
     if (this->failures > 0)
-        return this->hooks.isProbedByPeer(this->lastAttemptAt);
+        return this->refreshedUntil < this->lastAttemptAt && this->hooks.isProbedByPeer(this->lastAttemptAt);
     if (this->isListRequired)
         return false;
     return this->hooks.isWatcherAwaited() || (isWatched && now < this->newsValidUntil);
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -105,7 +105,7 @@
     [[nodiscard]] Task<void> completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending);
     /** Applies what a watch returned. News may have brought later changes meanwhile. */
     void applyBatch(const WatchBatch& batch);
-    [[nodiscard]] Task<void> completeRefresh();
+    [[nodiscard]] Task<void> completeRefresh(PlatformCallReason reason);
     /** Returns an exponential delay with jitter, so that hosts do not retry at the same time. */
     [[nodiscard]] Duration nextRetryDelay();
     /** Checks if news or the probes of other hosts make a call to the store unnecessary for now. */
@@ -159,9 +159,10 @@
 
     /**
      * @brief Fetches the changes of the last moment, beside whatever run() waits for; calls at the same time share one.
+     * @param reason Reason of the call to the store.
      * @return True if all changes up to the call are applied now.
      */
-    [[nodiscard]] Task<bool> refresh();
+    [[nodiscard]] Task<bool> refresh(PlatformCallReason reason = PlatformCallReason::Refresh);
 
     /** @brief Returns the kind of the objects. @return Kind. */
     [[nodiscard]] ObjectKind objectKind() const noexcept { return this->kind; }
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -65,10 +65,12 @@
     Retry,
     /** Short watch because a caller's request depends on changes of the last moment. */
     Refresh,
+    /** Short watch because another host has a newer plan. */
+    NewerPlan,
 };
 
 /** @brief Names of the reasons in logs and metrics. */
-inline constexpr EnumNames<PlatformCallReason, 13> kPlatformCallReasonNames { {
+inline constexpr EnumNames<PlatformCallReason, 14> kPlatformCallReasonNames { {
     "access",
     "registration",
     "start",
@@ -82,6 +84,7 @@
     "no_watcher",
     "retry",
     "refresh",
+    "newer_plan",
 } };
 
 /** @brief Request to the object API. */
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -72,7 +72,10 @@
         ++host.storeCalls;
         if (this->beforeCall)
             this->beforeCall(host, call);
-        return exchange(call);
+        auto reply = co_await exchange(call);
+        if (this->receiveDelay)
+            co_await this->clock.sleepFor(this->receiveDelay(host));
+        co_return reply;
     };
     dependencies.sendToHost = [this, &host, incarnation](const SocketAddress& to, const std::string& bytes) {
         if (host.incarnation == incarnation)
@@ -103,10 +106,25 @@
     if (found == this->hosts.end() || from.isIsolated || from.isSuspended || found->second->isIsolated)
         return;
     const auto& sender = from.settings.digests.address;
-    if (found->second->isSuspended)
-        found->second->heldMessages.emplace_back(sender, bytes);
+    auto& target = *found->second;
+    if (!this->receiveDelay)
+        return this->receive(target, target.incarnation, sender, bytes);
+    spawn(this->clock.executor(), "message",
+        [](GatewayFleet* fleet, Host* host, std::string address, std::string text) -> Task<void> {
+            const auto incarnation = host->incarnation;
+            co_await fleet->clock.sleepFor(fleet->receiveDelay(*host));
+            fleet->receive(*host, incarnation, address, text);
+        }(this, &target, sender, bytes));
+}
+
+void GatewayFleet::receive(Host& host, std::uint64_t incarnation, const std::string& sender, const std::string& bytes)
+{
+    if (host.incarnation != incarnation)
+        return;
+    if (host.isSuspended)
+        host.heldMessages.emplace_back(sender, bytes);
     else
-        found->second->gateway->receive(sender, bytes);
+        host.gateway->receive(sender, bytes);
 }
 
 void GatewayFleet::resume(Host& host)
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -92,6 +92,8 @@
     std::size_t planBytes = 0;
     /** Padding of the endpoint entries in bytes. */
     std::size_t endpointBytes = 0;
+    /** Returns how long a call to the store or a message takes that a host receives; nothing extra without it. */
+    std::function<Duration(const Host&)> receiveDelay;
     /** Part of the messages that is lost. */
     double messageLoss = 0;
     TimePoint time { Duration { 1'000'000 } };
@@ -102,6 +104,7 @@
     void addHost(const std::string& domain, const std::string& name, const std::string& address);
     void startProcess(Host& host);
     void deliver(Host& from, const SocketAddress& to, const std::string& bytes);
+    void receive(Host& host, std::uint64_t incarnation, const std::string& sender, const std::string& bytes);
     void runReady();
     /** Returns the hosts that have a role by their last "roles_changed" log line. */
     [[nodiscard]] std::vector<Host*> findHostsInRole(const std::string& role) const;
