Let the hosts of a group take turns in probing an unreachable store (CONFIG)

After an outage of the store all hosts of a group could go on with the old configuration, and refuse requests as configuration_stale, although they reached it: they lose the store at the same time, then each leaves it to their watcher to try often and calls only each 3 s. If the watcher is the one that stays without the store, nobody finds out for up to 3 s and a call, which is over the bound on changes. No other group helps a fleet that is one group.

The interval of each host stays; its beginning now depends on the host's place in the group, so that of n hosts one calls each 3/n s. The first that is answered watches the store and tells the others.

Evidence: the new case "Changes are in force in time in a small fleet ..." took 3,300 and 3,050 ms before (bound 3,000) and passes now.

--- a/src/berylwing/gateway/fleet_view.hpp
+++ b/src/berylwing/gateway/fleet_view.hpp
@@ -168,6 +168,13 @@
     /** @brief Checks if this host watches the store for its group. @return True for the highest-ranked live host. */
     [[nodiscard]] bool isWatcher() const { return this->countHigherRankedPeers() == 0; }
 
+    /** @brief Tells this host's place in the order of its group. @return Part of the group that comes first, below 1.
+     */
+    [[nodiscard]] double groupPosition() const
+    {
+        return static_cast<double>(this->countHigherRankedPeers()) / static_cast<double>(this->peers.size() + 1);
+    }
+
     /** @brief Finds a live peer that watches the store and reaches it. @return Its name; empty if there is none. */
     [[nodiscard]] std::string watcher() const;
 
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -35,7 +35,8 @@
 /** Time in which the group's watcher may resend a missed change before a host fetches it; a change must apply in 2 s.
  */
 constexpr Duration kFetchDelay { 500 };
-/** Time between two calls of a host without access to the store while the watcher of its group also retries. */
+/** Time between two calls of a host without access to the store while the watcher of its group also retries. The hosts
+ * of a group take turns in it, as the watcher may be the one that stays without access. */
 constexpr Duration kProbedRetryInterval { 3000 };
 /** Time between two calls to the store for streams whose version has no endpoint: the endpoints may be gone for good.
  */
@@ -144,6 +145,20 @@
     co_return isRefreshed;
 }
 
+bool Gateway::isProbeDue(TimePoint triedAt) const
+{
+    const auto lostAt = this->planFeed.unreachableSince();
+    if (!lostAt)
+        return true;
+    const Duration offset { static_cast<Duration::rep>(
+        this->fleet.groupPosition() * static_cast<double>(kProbedRetryInterval.count())) };
+    // Hosts that rely on the same watcher lose the store at about the same time.
+    const auto countTurns = [&](TimePoint until) {
+        return until < *lostAt + offset ? Duration::rep { 0 } : 1 + (until - *lostAt - offset) / kProbedRetryInterval;
+    };
+    return countTurns(this->clock.now()) > countTurns(triedAt);
+}
+
 bool Gateway::isPlanOvertaken() const
 {
     const auto heardAt = this->plan ? this->fleet.findNewerPlan(this->plan->version()) : std::nullopt;
@@ -270,7 +285,7 @@
     hooks.isProbedByPeer = [this](TimePoint triedAt) {
         // A watcher that reaches the store but is not trusted does not retry on behalf of others.
         const bool isWatched = this->fleet.isStoreProbed() || this->isWatchedByPeer(this->watcherTtl());
-        return isWatched && this->clock.now() < triedAt + kProbedRetryInterval;
+        return isWatched && !this->isProbeDue(triedAt);
     };
     return hooks;
 }
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -97,6 +97,8 @@
     [[nodiscard]] FleetExchangeDependencies makeExchangeDependencies(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
     [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open);
+    /** Checks if it is this host's turn to probe an unreachable store, which it last called at a time. */
+    [[nodiscard]] bool isProbeDue(TimePoint triedAt) const;
     /** Checks if another host has a newer plan and neither news nor a call to the store have brought it in time. */
     [[nodiscard]] bool isPlanOvertaken() const;
     [[nodiscard]] Task<void> fetchNewerPlan();
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -430,6 +430,7 @@
 void StoreFeed::recordFailure(const PlatformError& error)
 {
     if (this->failures == 0) {
+        this->lostAt = this->clock.now();
         LogLine line { LogEvent::DependencyLost };
         line.add("dependency", "store").add("kind", kObjectKindNames[this->kind]);
         this->logPosition(std::move(line.add("error", error.what())));
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -170,6 +170,12 @@
     /** @brief Checks if the last call to the store succeeded. @return False during an outage. */
     [[nodiscard]] bool isStoreReachable() const noexcept { return this->failures == 0; }
 
+    /** @brief Returns since when calls to the store have failed. @return Time; nothing if the last one succeeded. */
+    [[nodiscard]] std::optional<TimePoint> unreachableSince() const noexcept
+    {
+        return this->failures == 0 ? std::nullopt : std::optional { this->lostAt };
+    }
+
     /** @brief Returns the time up to which all changes are known. @return Time; the epoch before the first list. */
     [[nodiscard]] TimePoint confirmationTime() const noexcept { return this->confirmedAt; }
 
@@ -247,6 +253,8 @@
     bool isConfirmationRequired = false;
     /** Failed calls since the last successful one. */
     unsigned failures = 0;
+    /** Time of the first of them. */
+    TimePoint lostAt {};
 };
 
 } // namespace berylwing
--- a/test/berylwing/gateway/newer_plan_test.cpp
+++ b/test/berylwing/gateway/newer_plan_test.cpp
@@ -109,3 +109,14 @@
     busy.fleet.platform.store.dropHistory();
     CHECK(busy.changePlan(2, hosts) <= kPlanDeadline);
 }
+
+// Guards against hosts that all leave it to one host to find out that the store has returned (CONFIG).
+TEST_CASE("Changes are in force in time in a small fleet whose watcher stays without the store", "[gateway][news]")
+{
+    const auto outage = GENERATE(range(4000, 7000, 250));
+    CAPTURE(outage);
+    BusyFleet busy { 2 };
+    const auto hosts = busy.ranked("");
+    busy.playOutage(Duration { outage }, hosts);
+    CHECK(busy.changePlan(2, hosts) <= kPlanDeadline);
+}
