List at once after a refresh that finds the store's history dropped (CONFIG)

A host that the store had refused for a while and that then learned, by asking for a newer plan, that the history was gone, ignored all news until it had listed the objects, and left that to its next turn to probe: up to 3 s more without changes. The answer shows that the store is in reach, so the host calls it at once.

--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -206,6 +206,7 @@
             this->confirmedAt = std::max(this->confirmedAt, sentAt);
             this->hooks.confirm(sentAt);
             this->refreshedUntil = sentAt;
+            this->isRefreshAnswered = true;
         }
     } catch (const PlatformError& error) {
         this->era.observe(error.era(), {});
@@ -215,6 +216,7 @@
         if (error.fault() == PlatformFault::HistoryGone) {
             this->isListRequired = true;
             this->listReason = PlatformCallReason::HistoryLost;
+            this->isRefreshAnswered = true;
             this->watchEnded.notifyAll();
         }
     }
@@ -397,7 +399,7 @@
     if (isWatched && this->missingSince && !this->isListRequired)
         return now < *this->missingSince + this->timing.fetchDelay;
     if (this->failures > 0)
-        return this->refreshedUntil < this->lastAttemptAt && this->hooks.isProbedByPeer(this->lastAttemptAt);
+        return !this->isRefreshAnswered && this->hooks.isProbedByPeer(this->lastAttemptAt);
     if (this->isListRequired)
         return false;
     return this->hooks.isWatcherAwaited() || (isWatched && now < this->newsValidUntil);
@@ -450,6 +452,7 @@
         }
         std::optional<Duration> retryDelay;
         this->lastAttemptAt = this->clock.now();
+        this->isRefreshAnswered = false;
         try {
             bool isAnswered = true;
             if (this->isListRequired)
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -220,6 +220,8 @@
     /** Time up to which the last call of refresh() that was answered has applied all changes. */
     TimePoint refreshedUntil {};
     TimePoint nextRefreshAt {};
+    /** Whether the store has answered a refresh since the last call of run(). */
+    bool isRefreshAnswered = false;
     /** Era of the last list, which all revisions here belong to. */
     std::uint64_t listEra = 0;
     std::uint64_t revision = 0;
--- a/test/berylwing/gateway/store_feed_test.cpp
+++ b/test/berylwing/gateway/store_feed_test.cpp
@@ -182,6 +182,28 @@
     CHECK(host.refreshes == 2);
 }
 
+// Guards against a host that has found the history dropped, ignores all news, and leaves probing the store to others.
+TEST_CASE("StoreFeed lists at once after a refresh that finds the history dropped", "[gateway][feed]")
+{
+    FeedFixture fixture;
+    fixture.write("engine-1", { { "slots", 1 } });
+    fixture.advance(Duration { 1000 });
+    auto& host = fixture.follower;
+    fixture.platform.unreachableHosts.insert("follower");
+    fixture.advance(Duration { 3000 }, {});
+    REQUIRE_FALSE(host.feed.isStoreReachable());
+    host.hasWatcher = true;
+    fixture.advance(Duration { 1000 }, {});
+    fixture.write("engine-2", { { "slots", 2 } });
+    fixture.platform.store.dropHistory();
+    fixture.platform.unreachableHosts.clear();
+    spawn(fixture.context.get_executor(), "refresh",
+        [](StoreFeed& feed) -> Task<void> { static_cast<void>(co_await feed.refresh()); }(host.feed));
+    fixture.advance(Duration { 300 }, {});
+    CHECK(host.objects.contains("engine-2"));
+    CHECK(host.feed.isStoreReachable());
+}
+
 // Guards against changes that a host never fetches because late replies about earlier ones arrive again and again.
 TEST_CASE("StoreFeed goes on missing changes after news that tell less", "[gateway][feed]")
 {
