--- a/src/berylwing/http/request_reader.cpp
+++ b/src/berylwing/http/request_reader.cpp
@@ -51,7 +51,7 @@
     : input { inputBuffer }
     , hold { callerHold }
     , hooks { std::move(readerHooks) }
-    , onChunk { [this](std::uint64_t size, boost::string_view, boost::system::error_code& error) {
+    , onChunk { [this](std::uint64_t size, boost::beast::string_view, boost::system::error_code& error) {
         if (size == 0 && !this->tryReserveTrailers())
             error = asio::error::no_memory;
     } }
--- a/src/berylwing/http/request_reader.hpp
+++ b/src/berylwing/http/request_reader.hpp
@@ -77,7 +77,7 @@
     RequestReaderHooks hooks;
     std::uint32_t maxHeaderBytes = 0;
     /** Called by the parser for each chunk, the last one after all trailers have arrived. */
-    std::function<void(std::uint64_t, boost::string_view, boost::system::error_code&)> onChunk;
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code&)> onChunk;
     /** Bytes that were received for the current body, parsed or not. */
     std::size_t bodyInput = 0;
 };
