Log sizes and times of large answers of the store, and what had arrived of failed ones

The hypotheses on late plans beside load (CONFIG) could not be told apart: no line said how large an answer was, how long it took, or what had arrived when a call was given up. store_answered, the errors of failed calls, took_ms of refresh_failed and read_ms of plan_taken say so now.

--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -387,6 +387,7 @@
 {
     if (object.value.is_null())
         return;
+    const auto startedAt = this->clock.now();
     try {
         auto next = this->protocol.readPlan(object.value);
         // The plan never goes back to an older version, whatever the store returns.
@@ -394,7 +395,7 @@
             return;
         LogLine line { LogEvent::PlanTaken };
         line.add("plan", static_cast<std::int64_t>(next.version()));
-        line.add("revision", static_cast<std::int64_t>(object.version));
+        line.add("revision", static_cast<std::int64_t>(object.version)).add("read_ms", this->clock.now() - startedAt);
         if (const auto heardAt = this->plan ? this->fleet.findNewerPlan(this->plan->version()) : std::nullopt)
             line.add("behind_ms", this->clock.now() - *heardAt);
         this->log.write(line.add("era", static_cast<std::int64_t>(this->storeEra.current())));
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -29,6 +29,8 @@
 constexpr int kMissedIntervals = 3;
 /** Interval at which the feed checks whether it can still rely on the news. */
 constexpr Duration kNewsCheckInterval { 100 };
+/** Size from which the answer of a call is logged. */
+constexpr std::size_t kLargeAnswerBytes = 32 * 1024;
 /** Time for which news report an outage; longer than the grace period of entries that expired during it. */
 constexpr Duration kOutageTtl { 4000 };
 
@@ -119,12 +121,31 @@
     this->log.write(line.add("reason", kPlatformCallReasonNames[reason]));
 }
 
+void StoreFeed::logAnswer(PlatformCallReason reason, const WatchBatch& batch, TimePoint calledAt)
+{
+    if (batch.bytes < kLargeAnswerBytes)
+        return;
+    LogLine line { LogEvent::StoreAnswered };
+    line.add("kind", kObjectKindNames[this->kind]).add("reason", kPlatformCallReasonNames[reason]);
+    line.add("bytes", static_cast<std::int64_t>(batch.bytes)).add("took_ms", this->clock.now() - calledAt);
+    this->log.write(line);
+}
+
+void StoreFeed::logFailure(PlatformCallReason reason, const PlatformError& error, TimePoint calledAt)
+{
+    LogLine line { LogEvent::StoreAnswered };
+    line.add("kind", kObjectKindNames[this->kind]).add("reason", kPlatformCallReasonNames[reason]);
+    line.add("error", error.what()).add("took_ms", this->clock.now() - calledAt);
+    this->log.write(line);
+}
+
 Task<void> StoreFeed::listObjects()
 {
     const auto sentAt = this->clock.now();
     const auto reason = this->callReason();
     this->logCall(PlatformOperation::List, reason);
     const auto all = co_await this->client.listAll(this->kind, false, reason);
+    this->logAnswer(reason, all, sentAt);
     this->era.observe(all.era, {});
     if (all.era < this->era.current())
         throw PlatformError { PlatformFault::Unavailable, "the list is from before a restore of the store" };
@@ -200,6 +221,7 @@
     try {
         this->logCall(PlatformOperation::WatchKind, reason);
         const auto batch = co_await this->client.watchKind(this->kind, this->revision, kProbeTimeout, reason);
+        this->logAnswer(reason, batch, sentAt);
         this->era.observe(batch.era, {});
         if (this->isCurrent() && batch.era == this->listEra) {
             this->applyBatch(batch);
@@ -211,7 +233,8 @@
     } catch (const PlatformError& error) {
         this->era.observe(error.era(), {});
         LogLine line { LogEvent::RefreshFailed };
-        this->log.write(line.add("kind", kObjectKindNames[this->kind]).add("error", error.what()));
+        line.add("kind", kObjectKindNames[this->kind]).add("took_ms", this->clock.now() - sentAt);
+        this->log.write(line.add("error", error.what()));
         this->nextRefreshAt = this->clock.now() + kRefreshRetryDelay;
         if (error.fault() == PlatformFault::HistoryGone) {
             this->isListRequired = true;
@@ -226,14 +249,17 @@
 
 Task<void> StoreFeed::completeWatch(std::uint64_t after, Duration length, std::shared_ptr<PendingWatch> pending)
 {
+    const auto calledAt = this->clock.now();
+    const auto reason = this->callReason();
     try {
-        const auto reason = this->callReason();
         this->logCall(PlatformOperation::WatchKind, reason);
         auto batch = co_await this->client.watchKind(this->kind, after, length, reason);
+        this->logAnswer(reason, batch, calledAt);
         this->era.observe(batch.era, {});
         pending->batch = std::move(batch);
     } catch (const PlatformError& error) {
         this->era.observe(error.era(), {});
+        this->logFailure(reason, error, calledAt);
         pending->failure = std::current_exception();
     } catch (...) {
         pending->failure = std::current_exception();
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -113,6 +113,10 @@
     /** Returns why the feed makes its next call. */
     [[nodiscard]] PlatformCallReason callReason() const;
     void logCall(PlatformOperation operation, PlatformCallReason reason);
+    /** Logs an answer of the store that takes a host noticeable time to receive. */
+    void logAnswer(PlatformCallReason reason, const WatchBatch& batch, TimePoint calledAt);
+    /** Logs a call of the store that failed. */
+    void logFailure(PlatformCallReason reason, const PlatformError& error, TimePoint calledAt);
     void applyChange(const VersionedObject& change, std::uint64_t through);
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -17,12 +17,16 @@
 /** Limit of the bytes that wait for the end of a head, chunk header or trailer. */
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 
-void throwOnError(const boost::system::error_code& error)
+/** Throws if an operation failed. @param received Bytes of the response that had arrived. */
+void throwOnError(const boost::system::error_code& error, std::size_t received = 0)
 {
     if (!error)
         return;
     const bool isTimeout = error == beast::error::timeout;
-    throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, error.message(),
+    auto text = error.message();
+    if (received > 0)
+        text += " after " + std::to_string(received) + " bytes of the response";
+    throw HttpCallError { isTimeout ? HttpFault::TimedOut : HttpFault::Interrupted, text,
         error == http::error::body_limit };
 }
 
@@ -56,7 +60,7 @@
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxBodyBytes);
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        throwOnError(error);
+        throwOnError(error, parser.get().body().size() + buffer.size());
         const auto status = parser.get().result_int();
         const auto kind = classifyStatus(status);
         if (kind == StatusClass::Invalid)
--- a/src/berylwing/store/messages.hpp
+++ b/src/berylwing/store/messages.hpp
@@ -129,6 +129,8 @@
     bool hasMore = false;
     /** Name after which the next page starts, in the bytes of the store; empty if the page has no readable name. */
     std::string lastName;
+    /** Bytes of the response; zero if the transport does not tell. */
+    std::size_t bytes = 0;
 };
 
 /** @brief Response of the platform to a call. */
--- a/src/berylwing/store/platform_client.cpp
+++ b/src/berylwing/store/platform_client.cpp
@@ -163,6 +163,7 @@
         all.hasMore = page.hasMore;
         all.lastName = page.lastName == all.lastName ? std::string {} : std::move(page.lastName);
         std::move(page.changes.begin(), page.changes.end(), std::back_inserter(all.changes));
+        all.bytes += page.bytes;
     }
     co_return all;
 }
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -20,6 +20,7 @@
     DependencyRegained,
     HistoryLost,
     StoreCalled,
+    StoreAnswered,
     StoreEraAdvanced,
     RolesChanged,
     DigestIntervalChanged,
@@ -69,7 +70,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 55> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 56> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -79,6 +80,7 @@
     "dependency_regained",
     "history_lost",
     "store_called",
+    "store_answered",
     "store_era_advanced",
     "roles_changed",
     "digest_interval_changed",
