Let a call to the store go on for as long as its answer keeps arriving (CONFIG)

Callers of small hosts were served by versions that had been replaced more than 3 s before. Class: a time-out that does not know what it waits for.

The timeout now covers the time until the head. A body may go on while bytes arrive: 0.8 s without one end it, and so does an average below 20 bytes a millisecond once the timeout has passed, so that a trickle does not hold a call for good.

"A call to the store goes on past its timeout while its response keeps arriving" failed before (no answer within 800 ms, which came in 1.2 s). The cases on answers that never end pass as before.

--- a/src/berylwing/http/http_call.cpp
+++ b/src/berylwing/http/http_call.cpp
@@ -2,8 +2,10 @@
 
 #include "berylwing/http/response_status.hpp"
 #include "berylwing/http/socket_options.hpp"
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <utility>
 
 namespace berylwing {
@@ -14,6 +16,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+/** Time without a byte after which the rest of a body is given up. */
+constexpr Duration kBodyStallTimeout { 800 };
+/** Bytes per millisecond that a body has to bring on average once the timeout of its call has passed. */
+constexpr std::size_t kMinBodyBytesPerMs = 20;
 /** Limit of the bytes that wait for the end of a head, chunk header or trailer. */
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 
@@ -45,6 +51,27 @@
     stream.socket().set_option(asio::ip::tcp::no_delay { true }, ignored);
 }
 
+namespace {
+
+using ResponseParser = http::response_parser<http::string_body>;
+
+/** Reads the rest of a response for as long as it keeps arriving. */
+Task<void> readBody(beast::tcp_stream& stream, beast::flat_buffer& buffer, ResponseParser& parser, Duration timeout)
+{
+    const auto beganAt = std::chrono::steady_clock::now();
+    while (!parser.is_done()) {
+        const auto received = parser.get().body().size();
+        const Duration earned { static_cast<Duration::rep>(received / kMinBodyBytesPerMs) };
+        const auto stallsAt = std::chrono::steady_clock::now() + kBodyStallTimeout;
+        stream.expires_at(std::min(stallsAt, beganAt + std::max(timeout, kBodyStallTimeout) + earned));
+        boost::system::error_code error;
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        throwOnError(error, received);
+    }
+}
+
+} // namespace
+
 Task<HttpResponse> callHttp(SocketAddress address, HttpRequest request, Duration timeout, std::uint64_t maxBodyBytes)
 {
     beast::tcp_stream stream { co_await asio::this_coro::executor };
@@ -57,10 +84,11 @@
     throwOnError(error);
     beast::flat_buffer buffer { kMaxUnparsedBytes };
     for (int interimCount = 0; interimCount <= kMaxInterimResponses; ++interimCount) {
-        http::response_parser<http::string_body> parser;
+        ResponseParser parser;
         parser.body_limit(maxBodyBytes);
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        throwOnError(error, parser.get().body().size() + buffer.size());
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        throwOnError(error, buffer.size());
+        co_await readBody(stream, buffer, parser, timeout);
         const auto status = parser.get().result_int();
         const auto kind = classifyStatus(status);
         if (kind == StatusClass::Invalid)
--- a/src/berylwing/http/http_call.hpp
+++ b/src/berylwing/http/http_call.hpp
@@ -70,7 +70,7 @@
  * @brief Sends a request on a new connection and reads the response.
  * @param address Address and port of the server.
  * @param request Request.
- * @param timeout Time for the whole call, in milliseconds.
+ * @param timeout Time until the head of the response, in milliseconds. A body may take longer while it keeps arriving.
  * @param maxBodyBytes Limit of the response's body, which is held in memory as a whole.
  * @return Response.
  * @throws HttpCallError If the call fails or the response exceeds the limit.
--- a/test/berylwing/http/endless_response_test.cpp
+++ b/test/berylwing/http/endless_response_test.cpp
@@ -5,9 +5,11 @@
 #include "support/runtime_context.hpp"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 
@@ -253,3 +255,36 @@
     CHECK(endpoint.fault == EndpointFault::Silent);
     CHECK(endpoint.isClosed);
 }
+
+// Guards against large answers of the store that are given up while they arrive (CONFIG).
+TEST_CASE("A call to the store goes on past its timeout while its response keeps arriving", "[http][endless]")
+{
+    constexpr std::size_t kPieces = 12;
+    constexpr std::size_t kPieceBytes = 32 * 1024;
+    static constexpr std::chrono::milliseconds kPieceInterval { 100 };
+    berylwing::test::RuntimeContext context;
+    Tcp::acceptor acceptor { context, { asio::ip::address_v4::loopback(), 0 } };
+    spawn(context.get_executor(), "store", [](Tcp::acceptor& store) -> Task<void> {
+        auto socket = co_await store.async_accept(asio::use_awaitable);
+        co_await socket.async_wait(Tcp::socket::wait_read, asio::use_awaitable);
+        const std::string head
+            = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPieces * kPieceBytes) + "\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+        const std::string piece(kPieceBytes, 'a');
+        asio::steady_timer timer { co_await asio::this_coro::executor };
+        for (std::size_t index = 0; index < kPieces; ++index) {
+            timer.expires_after(kPieceInterval);
+            co_await timer.async_wait(asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(piece), asio::use_awaitable);
+        }
+    }(acceptor));
+    std::optional<std::size_t> received;
+    const SocketAddress address { "127.0.0.1", acceptor.local_endpoint().port() };
+    spawn(context.get_executor(), "call", [](SocketAddress store, std::optional<std::size_t>& bytes) -> Task<void> {
+        HttpRequest request { boost::beast::http::verb::get, "/", kHttpVersion };
+        const auto response = co_await callHttp(std::move(store), std::move(request), Duration { 800 });
+        bytes = response.body().size();
+    }(address, received));
+    context.run_for(std::chrono::seconds { 20 });
+    CHECK(received == kPieces * kPieceBytes);
+}
