--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -49,13 +49,8 @@
 /** Adds a request for the changes that a feed has missed, if there are any. */
 void addRequest(const StoreFeed& feed, google::protobuf::RepeatedPtrField<wire::NewsRequest>& requests)
 {
-    const auto after = feed.missingAfter();
-    if (!after)
-        return;
-    auto& request = *requests.Add();
-    request.set_kind(static_cast<std::uint32_t>(feed.objectKind()));
-    request.set_after(*after);
-    request.set_era(feed.listedEra());
+    if (feed.missingAfter())
+        *requests.Add() = feed.makeRequest();
 }
 
 Duration sendTime(std::size_t bytes, Duration::rep bytesPerMs)
@@ -319,19 +314,24 @@
     if (message.has_digest() && message.digest().host() == sender.name) {
         this->handleNewsRequests(sender, message.digest().requests());
         const bool hasNews = message.digest().news_size() > 0;
+        const auto plan = message.digest().plan_version();
         this->handleDigest(std::move(*message.mutable_digest()));
         if (hasNews)
             this->requestMissingNews(sender);
+        this->requestNewerPlan(sender, plan);
     }
     if (message.has_news_update() && message.news_update().host() == sender.name) {
         this->handleNewsUpdate(message.news_update());
         this->requestMissingNews(sender);
+        this->requestNewerPlan(sender, message.news_update().plan_version());
     }
     this->handleNewsRequests(sender, message.requests());
     if (!message.compressed_news().empty())
         this->handleReply(message.compressed_news());
-    if (message.has_summary() && message.summary().host() == sender.name)
+    if (message.has_summary() && message.summary().host() == sender.name) {
         this->handleSummary(message.summary());
+        this->requestNewerPlan(sender, message.summary().plan_version());
+    }
     this->dependencies.streams.receive(sender, message);
     if (this->dependencies.versions != nullptr)
         this->dependencies.versions->receive(sender, message);
@@ -395,10 +395,21 @@
     return true;
 }
 
-void FleetExchange::handleNewsRequests(const HostEntry& sender, const NewsRequests& requests)
+void FleetExchange::requestNewerPlan(const HostEntry& sender, std::uint64_t version)
 {
-    if (!this->isWatcher)
+    const auto now = this->dependencies.clock.now();
+    const auto* feed = this->findFeed(static_cast<std::uint32_t>(ObjectKind::RoutingPlan));
+    if (version <= this->dependencies.planVersion() || feed == nullptr || !feed->isCurrent()
+        || now < this->planRequestedAt + kRequestRepeatInterval)
         return;
+    this->planRequestedAt = now;
+    wire::FleetMessage message;
+    *message.add_requests() = feed->makeRequest();
+    this->send(sender, message);
+}
+
+void FleetExchange::handleNewsRequests(const HostEntry& sender, const NewsRequests& requests)
+{
     for (const auto& request : requests) {
         auto* feed = this->findFeed(request.kind());
         const auto* bytes = feed == nullptr ? nullptr : this->findReply(*feed, request);
@@ -413,15 +424,17 @@
 
 const std::string* FleetExchange::findReply(StoreFeed& feed, const wire::NewsRequest& request)
 {
-    const auto news = feed.makeNewsAfter(request.era(), request.after());
-    if (!news)
+    const auto news = feed.makeNewsAfter(request.era(), request.after(), request.fingerprint());
+    // Only a watcher also tells that there is nothing new.
+    if (!news || (!this->isWatcher && news->patches().empty() && news->changes().empty()))
         return nullptr;
     // The hosts of a group mostly request the same changes at the same time.
     auto& reply = this->replies[request.kind()];
-    if (reply.era != request.era() || reply.after != request.after() || reply.through != news->through()) {
+    if (reply.era != request.era() || reply.after != request.after() || reply.fingerprint != request.fingerprint()
+        || reply.through != news->through()) {
         wire::FleetMessage message;
         message.set_compressed_news(compressText(news->SerializeAsString()));
-        reply = { request.era(), request.after(), news->through(), message.SerializeAsString() };
+        reply = { request.era(), request.after(), request.fingerprint(), news->through(), message.SerializeAsString() };
     }
     return reply.bytes.size() <= kMaxDatagramBytes ? &reply.bytes : nullptr;
 }
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -72,6 +72,7 @@
     struct Reply {
         std::uint64_t era = 0;
         std::uint64_t after = 0;
+        std::uint64_t fingerprint = 0;
         std::uint64_t through = 0;
         std::string bytes;
     };
@@ -100,6 +101,8 @@
     void handleNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval);
     /** Requests the changes that the news of a watcher omitted. */
     void requestMissingNews(const HostEntry& watcher);
+    /** Asks a host that has a newer routing plan for what has changed since this host's. */
+    void requestNewerPlan(const HostEntry& sender, std::uint64_t version);
     void handleNewsRequests(const HostEntry& sender, const NewsRequests& requests);
     /** Returns the reply to a request, which is valid until the next one; a null pointer if it does not fit. */
     [[nodiscard]] const std::string* findReply(StoreFeed& feed, const wire::NewsRequest& request);
@@ -144,6 +147,8 @@
     std::size_t summaryTurn = 0;
     /** Time of the last request for missing news that did not wait for a digest. */
     TimePoint newsRequestedAt {};
+    /** Time of the last request for the changes of a plan that another host has. */
+    TimePoint planRequestedAt {};
     /** Time at which the replies sent so far have passed the allowed rate. */
     TimePoint repliesDoneAt {};
     /** Last reply about each kind of objects. */
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -104,7 +104,7 @@
         this->costs, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
-    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay },
+    , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay, true },
         this->makePlanHooks(), this->storeEra, this->log }
     , endpointFeed { hostClock, this->client, ObjectKind::Endpoint,
         { kEndpointWatchTimeout, kEndpointBatchDelay, false, kFetchDelay }, this->makeEndpointHooks(), this->storeEra,
@@ -159,11 +159,18 @@
     return countTurns(this->clock.now()) > countTurns(triedAt);
 }
 
+Duration Gateway::planFetchTurn() const
+{
+    const auto longest = std::max(this->changeDeadlines.plan / 2 - kFetchDelay, Duration {});
+    return Duration { static_cast<Duration::rep>(this->fleet.groupPosition() * static_cast<double>(longest.count())) };
+}
+
 bool Gateway::isPlanOvertaken() const
 {
     const auto heardAt = this->plan ? this->fleet.findNewerPlan(this->plan->version()) : std::nullopt;
     // A store that was restored from a copy may lack the plan, which one call since then has shown.
-    return heardAt && this->planFeed.confirmationTime() < *heardAt && this->clock.now() >= *heardAt + kFetchDelay;
+    return heardAt && this->planFeed.confirmationTime() < *heardAt && !this->planFeed.isFetching()
+        && this->clock.now() >= *heardAt + kFetchDelay + this->planFetchTurn();
 }
 
 Task<void> Gateway::fetchNewerPlan()
@@ -282,6 +289,7 @@
         this->confirmPlan();
     };
     hooks.reportFailure = [this] { this->startHold.end(); };
+    hooks.fetchTurn = [this] { return this->planFetchTurn(); };
     hooks.isProbedByPeer = [this](TimePoint triedAt) {
         // A watcher that reaches the store but is not trusted does not retry on behalf of others.
         const bool isWatched = this->fleet.isStoreProbed() || this->isWatchedByPeer(this->watcherTtl());
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -101,6 +101,11 @@
     [[nodiscard]] bool isProbeDue(TimePoint triedAt) const;
     /** Checks if another host has a newer plan and neither news nor a call to the store have brought it in time. */
     [[nodiscard]] bool isPlanOvertaken() const;
+    /**
+     * Returns the delay after which it is this host's turn to fetch a plan that its group has missed, so that the hosts
+     * that come first can pass it on.
+     */
+    [[nodiscard]] Duration planFetchTurn() const;
     [[nodiscard]] Task<void> fetchNewerPlan();
     /** Brings the list of endpoints up to date unless it was confirmed a moment ago. */
     [[nodiscard]] Task<bool> refreshEndpoints();
--- a/src/berylwing/gateway/store_feed.cpp
+++ b/src/berylwing/gateway/store_feed.cpp
@@ -17,11 +17,6 @@
 constexpr Duration kMaxRetryDelay { 500 };
 /** Time for which digests repeat a change, each at least once; hosts that missed more ask. */
 constexpr Duration kNewsRepeatTtl { 500 };
-/**
- * Maximum bytes of the documents of a kind in a digest. Those of more or larger changes are requested from the watcher,
- * so that a digest to each host of a group does not take longer than news remain valid.
- */
-constexpr std::size_t kMaxNewsDocumentBytes = 1000;
 /** Time for which other hosts can request a change; a host that has missed older ones fetches them from the store. */
 constexpr Duration kRecentChangeTtl { 10'000 };
 constexpr std::size_t kMaxRecentChanges = 1000;
@@ -40,6 +35,23 @@
 /** Text of a document that could not be read; other hosts cannot read it either. */
 constexpr std::string_view kUnreadableDocument = "unreadable";
 
+/** Scope in which a flag tells that something is in progress. */
+class PendingFlag {
+public:
+    PendingFlag(bool& pendingFlag, bool isPending)
+        : flag { pendingFlag }
+    {
+        this->flag = isPending;
+    }
+
+    ~PendingFlag() { this->flag = false; }
+    PendingFlag(const PendingFlag&) = delete;
+    PendingFlag& operator=(const PendingFlag&) = delete;
+
+private:
+    bool& flag;
+};
+
 std::string textOf(const nlohmann::json& document)
 {
     if (document.is_discarded())
@@ -62,10 +74,11 @@
     , newsArrived { hostClock }
     , watchEnded { hostClock }
     , refreshEnded { hostClock }
+    , history { hostClock }
 {
 }
 
-void StoreFeed::applyChange(const VersionedObject& change, std::uint64_t through)
+void StoreFeed::reportChange(const VersionedObject& change)
 {
     try {
         this->hooks.change(change);
@@ -74,9 +87,13 @@
         line.add("kind", kObjectKindNames[this->kind]).add("object", change.name);
         this->log.write(line.add("error", error.what()));
     }
+}
+
+void StoreFeed::applyChange(const VersionedObject& change, std::uint64_t through, std::string document)
+{
+    this->reportChange(change);
     // A host that has missed earlier changes of the object needs only the last one.
     std::erase_if(this->recentChanges, [&change](const RecentChange& recent) { return recent.name == change.name; });
-    auto document = textOf(change.value);
     this->setVersion(change.name, document.empty() ? 0 : change.version);
     this->recentChanges.push_back({ change.name, std::move(document), through, this->clock.now(), change.version });
 }
@@ -158,6 +175,11 @@
     this->fingerprint = kEmptyFingerprint;
     for (const auto& object : all.changes)
         this->setVersion(object.name, object.version);
+    this->history.clear();
+    for (const auto& object : all.changes) {
+        if (this->timing.hasLargeDocuments)
+            this->history.recordListed(object.name, textOf(object.value));
+    }
     this->isListRequired = false;
     this->hasList = true;
     this->forgetMissing();
@@ -173,6 +195,7 @@
     const auto sentAt = this->clock.now();
     const bool isShort = this->failures > 0 || this->isConfirmationRequired || this->missingSince;
     const auto length = isShort ? kProbeTimeout : this->timing.watchTimeout;
+    const PendingFlag pending { this->isShortWatchPending, isShort };
     const auto batch = co_await this->watchUntilRestored(length);
     if (!batch)
         co_return false;
@@ -193,7 +216,7 @@
 {
     if (batch.through >= this->revision) {
         for (const auto& change : batch.changes)
-            this->applyChange(change, batch.through);
+            this->applyWhole(change, batch.through);
         this->revision = batch.through;
     }
     this->forgetMissing();
@@ -345,6 +368,7 @@
         }
         addChange(news, recent);
     }
+    this->history.appendRecent(news);
     return news;
 }
 
@@ -355,12 +379,27 @@
     return this->revision;
 }
 
-std::optional<wire::StoreNews> StoreFeed::makeNewsAfter(std::uint64_t newsEra, std::uint64_t after)
+wire::NewsRequest StoreFeed::makeRequest() const
+{
+    wire::NewsRequest request;
+    request.set_kind(static_cast<std::uint32_t>(this->kind));
+    request.set_after(this->revision);
+    request.set_era(this->listEra);
+    request.set_fingerprint(this->fingerprint);
+    return request;
+}
+
+std::optional<wire::StoreNews> StoreFeed::makeNewsAfter(
+    std::uint64_t newsEra, std::uint64_t after, std::uint64_t knownFingerprint)
 {
     this->pruneRecentChanges();
-    if (!this->isCurrent() || newsEra != this->listEra || after < this->recentChangesAfter)
+    if (!this->isCurrent() || newsEra != this->listEra)
         return std::nullopt;
     auto news = this->makeNewsHeader();
+    if (this->history.appendFrom(news, knownFingerprint))
+        after = news.patches().rbegin()->revision();
+    else if (after < this->recentChangesAfter)
+        return std::nullopt;
     news.set_after(after);
     for (const auto& recent : this->recentChanges) {
         if (recent.through > after)
@@ -378,8 +417,35 @@
         if (!change.value().empty())
             value = this->hooks.readDocument(this->kind, change.name(), change.value());
         const auto version = change.version() == 0 ? change.revision() : change.version();
-        this->applyChange({ this->kind, change.name(), version, std::move(value) }, change.revision());
+        this->applyWhole({ this->kind, change.name(), version, std::move(value) }, change.revision());
+    }
+}
+
+bool StoreFeed::applyPatches(const wire::StoreNews& news)
+{
+    const auto patched = this->history.apply(news, this->fingerprint);
+    if (!patched)
+        return false;
+    for (const auto& document : *patched) {
+        auto value = this->hooks.readDocument(this->kind, document.name, document.text);
+        this->applyChange(
+            { this->kind, document.name, document.version, std::move(value) }, document.through, document.text);
+    }
+    return true;
+}
+
+void StoreFeed::applyWhole(const VersionedObject& change, std::uint64_t through)
+{
+    auto document = textOf(change.value);
+    if (this->timing.hasLargeDocuments) {
+        wire::StoreChange recorded;
+        recorded.set_name(change.name);
+        recorded.set_revision(through);
+        recorded.set_version(change.version);
+        recorded.set_value(document);
+        this->history.recordChange(recorded, this->fingerprint);
     }
+    this->applyChange(change, through, std::move(document));
 }
 
 void StoreFeed::receiveNews(const wire::StoreNews& news, std::optional<TimePoint> sentAt, Duration interval)
@@ -398,7 +464,7 @@
     }
     // Lists of the same objects can have different revisions, because other kinds have changed in between.
     const bool hasSameObjects = news.fingerprint() == this->fingerprint;
-    if (this->revision < news.after() && !hasSameObjects) {
+    if (this->revision < news.after() && !hasSameObjects && !this->applyPatches(news)) {
         if (!this->missingSince)
             this->missingSince = now;
         this->missingUntil = std::max(this->missingUntil, news.after());
@@ -423,7 +489,7 @@
     const auto now = this->clock.now();
     const bool isWatched = this->hooks.isWatchedByPeer();
     if (isWatched && this->missingSince && !this->isListRequired)
-        return now < *this->missingSince + this->timing.fetchDelay;
+        return this->isRefreshing || now < *this->missingSince + this->timing.fetchDelay + this->hooks.fetchTurn();
     if (this->failures > 0)
         return !this->isRefreshAnswered && this->hooks.isProbedByPeer(this->lastAttemptAt);
     if (this->isListRequired)
--- a/src/berylwing/gateway/store_feed.hpp
+++ b/src/berylwing/gateway/store_feed.hpp
@@ -4,6 +4,7 @@
 #include "berylwing/core/event.hpp"
 #include "berylwing/core/json_text.hpp"
 #include "berylwing/gateway/digest.pb.h"
+#include "berylwing/gateway/document_history.hpp"
 #include "berylwing/gateway/store_era.hpp"
 #include "berylwing/store/platform_client.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
@@ -56,6 +57,8 @@
      * The argument is the time of this feed's last call.
      */
     std::function<bool(TimePoint)> isProbedByPeer;
+    /** Returns the delay after which it is this host's turn to fetch what its group has missed, beside fetchDelay. */
+    std::function<Duration()> fetchTurn = [] { return Duration {}; };
 };
 
 /** @brief Timing of a feed's calls to the store. */
@@ -68,6 +71,8 @@
     bool hasConfirmationWatch = false;
     /** Delay before missing changes are fetched from the store, in which a watcher may still send them. */
     Duration fetchDelay {};
+    /** Whether documents can be so large that hosts relay what has changed in them. */
+    bool hasLargeDocuments = false;
 };
 
 /**
@@ -117,7 +122,14 @@
     void logAnswer(PlatformCallReason reason, const WatchBatch& batch, TimePoint calledAt);
     /** Logs a call of the store that failed. */
     void logFailure(PlatformCallReason reason, const PlatformError& error, TimePoint calledAt);
-    void applyChange(const VersionedObject& change, std::uint64_t through);
+    /** @param document Document of the change as text, empty if the object was removed. */
+    void applyChange(const VersionedObject& change, std::uint64_t through, std::string document);
+    /** Applies a change that was received as a whole document. */
+    void applyWhole(const VersionedObject& change, std::uint64_t through);
+    /** Hands a change to the hooks. */
+    void reportChange(const VersionedObject& change);
+    /** Applies the differences of large documents. @return False if they do not lead on from what is known here. */
+    bool applyPatches(const wire::StoreNews& news);
     void applyChanges(const wire::StoreNews& news);
     void pruneRecentChanges();
     /** Takes note that no changes are known to be missing any more. */
@@ -192,13 +204,21 @@
     /** @brief Returns the revision after which changes are missing. @return Revision; nothing if none is missing. */
     [[nodiscard]] std::optional<std::uint64_t> missingAfter() const;
 
+    /** @brief Creates a request for the changes that this host does not know. @return Request. */
+    [[nodiscard]] wire::NewsRequest makeRequest() const;
+
     /**
      * @brief Creates news with the last change of each object after a revision, regardless of document size.
      * @param newsEra Era that the revision belongs to.
      * @param after Revision.
+     * @param knownFingerprint Fingerprint of the objects that the recipient knows; zero if unknown.
      * @return News; nothing if this host no longer has all of these changes.
      */
-    [[nodiscard]] std::optional<wire::StoreNews> makeNewsAfter(std::uint64_t newsEra, std::uint64_t after);
+    [[nodiscard]] std::optional<wire::StoreNews> makeNewsAfter(
+        std::uint64_t newsEra, std::uint64_t after, std::uint64_t knownFingerprint = 0);
+
+    /** @brief Checks if a call for the changes of the last moment is in progress. @return True if it is. */
+    [[nodiscard]] bool isFetching() const noexcept { return this->isRefreshing || this->isShortWatchPending; }
 
     /**
      * @brief Applies the changes that another host has seen in the era that this feed follows; ignores other news.
@@ -235,6 +255,9 @@
     static constexpr std::uint64_t kEmptyFingerprint = 1;
     /** Combined hash of the names and versions. */
     std::uint64_t fingerprint = kEmptyFingerprint;
+    DocumentHistory history;
+    /** Whether a watch is in progress that does not wait for further changes. */
+    bool isShortWatchPending = false;
     /** Last change of each object, kept to be relayed to other hosts. */
     std::deque<RecentChange> recentChanges;
     /** Revision after which recentChanges is complete. */
--- a/test/support/gateway_fleet.cpp
+++ b/test/support/gateway_fleet.cpp
@@ -72,7 +72,14 @@
         ++host.storeCalls;
         if (this->beforeCall)
             this->beforeCall(host, call);
+        const auto timeout = call.timeout;
         auto reply = co_await exchange(call);
+        if (this->transferTime) {
+            const auto length = this->transferTime(host, reply);
+            co_await this->clock.sleepFor(std::min(length, timeout));
+            if (length > timeout)
+                throw PlatformError { PlatformFault::OutcomeUnknown, "timed out" };
+        }
         if (this->receiveDelay)
             co_await this->clock.sleepFor(this->receiveDelay(host));
         co_return reply;
--- a/test/support/gateway_fleet.hpp
+++ b/test/support/gateway_fleet.hpp
@@ -94,6 +94,8 @@
     std::size_t endpointBytes = 0;
     /** Returns how long a call to the store or a message takes that a host receives; nothing extra without it. */
     std::function<Duration(const Host&)> receiveDelay;
+    /** Returns how long the answer to a call takes on the link of a host; a call fails at its timeout. */
+    std::function<Duration(const Host&, const PlatformReply&)> transferTime;
     /** Part of the messages that is lost. */
     double messageLoss = 0;
     TimePoint time { Duration { 1'000'000 } };
