--- a/src/berylwing/config/document_reader.cpp
+++ b/src/berylwing/config/document_reader.cpp
@@ -93,6 +93,23 @@
     return fallback;
 }
 
+std::map<std::string, std::string, std::less<>> DocumentReader::readTexts(std::string_view name)
+{
+    std::map<std::string, std::string, std::less<>> texts;
+    const auto* value = this->find(name, false);
+    if (value == nullptr)
+        return texts;
+    const bool isValid = value->is_object()
+        && std::all_of(value->begin(), value->end(), [](const nlohmann::json& text) { return text.is_string(); });
+    if (!isValid) {
+        this->findings.add(this->pathOf(name), value->dump(), "an object whose values are strings");
+        return texts;
+    }
+    for (const auto& [key, text] : value->items())
+        texts.emplace(key, text.get<std::string>());
+    return texts;
+}
+
 void DocumentReader::reportUnknownNames()
 {
     for (const auto& [name, value] : this->object.items()) {
--- a/src/berylwing/config/document_reader.hpp
+++ b/src/berylwing/config/document_reader.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/finding.hpp"
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -66,6 +67,13 @@
      */
     [[nodiscard]] bool readBool(std::string_view name, bool fallback);
 
+    /**
+     * @brief Reads an object whose values are strings.
+     * @param name Name of the value.
+     * @return Strings by name; empty if the name is missing or the value is invalid.
+     */
+    [[nodiscard]] std::map<std::string, std::string, std::less<>> readTexts(std::string_view name);
+
     /**
      * @brief Reads an enumerator by its name.
      * @param name Name of the value.
--- a/src/berylwing/core/reasons.hpp
+++ b/src/berylwing/core/reasons.hpp
@@ -194,10 +194,14 @@
     NewsReplyDeferred,
     /** An endpoint told of its load what cannot be right, which is not used. */
     LoadFigureIgnored,
+    /** Another host has served a request whose endpoints this host does not reach. */
+    RequestRelayed,
+    /** Another host was not reached, or has not served such a request. */
+    RelayFailed,
 };
 
 /** @brief Names of the incidents in metrics. */
-inline constexpr EnumNames<Incident, 22> kIncidentNames { {
+inline constexpr EnumNames<Incident, 24> kIncidentNames { {
     "doubt_began",
     "doubt_ended",
     "handoff_sent",
@@ -220,6 +224,8 @@
     "log_line_dropped",
     "news_reply_deferred",
     "load_figure_ignored",
+    "request_relayed",
+    "relay_failed",
 } };
 
 } // namespace berylwing
--- a/src/berylwing/daemon/gateway_daemon.cpp
+++ b/src/berylwing/daemon/gateway_daemon.cpp
@@ -41,7 +41,8 @@
             { platform::makeStoreTransport(this->settings.platform), makeSessionFactory(this->clock, this->protocol),
                 [this](const SocketAddress& to, const std::string& bytes) { this->digests.send(to, bytes); },
                 [](std::string_view lines) { return writeNonBlocking(STDOUT_FILENO, lines); },
-                static_cast<std::uint64_t>(wallTimeMs()) } }
+                static_cast<std::uint64_t>(wallTimeMs()),
+                makeHostSessionFactory(this->clock, this->protocol, this->settings.digests.address) } }
         , callers { this->clock, this->settings.callers, this->gateway, this->settings.capacity }
         , readiness { this->clock, this->settings.readiness, this->makeStatusHandler() }
         , metrics { this->clock, this->settings.metrics, this->makeStatusHandler() }
@@ -58,6 +59,8 @@
             this->gateway.receive(address, bytes);
         }));
         spawn(executor, "callers", this->callers.run());
+        if (this->settings.isRelayEnabled)
+            spawn(executor, "hosts", this->callers.runForHosts(this->settings.digests));
         spawn(executor, "readiness", this->readiness.run());
         spawn(executor, "metrics", this->metrics.run());
         spawn(executor, "stop", this->stopOnSignal());
--- a/src/berylwing/gateway/endpoint_session.hpp
+++ b/src/berylwing/gateway/endpoint_session.hpp
@@ -59,4 +59,7 @@
 /** @brief Connects to an endpoint without sending any bytes of a request; throws EndpointError on failure. */
 using SessionFactory = std::function<Task<std::shared_ptr<EndpointSession>>(const GatewayEndpoint&, ConnectionReuse)>;
 
+/** @brief Connects to another host, which serves requests in place of this one; throws EndpointError on failure. */
+using HostSessionFactory = std::function<Task<std::shared_ptr<EndpointSession>>(const SocketAddress&)>;
+
 } // namespace berylwing
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -7,9 +7,11 @@
 #include "berylwing/gateway/demand_exchange.hpp"
 #include "berylwing/gateway/digest.pb.h"
 #include "berylwing/gateway/endpoint_rate_limits.hpp"
+#include "berylwing/gateway/endpoint_reach.hpp"
 #include "berylwing/gateway/fleet_view.hpp"
 #include "berylwing/gateway/host_roster.hpp"
 #include "berylwing/gateway/prompt_cache_index.hpp"
+#include "berylwing/gateway/relay_hosts.hpp"
 #include "berylwing/gateway/store_feed.hpp"
 #include "berylwing/gateway/stream_version_index.hpp"
 #include "berylwing/telemetry/decision_log.hpp"
@@ -57,6 +59,9 @@
     GatewayRollouts* rollouts = nullptr;
     /** Questions about the versions of services; a null pointer if this host neither asks nor answers. */
     VersionExchange* versions = nullptr;
+    /** Services that this host has lost, and what others tell of theirs; null pointers if it passes no requests on. */
+    const EndpointReach* reach = nullptr;
+    RelayHosts* relayHosts = nullptr;
 };
 
 /**
--- a/src/berylwing/gateway/forwarder.cpp
+++ b/src/berylwing/gateway/forwarder.cpp
@@ -17,32 +17,12 @@
 
 constexpr unsigned kMisdirectedRequest = 421;
 constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kFirstSuccess = 200;
-constexpr unsigned kFirstRedirect = 300;
-constexpr std::string_view kEventStreamType = "text/event-stream";
 /** Limit of the attempts for one request; each but the first takes a retry from the fleet's budget. */
 constexpr unsigned kMaxAttempts = 4;
-/**
- * Size up to which a response is buffered before any of it is written to the caller, so that the request can be retried
- * if the response breaks.
- */
-constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
-/** Size up to which an incomplete event of a stream is buffered; the events of a model have a few hundred bytes. */
-constexpr std::size_t kMaxEventBytes = 256 * 1024;
 /** Time for reading the body of a rejection, so that its connection can be used again. */
 constexpr Duration kRejectionTimeout { 200 };
 /** Parts of an answer after which the request did not crash the endpoint; a crash may come with the first one. */
 constexpr unsigned kClearingParts = 2;
-/** Time after the deadline for the endpoint's own response that the deadline has passed. */
-constexpr Duration kDeadlineTolerance { 40 };
-
-bool isSuccess(unsigned status) { return status >= kFirstSuccess && status < kFirstRedirect; }
-
-bool isEventStream(const ResponseHead& head)
-{
-    const auto type = head.fields["Content-Type"];
-    return isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with(kEventStreamType);
-}
 
 } // namespace
 
@@ -193,7 +173,15 @@
     RequestContext context { request, writer, this->dependencies.plan() };
     if (const auto refusal = this->prepare(context))
         co_return *refusal;
-    this->dependencies.retryBudget.recordRequest(context.service);
+    if (const auto outcome = this->takeOver(context))
+        co_return *outcome;
+    if (this->mustRelay(context)) {
+        const auto outcome = co_await this->relay(context, false);
+        if (outcome)
+            co_return *outcome;
+    }
+    if (!request.relay || !request.relay->isCounted)
+        this->dependencies.retryBudget.recordRequest(context.service);
     this->dependencies.unseenRequests.recordRequest(context.service);
     if (context.isTakeUp) {
         const auto refusal = co_await this->resolveVersion(context);
@@ -217,6 +205,11 @@
             co_return this->failureOf(context, this->endOf(context).value_or(Refusal::DeadlinePassed));
         if (!this->canRetry(context, result))
             co_return this->failureOf(context, context.failureReason);
+        if (this->mustRelay(context)) {
+            const auto outcome = co_await this->relay(context, true);
+            if (outcome)
+                co_return *outcome;
+        }
         this->dependencies.metrics.add(context.isHeadWritten ? Retry::ResumeAtOffset : Retry::NextCandidate);
         LogLine line { context.isHeadWritten ? LogEvent::RequestResumed : LogEvent::RequestRetried };
         line.add("after", endpoint->record.id).add("reason", kRefusalNames[context.failureReason]);
@@ -271,10 +264,11 @@
     try {
         session = co_await this->dependencies.openSession(*endpoint, use);
     } catch (const EndpointError& error) {
-        this->recordFault(*endpoint, error, EndpointResult::Unreachable);
+        this->recordUnreachable(*endpoint, error);
         context.failureReason = Refusal::EndpointUnreachable;
         co_return AttemptResult::NotRun;
     }
+    this->recordConnected(*endpoint, *session);
     // While the connection was established, the caller and the endpoint may have left, and the key may have been
     // revoked. If the process stood still, the request and its caller's end are read in the same turn.
     if (context.request.hasCallerLeft())
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -18,10 +18,13 @@
 
 namespace berylwing {
 
+class EndpointReach;
 class GatewayRollouts;
 class Metrics;
+class RelayHosts;
 class ServiceVersions;
 class StreamVersionIndex;
+struct HostEntry;
 
 /** @brief Writes the response to a caller; each function throws CallerGoneError if the caller has disconnected. */
 struct ResponseWriter {
@@ -57,6 +60,10 @@
     /** Brings the list of endpoints up to date; returns false if the store does not answer. */
     std::function<Task<bool>()> refreshEndpoints;
     SessionFactory openSession;
+    /** Connects to another host that serves a request in place of this one; empty if requests are not passed on. */
+    HostSessionFactory openHost;
+    EndpointReach& reach;
+    RelayHosts& relayHosts;
     /** Reports an endpoint that stopped responding. */
     std::function<void(GatewayEndpoint&)> reportSilence;
     Metrics& metrics;
@@ -104,6 +111,20 @@
      * run another version than the one that began the stream, so that nothing of it may be passed on.
      */
     [[nodiscard]] bool recordStreamVersion(RequestContext& context);
+    /** Checks if another host has to serve the request, since this one does not reach the endpoints of its service. */
+    [[nodiscard]] bool mustRelay(const RequestContext& context) const;
+    /** Begins to serve a request that another host has passed on. @return Refusal if this host cannot serve it. */
+    [[nodiscard]] std::optional<Outcome> takeOver(RequestContext& context) const;
+    /**
+     * Passes the request on to another host. @param isCounted Whether this host counts it among those for its service.
+     * @return Outcome; nothing if no host takes it and it has not run.
+     */
+    [[nodiscard]] Task<std::optional<Outcome>> relay(RequestContext& context, bool isCounted);
+    [[nodiscard]] Task<Outcome> exchangeWithHost(RequestContext& context, EndpointSession& session, bool isCounted);
+    /** Passes the answer of another host on to the caller. */
+    [[nodiscard]] Task<void> relayHostAnswer(
+        RequestContext& context, const ResponseHead& head, EndpointSession& session);
+    void logRelay(const RequestContext& context, const HostEntry& host, std::string_view error);
     /** Decides if a request may be sent now. @return Refusal if its service has no room for it. */
     [[nodiscard]] std::optional<NotRun> admit(RequestContext& context);
     /** Checks if a request that failed may be sent again although its service may have no room. */
@@ -180,6 +201,10 @@
     /** Learns from a complete answer what requests of its kind cost, and the pace of the endpoint. */
     void recordCost(const RequestContext& context, GatewayEndpoint& endpoint, const ResponseHead& head);
     void recordResult(GatewayEndpoint& endpoint, EndpointResult result);
+    /** Records that a session could not be opened. */
+    void recordUnreachable(GatewayEndpoint& endpoint, const EndpointError& error);
+    /** Records that a session was opened. */
+    void recordConnected(const GatewayEndpoint& endpoint, const EndpointSession& session);
     void recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result);
 
 public:
--- a/src/berylwing/gateway/forwarder_context.hpp
+++ b/src/berylwing/gateway/forwarder_context.hpp
@@ -10,6 +10,33 @@
 
 namespace berylwing {
 
+/**
+ * @brief Size up to which a response is buffered before any of it is written to the caller, so that the request can be
+ * retried if the response breaks.
+ */
+inline constexpr std::size_t kMaxBufferedBytes = 64 * 1024;
+
+/** @brief Size up to which an incomplete event is buffered; the events of a model have a few hundred bytes. */
+inline constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
+/** @brief Time after the deadline for the endpoint's own response that the deadline has passed. */
+inline constexpr Duration kDeadlineTolerance { 40 };
+
+/** @brief Checks if a status tells of success. @param status Status. @return True if so. */
+[[nodiscard]] constexpr bool isSuccess(unsigned status)
+{
+    constexpr unsigned kFirstSuccess = 200;
+    constexpr unsigned kFirstRedirect = 300;
+    return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+/** @brief Checks if a response is a stream of events. @param head Head of the response. @return True if so. */
+[[nodiscard]] inline bool isEventStream(const ResponseHead& head)
+{
+    const auto type = head.fields["Content-Type"];
+    return isSuccess(head.status) && std::string_view { type.data(), type.size() }.starts_with("text/event-stream");
+}
+
 /** @brief What a host sees of an attempt at an endpoint, from which the cost of requests is learned. */
 struct AttemptTiming {
     TimePoint sentAt {};
--- a/src/berylwing/gateway/forwarder_records.cpp
+++ b/src/berylwing/gateway/forwarder_records.cpp
@@ -1,4 +1,5 @@
 #include "berylwing/admission/admission_control.hpp"
+#include "berylwing/gateway/endpoint_reach.hpp"
 #include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/telemetry/metrics.hpp"
 #include <utility>
@@ -26,6 +27,18 @@
     this->dependencies.log.write(line);
 }
 
+void Forwarder::recordUnreachable(GatewayEndpoint& endpoint, const EndpointError& error)
+{
+    this->recordFault(endpoint, error, EndpointResult::Unreachable);
+    this->dependencies.reach.recordConnection(endpoint, false);
+}
+
+void Forwarder::recordConnected(const GatewayEndpoint& endpoint, const EndpointSession& session)
+{
+    if (!session.isReused)
+        this->dependencies.reach.recordConnection(endpoint, true);
+}
+
 void Forwarder::recordFault(GatewayEndpoint& endpoint, const EndpointError& error, EndpointResult result)
 {
     const bool isSilent = error.fault() == EndpointFault::Silent;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -104,6 +104,8 @@
         this->costs, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
+    , reach { hostClock, this->directory, [this] { this->prober.suspectAll(); }, this->log }
+    , relayHosts { hostClock, this->roster, this->fleet, gatewaySettings.domain, gatewaySettings.regions }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay, true },
         this->makePlanHooks(), this->storeEra, this->log }
     , endpointFeed { hostClock, this->client, ObjectKind::Endpoint,
@@ -120,19 +122,22 @@
     , serviceVersions { hostClock, this->directory, this->client, this->makeVersionHooks(), this->log }
     , rollouts { this->makeRollouts() }
     , exchange { this->makeExchangeDependencies(std::move(dependencies.sendToHost)) }
-    , forwarder { this->makeForwarderDependencies(std::move(dependencies.open)) }
+    , forwarder { this->makeForwarderDependencies(std::move(dependencies.open), std::move(dependencies.openHost)) }
     , startHold { hostClock }
     , stop { gatewaySettings.stopGrace }
     , answerTimes { hostClock }
 {
 }
 
-ForwarderDependencies Gateway::makeForwarderDependencies(SessionFactory open)
+ForwarderDependencies Gateway::makeForwarderDependencies(SessionFactory open, HostSessionFactory openHost)
 {
+    if (!this->settings.isRelayEnabled)
+        openHost = nullptr;
     return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
         this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
         this->unseenRequests, this->costs, this->admission, this->rateLimits, this->announcedStops,
         this->streamVersions, this->serviceVersions, [this] { return this->refreshEndpoints(); }, std::move(open),
+        std::move(openHost), this->reach, this->relayHosts,
         [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log,
         this->rollouts.get() };
 }
@@ -195,7 +200,7 @@
         this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streamVersions,
         this->demandExchange, this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
         [this] { return this->registration.isWanted(); }, this->feeds(), std::move(sendToHost), this->hostMetrics,
-        this->log, this->rollouts.get(), &this->versionExchange };
+        this->log, this->rollouts.get(), &this->versionExchange, &this->reach, &this->relayHosts };
 }
 
 void Gateway::start()
@@ -535,6 +540,7 @@
         this->roster.removeMissing(this->clock.now());
         this->logHostCount();
         this->prober.startDueProbes();
+        this->reach.update();
         this->fleet.dropExpired();
         this->holders.removeExpired();
         this->streamVersions.report(this->serviceVersions.isReportRequired());
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "berylwing/gateway/demand_exchange.hpp"
 #include "berylwing/gateway/endpoint_directory.hpp"
 #include "berylwing/gateway/endpoint_rate_limits.hpp"
+#include "berylwing/gateway/endpoint_reach.hpp"
 #include "berylwing/gateway/fleet_exchange.hpp"
 #include "berylwing/gateway/fleet_retry_budget.hpp"
 #include "berylwing/gateway/fleet_view.hpp"
@@ -23,6 +24,7 @@
 #include "berylwing/gateway/prompt_cache_index.hpp"
 #include "berylwing/gateway/protocol.hpp"
 #include "berylwing/gateway/reachability_prober.hpp"
+#include "berylwing/gateway/relay_hosts.hpp"
 #include "berylwing/gateway/service_versions.hpp"
 #include "berylwing/gateway/start_hold.hpp"
 #include "berylwing/gateway/stop_schedule.hpp"
@@ -49,6 +51,8 @@
     DecisionLog::Writer logWriter;
     /** Start time of the process in milliseconds since the Unix epoch (1970). */
     std::uint64_t incarnation = 0;
+    /** Connects to another host; empty if requests are not passed on. */
+    HostSessionFactory openHost {};
 };
 
 /**
@@ -96,7 +100,7 @@
     [[nodiscard]] std::shared_ptr<const RoutingPlan> usablePlan() const;
     [[nodiscard]] FleetExchangeDependencies makeExchangeDependencies(
         std::function<void(const SocketAddress&, const std::string&)> sendToHost);
-    [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open);
+    [[nodiscard]] ForwarderDependencies makeForwarderDependencies(SessionFactory open, HostSessionFactory openHost);
     /** Checks if it is this host's turn to probe an unreachable store, which it last called at a time. */
     [[nodiscard]] bool isProbeDue(TimePoint triedAt) const;
     /** Checks if another host has a newer plan and neither news nor a call to the store have brought it in time. */
@@ -181,6 +185,14 @@
      */
     [[nodiscard]] Task<Outcome> handle(GatewayRequest& request, const ResponseWriter& sink);
 
+    /** @brief Finds another host by the address of its connection. @param address Address. @return Its name, or empty.
+     */
+    [[nodiscard]] std::string findHost(std::string_view address) const
+    {
+        const auto* host = this->roster.findByAddress(address);
+        return host == nullptr ? std::string {} : host->name;
+    }
+
     /** @brief Processes a message from another host. @param address Sender. @param bytes Message. */
     void receive(const std::string& address, std::string_view bytes) { this->exchange.receive(address, bytes); }
 
@@ -250,6 +262,8 @@
     Placement placement;
     FleetRetryBudget retries;
     ReachabilityProber prober;
+    EndpointReach reach;
+    RelayHosts relayHosts;
     StoreFeed planFeed;
     StoreFeed endpointFeed;
     StoreFeed domainFeed;
--- a/src/berylwing/gateway/gateway_settings.cpp
+++ b/src/berylwing/gateway/gateway_settings.cpp
@@ -54,6 +54,8 @@
     settings.retries.minimum = reader.readNumber("retry_minimum", 0, kMaxRetryMinimum, settings.retries.minimum);
     settings.retries.window = Duration { reader.readInteger("retry_window_ms", 1, kMaxMs, kDefaultRetryWindowMs) };
     settings.isAdmissionEnabled = reader.readBool("admission", settings.isAdmissionEnabled);
+    settings.isRelayEnabled = reader.readBool("relay", settings.isRelayEnabled);
+    settings.regions = reader.readTexts("regions");
     settings.changeDeadlines.plan = readDeadline(reader, "plan_bound_ms", settings.changeDeadlines.plan);
     settings.changeDeadlines.endpoint = readDeadline(reader, "endpoint_bound_ms", settings.changeDeadlines.endpoint);
     settings.changeDeadlines.domain = readDeadline(reader, "domain_bound_ms", settings.changeDeadlines.domain);
--- a/src/berylwing/gateway/gateway_settings.hpp
+++ b/src/berylwing/gateway/gateway_settings.hpp
@@ -4,7 +4,10 @@
 #include "berylwing/gateway/fleet_retry_budget.hpp"
 #include "berylwing/memory/host_capacity.hpp"
 #include "berylwing/rollout/limits.hpp"
+#include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace berylwing {
@@ -37,6 +40,10 @@
     FleetRetryLimits retries;
     /** Whether requests are refused while a service has too little room. */
     bool isAdmissionEnabled = true;
+    /** Whether another host serves the requests whose endpoints this one does not reach. */
+    bool isRelayEnabled = true;
+    /** Regions of the failure domains; requests are passed on inside a region only. */
+    std::map<std::string, std::string, std::less<>> regions;
     ChangeDeadlines changeDeadlines;
     /** What callers' connections may take of the process; changes take effect at the next start. */
     HostCapacity capacity;
--- a/src/berylwing/gateway/reachability_prober.cpp
+++ b/src/berylwing/gateway/reachability_prober.cpp
@@ -46,6 +46,18 @@
     this->startDueProbes();
 }
 
+void ReachabilityProber::suspectAll()
+{
+    const auto now = this->clock.now();
+    LogLine line { LogEvent::DomainSuspected };
+    this->log.write(line.add("suspected", ""));
+    for (const auto& [id, endpoint] : this->directory.all()) {
+        if (!endpoint->health.isEjected(now))
+            endpoint->health.requireProbe(now);
+    }
+    this->startDueProbes();
+}
+
 void ReachabilityProber::startDueProbes()
 {
     const auto now = this->clock.now();
--- a/src/berylwing/gateway/reachability_prober.hpp
+++ b/src/berylwing/gateway/reachability_prober.hpp
@@ -43,6 +43,9 @@
      */
     void recordSilence(GatewayEndpoint& endpoint);
 
+    /** @brief Probes all endpoints, as this host may be cut off from them. */
+    void suspectAll();
+
     /** @brief Starts the due probes. */
     void startDueProbes();
 
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -46,6 +46,18 @@
     std::string resumedAttemptId;
 };
 
+/** @brief What a host tells of a request that it passes on to another host. */
+struct RelayOrigin {
+    /** Attempts so far in which an endpoint may have executed the request. */
+    unsigned executions = 0;
+    /** Time since the request arrived from its caller. */
+    Duration elapsed {};
+    /** Whether the other host has counted the request among those for its service. */
+    bool isCounted = false;
+    /** Name of the other host; known from the connection. */
+    std::string host;
+};
+
 /** @brief Caller's request, together with the state that its connection and the forwarder share. */
 struct GatewayRequest : boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
     /** @brief Returns the target without its query. @return Path. */
@@ -72,7 +84,9 @@
     std::optional<TimePoint> firstByteAt;
     /** What was known of the service when the request was refused for lack of room; empty otherwise. */
     std::optional<AdmissionFigures> admissionFigures;
-    /** Number of sends to endpoints. */
+    /** Set if another host has passed the request on; empty for a request of a caller. */
+    std::optional<RelayOrigin> relay;
+    /** Number of sends to endpoints or other hosts. */
     unsigned sends = 0;
     /** Whether the caller has closed its connection. */
     bool isCallerGone = false;
--- a/src/berylwing/http/endpoint_session.cpp
+++ b/src/berylwing/http/endpoint_session.cpp
@@ -75,9 +75,10 @@
 /** One request and its response on a connection. */
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(std::shared_ptr<SessionContext> sessionContext, SocketAddress endpointAddress)
+    Session(std::shared_ptr<SessionContext> sessionContext, SocketAddress endpointAddress, std::string localAddress)
         : context { std::move(sessionContext) }
         , address { std::move(endpointAddress) }
+        , ownAddress { std::move(localAddress) }
         , reader { this->context->clock, *this->context->deadlineMonitor, this->context->scratch }
     {
     }
@@ -90,7 +91,7 @@
         this->isReused = this->reader.connection != nullptr;
         if (this->isReused)
             co_return;
-        co_await this->reader.connect(this->address, kConnectTimeout);
+        co_await this->reader.connect(this->address, kConnectTimeout, this->ownAddress);
         enableLostPeerDetection(this->reader.connection->socket, kUnackedTimeout);
         this->reader.connection->unackedTimeout = kUnackedTimeout;
     }
@@ -202,6 +203,8 @@
 
     std::shared_ptr<SessionContext> context;
     SocketAddress address;
+    /** Address that the connection comes from; empty if the system chooses it. */
+    std::string ownAddress;
     ResponseReader reader;
     ResponseMetadata facts;
     std::string attemptId;
@@ -211,9 +214,9 @@
 };
 
 Task<std::shared_ptr<EndpointSession>> openSession(
-    std::shared_ptr<SessionContext> context, SocketAddress address, ConnectionReuse use)
+    std::shared_ptr<SessionContext> context, SocketAddress address, ConnectionReuse use, std::string ownAddress)
 {
-    const auto session = std::make_shared<Session>(std::move(context), std::move(address));
+    const auto session = std::make_shared<Session>(std::move(context), std::move(address), std::move(ownAddress));
     co_await session->connect(use);
     auto functions = std::make_shared<EndpointSession>();
     functions->send = [session](const EndpointRequest& request) { return session->send(request); };
@@ -230,7 +233,15 @@
 {
     const auto context = std::make_shared<SessionContext>(clock, protocol);
     return [context](const GatewayEndpoint& endpoint, ConnectionReuse use) {
-        return openSession(context, endpoint.record.address, use);
+        return openSession(context, endpoint.record.address, use, {});
+    };
+}
+
+HostSessionFactory makeHostSessionFactory(Clock& clock, const GatewayProtocol& protocol, std::string ownAddress)
+{
+    const auto context = std::make_shared<SessionContext>(clock, protocol);
+    return [context, ownAddress = std::move(ownAddress)](const SocketAddress& address) {
+        return openSession(context, address, ConnectionReuse::RecentlyUsed, ownAddress);
     };
 }
 
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -1,6 +1,7 @@
 #include "berylwing/http/gateway_connection.hpp"
 
 #include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/relay_fields.hpp"
 #include "berylwing/gateway/retry_delay.hpp"
 #include "berylwing/http/gateway_response.hpp"
 #include "berylwing/http/http_text.hpp"
@@ -325,6 +326,17 @@
     this->hold.pipelinedBytes.shrink(this->buffer.size() > kReadBytes ? this->buffer.size() - kReadBytes : 0);
 }
 
+bool GatewayConnection::readRelay(GatewayRequest& request) const
+{
+    const auto name = this->gateway.findHost(this->hostAddress);
+    request.relay = takeRelay(request.fields);
+    if (!request.relay || name.empty())
+        return false;
+    request.relay->host = name;
+    request.arrivedAt -= request.relay->elapsed;
+    return true;
+}
+
 Task<void> GatewayConnection::handleRequest(Parser& parser)
 {
     // Covers the writing of the response as well: a graceful stop waits until its last byte is written.
@@ -342,6 +354,11 @@
     removeConnectionFields(request.fields);
     request.isCallerClosed = [this] { return this->isClosedByCaller(); };
     this->setDeadline(TimePoint::max());
+    if (this->isHost && !this->readRelay(request)) {
+        const Outcome outcome { NotRun { Refusal::ConfigurationUnknown, retryAfterOf(hashText(this->attemptId)) } };
+        this->gateway.recordRefusal(this->attemptId, Refusal::ConfigurationUnknown, "not from a known host");
+        co_return co_await this->writeRefusal(outcome);
+    }
     const bool hasRoom = co_await this->reserveCopies(request);
     if (!hasRoom) {
         const Outcome outcome { NotRun { Refusal::HostAtBound, retryAfterOf(hashText(this->attemptId)) } };
@@ -404,8 +421,15 @@
 {
     this->keepAlive = this->isKeptAlive();
     this->isChunked = !head.hasNoBody && !head.length;
-    this->pendingHead = formatHead(head, this->isChunked, this->keepAlive);
-    co_return;
+    if (!this->isHost) {
+        this->pendingHead = formatHead(head, this->isChunked, this->keepAlive);
+        co_return;
+    }
+    auto relayed = head;
+    removeOutcome(relayed.fields);
+    // The other host tells answers apart by their attempt, which an endpoint need not name.
+    this->gateway.platformProtocol().markRefusal(relayed.fields, this->attemptId);
+    this->pendingHead = formatHead(relayed, this->isChunked, this->keepAlive);
 }
 
 Task<void> GatewayConnection::writeBody(std::string_view bytes)
@@ -441,6 +465,8 @@
     this->keepAlive = this->isKeptAlive();
     HeaderFields fields;
     this->gateway.platformProtocol().markRefusal(fields, this->attemptId);
+    if (this->isHost)
+        writeOutcome(fields, outcome);
     const auto text = formatRefusal(outcome, std::move(fields), this->keepAlive);
     this->isAnswerBegun = true;
     co_await this->write(text);
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -39,6 +39,8 @@
     /** Checks if the connection is kept open after the current response. */
     [[nodiscard]] bool isKeptAlive() const;
     [[nodiscard]] Task<void> handleRequest(Parser& parser);
+    /** Reads who passes a request on. @return False if it is not known as a host of the fleet. */
+    [[nodiscard]] bool readRelay(GatewayRequest& request) const;
     [[nodiscard]] Task<void> finish(const Outcome& outcome);
     [[nodiscard]] Task<void> writeHead(const ResponseHead& head);
     [[nodiscard]] Task<void> writeBody(std::string_view bytes);
@@ -53,6 +55,16 @@
     void expire();
 
 public:
+    /**
+     * @brief Serves another host, whose requests are those of its callers.
+     * @param address Address of the other host.
+     */
+    void serveHost(std::string address)
+    {
+        this->hostAddress = std::move(address);
+        this->isHost = true;
+    }
+
     /**
      * @brief Creates a handler for an accepted connection.
      * @param hostClock Clock of the host.
@@ -102,6 +114,9 @@
     /** Formatted response head, which is written together with the first bytes of the body. */
     std::string pendingHead;
     std::string attemptId;
+    /** Whether another host has opened the connection, and its address. */
+    bool isHost = false;
+    std::string hostAddress;
     /** Sends of the current request to endpoints. */
     unsigned sends = 0;
     bool isAwaitingRequest = true;
--- a/src/berylwing/http/gateway_server.cpp
+++ b/src/berylwing/http/gateway_server.cpp
@@ -113,13 +113,22 @@
     }
 }
 
-Task<void> GatewayServer::run()
+Task<void> GatewayServer::run() { return this->accept(this->state->acceptor, false); }
+
+Task<void> GatewayServer::runForHosts(SocketAddress address)
+{
+    asio::ip::tcp::acceptor acceptor { this->state->clock.executor(),
+        asio::ip::tcp::endpoint { asio::ip::make_address(address.address), address.port } };
+    co_await this->accept(acceptor, true);
+}
+
+Task<void> GatewayServer::accept(asio::ip::tcp::acceptor& acceptor, bool isForHosts)
 {
     auto& shared = *this->state;
     bool isFailing = false;
     while (true) {
         boost::system::error_code error;
-        auto socket = co_await shared.acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        auto socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             if (!std::exchange(isFailing, true))
                 spdlog::warn("accepting a connection failed: {}", error.message());
@@ -133,8 +142,12 @@
         }
         isFailing = false;
         enableLostPeerDetection(socket, kUnackedTimeout);
+        boost::system::error_code unknown;
+        const auto peer = socket.remote_endpoint(unknown).address().to_string();
         const auto connection = std::make_shared<GatewayConnection>(
             shared.clock, std::move(socket), shared.gateway, *shared.deadlineMonitor, shared.memory);
+        if (isForHosts)
+            connection->serveHost(peer);
         co_await this->makeRoom(*connection);
         shared.connections.push_back(*connection);
         spawn(shared.clock.executor(), "caller", connection->run());
--- a/src/berylwing/http/gateway_server.hpp
+++ b/src/berylwing/http/gateway_server.hpp
@@ -4,6 +4,7 @@
 #include "berylwing/core/task.hpp"
 #include "berylwing/gateway/gateway.hpp"
 #include "berylwing/memory/host_memory.hpp"
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,7 @@
 
     /** Waits until there is room for an accepted connection, for which others are closed. */
     [[nodiscard]] Task<void> makeRoom(GatewayConnection& connection);
+    [[nodiscard]] Task<void> accept(boost::asio::ip::tcp::acceptor& acceptor, bool isForHosts);
     /** Sets up the log lines and counters of closed connections and of memory pressure. */
     void observeMemory();
 
@@ -43,6 +45,14 @@
     /** @brief Accepts connections. @return Awaitable that does not complete. */
     [[nodiscard]] Task<void> run();
 
+    /**
+     * @brief Accepts connections of other hosts, which pass requests of their callers on.
+     * @param address Address and port to listen on.
+     * @return Awaitable that does not complete.
+     * @throws boost::system::system_error If the address cannot be bound.
+     */
+    [[nodiscard]] Task<void> runForHosts(SocketAddress address);
+
     /**
      * @brief Waits for the requests in progress in a graceful stop, and closes idle connections once requests are
      * refused. Requests that are still in progress shortly before the exit are ended with a refusal.
--- a/src/berylwing/http/response_reader.cpp
+++ b/src/berylwing/http/response_reader.cpp
@@ -52,7 +52,7 @@
     return this->isExpired || error == asio::error::timed_out;
 }
 
-Task<void> ResponseReader::connect(SocketAddress address, Duration timeout)
+Task<void> ResponseReader::connect(SocketAddress address, Duration timeout, std::string localAddress)
 {
     this->connection = std::make_unique<PooledConnection>(this->clock.executor());
     this->connection->openedAt = this->clock.now();
@@ -62,6 +62,13 @@
     const asio::ip::tcp::endpoint target { asio::ip::make_address(address.address, error), address.port };
     if (error)
         throw EndpointError { EndpointFault::NotSent, address.address + " is not an IP address" };
+    if (!localAddress.empty()) {
+        socket.open(target.protocol(), error);
+        if (!error)
+            socket.bind({ asio::ip::make_address(localAddress, error), 0 }, error);
+        if (error)
+            throw EndpointError { EndpointFault::NotSent, "binding to the own address failed: " + error.message() };
+    }
     co_await socket.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
     if (error)
         throw EndpointError { this->isTimeout(error) ? EndpointFault::Silent : EndpointFault::NotSent,
--- a/src/berylwing/http/response_reader.hpp
+++ b/src/berylwing/http/response_reader.hpp
@@ -37,9 +37,10 @@
      * @brief Opens a new connection.
      * @param address Address of the endpoint.
      * @param timeout Time to establish the connection, in milliseconds.
+     * @param localAddress Address that the connection comes from; empty if the system chooses it.
      * @throws EndpointError With Silent if the attempt timed out, otherwise with NotSent.
      */
-    [[nodiscard]] Task<void> connect(SocketAddress address, Duration timeout);
+    [[nodiscard]] Task<void> connect(SocketAddress address, Duration timeout, std::string localAddress = {});
 
     /**
      * @brief Records how far the request is written.
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -28,6 +28,8 @@
     PlanTaken,
     PlanRejected,
     ObjectRejected,
+    EndpointsLost,
+    EndpointsRegained,
     EndpointsListed,
     EndpointSeen,
     EndpointChanged,
@@ -39,6 +41,8 @@
     DomainSuspected,
     HostsCounted,
     RequestSent,
+    RequestRelayed,
+    RequestTakenOver,
     RequestResumed,
     RequestRetried,
     RequestAnswered,
@@ -70,7 +74,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 56> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 60> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -88,6 +92,8 @@
     "plan_taken",
     "plan_rejected",
     "object_rejected",
+    "endpoints_lost",
+    "endpoints_regained",
     "endpoints_listed",
     "endpoint_seen",
     "endpoint_changed",
@@ -99,6 +105,8 @@
     "domain_suspected",
     "hosts_counted",
     "request_sent",
+    "request_relayed",
+    "request_taken_over",
     "request_resumed",
     "request_retried",
     "request_answered",
--- a/test/support/gateway_harness.cpp
+++ b/test/support/gateway_harness.cpp
@@ -83,6 +83,11 @@
     };
     this->protocol.markRefusal
         = [](HeaderFields& fields, const std::string& attemptId) { fields.set("attempt", attemptId); };
+    this->protocol.readAnswer = [](const HeaderFields& fields) {
+        ResponseMetadata metadata;
+        metadata.attemptId = std::string { fields["attempt"] };
+        return metadata;
+    };
     this->protocol.prepareForEndpoint = [](HeaderFields& fields, const EndpointRequestMetadata& metadata) {
         if (!metadata.lastEventId.empty())
             fields.set("resume-after", metadata.lastEventId);
@@ -95,7 +100,15 @@
     dependencies.platform = this->platform.createTransport(this->settings.host, this->clock);
     dependencies.open
         = [this](const GatewayEndpoint& endpoint, ConnectionReuse) { return this->openSession(endpoint.record.id); };
-    dependencies.sendToHost = [](const SocketAddress&, const std::string&) {};
+    dependencies.openHost = [this](const SocketAddress& address) -> Task<std::shared_ptr<EndpointSession>> {
+        if (!this->openHost)
+            throw EndpointError { EndpointFault::NotSent, "no other host" };
+        return this->openHost(address);
+    };
+    dependencies.sendToHost = [this](const SocketAddress&, const std::string& bytes) {
+        if (this->deliver)
+            this->deliver(bytes);
+    };
     dependencies.logWriter = [this](std::string_view lines) {
         this->logText += lines;
         return lines.size();
@@ -206,6 +219,9 @@
     caller->request.arrivedAt = this->time;
     caller->request.metadata.attemptId = attemptId;
     caller->request.metadata.apiKey = key;
+    caller->request.fields.set("Host", caller->request.hostname);
+    caller->request.fields.set("attempt", attemptId);
+    caller->request.fields.set("key", key);
     return caller;
 }
 
--- a/test/support/gateway_harness.hpp
+++ b/test/support/gateway_harness.hpp
@@ -155,6 +155,10 @@
     TimePoint time { Duration { 1'000'000 } };
     /** Log lines of the gateway. */
     std::string logText;
+    /** Connects to another host; empty if there is none. */
+    HostSessionFactory openHost;
+    /** Takes messages to other hosts; empty if there are none. */
+    std::function<void(const std::string& bytes)> deliver;
 
 private:
     struct Caller;
