Keep brittle engines from turning away more requests than they can bear (LIMIT)

Engines that say in their answers that they are brittle fall over if they turn more than N requests away in a second, and may let fewer wait. No host read that: callers' requests went to engines that were full, each host seeing only its own rejections. Class: a limit that is for all hosts together and that each host judges by itself.

A brittle endpoint gets no request that would have to wait, by the loads that hosts know of each other. Digests tell of rejections. What does not fit is refused at once with no_room.

--- a/src/berylwing/gateway/endpoint_directory.hpp
+++ b/src/berylwing/gateway/endpoint_directory.hpp
@@ -77,6 +77,18 @@
     TimePoint reportedAt = TimePoint::min();
 };
 
+/** @brief What the process of an endpoint has said of the rejections that make it fail. */
+struct Brittleness {
+    /** Requests that it can reject in a second; empty if it does not say that it is brittle. */
+    std::optional<double> perSecond;
+    /** Whether this host is one of the few that may use the last of its slots. */
+    bool isSender = false;
+    /** Last time at which it rejected a request of this host. */
+    TimePoint rejectedAt {};
+    /** Time until which this host leaves it alone. */
+    TimePoint pausedUntil {};
+};
+
 /** @brief Endpoint with the state that this host tracks; requests in flight keep it alive after its removal. */
 class GatewayEndpoint : public boost::intrusive_ref_counter<GatewayEndpoint, boost::thread_unsafe_counter> {
 public:
@@ -122,6 +134,7 @@
     /** Time until which the endpoint wants no requests from this host. */
     TimePoint pausedUntil = TimePoint::min();
     StopAnnouncement stop;
+    Brittleness brittle;
     /** Time of the last request of this host. */
     TimePoint lastSendAt = TimePoint::min();
     /** Unfinished requests of this host. */
--- a/src/berylwing/gateway/fleet_exchange.cpp
+++ b/src/berylwing/gateway/fleet_exchange.cpp
@@ -153,6 +153,8 @@
     this->dependencies.rateLimits.appendTo(*digest.mutable_limit_report(), digest.is_delegate());
     this->dependencies.announcedStops.appendTo(*digest.mutable_stop_report(), digest.is_delegate());
     this->dependencies.demand.appendTo(digest);
+    if (this->dependencies.brittleEndpoints != nullptr)
+        this->dependencies.brittleEndpoints->appendTo(digest);
     if (this->dependencies.reach != nullptr) {
         for (const auto& service : this->dependencies.reach->lostServices())
             digest.add_lost_services(RelayHosts::hashService(service));
@@ -350,6 +352,8 @@
     this->dependencies.rateLimits.merge(digest.limit_report(), digest.host());
     this->dependencies.announcedStops.merge(digest.stop_report(), digest.host());
     this->dependencies.demand.apply(digest);
+    if (this->dependencies.brittleEndpoints != nullptr)
+        this->dependencies.brittleEndpoints->merge(digest);
     if (this->dependencies.relayHosts != nullptr)
         this->dependencies.relayHosts->recordDigest(digest.host(), digest.lost_services());
     if (this->dependencies.rollouts != nullptr)
--- a/src/berylwing/gateway/fleet_exchange.hpp
+++ b/src/berylwing/gateway/fleet_exchange.hpp
@@ -3,6 +3,7 @@
 #include "berylwing/core/clock.hpp"
 #include "berylwing/gateway/announced_stops.hpp"
 #include "berylwing/gateway/announcement_queue.hpp"
+#include "berylwing/gateway/brittle_endpoints.hpp"
 #include "berylwing/gateway/crash_quarantine.hpp"
 #include "berylwing/gateway/demand_exchange.hpp"
 #include "berylwing/gateway/digest.pb.h"
@@ -62,6 +63,8 @@
     /** Services that this host has lost, and what others tell of theirs; null pointers if it passes no requests on. */
     const EndpointReach* reach = nullptr;
     RelayHosts* relayHosts = nullptr;
+    /** Endpoints that fail by rejections; a null pointer if this host does not follow them. */
+    BrittleEndpoints* brittleEndpoints = nullptr;
 };
 
 /**
--- a/src/berylwing/gateway/forwarder.hpp
+++ b/src/berylwing/gateway/forwarder.hpp
@@ -18,6 +18,7 @@
 
 namespace berylwing {
 
+class BrittleEndpoints;
 class EndpointReach;
 class GatewayRollouts;
 class Metrics;
@@ -55,6 +56,7 @@
     AdmissionControl& admission;
     EndpointRateLimits& rateLimits;
     AnnouncedStops& announcedStops;
+    BrittleEndpoints& brittleEndpoints;
     StreamVersionIndex& streamVersions;
     ServiceVersions& serviceVersions;
     /** Brings the list of endpoints up to date; returns false if the store does not answer. */
--- a/src/berylwing/gateway/forwarder_records.cpp
+++ b/src/berylwing/gateway/forwarder_records.cpp
@@ -1,4 +1,5 @@
 #include "berylwing/admission/admission_control.hpp"
+#include "berylwing/gateway/brittle_endpoints.hpp"
 #include "berylwing/gateway/endpoint_reach.hpp"
 #include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/telemetry/metrics.hpp"
@@ -72,6 +73,9 @@
         endpoint.pace.recordTold(*metadata.load->slowness, this->dependencies.clock.now());
     if (metadata.isLoadInvalid)
         this->dependencies.metrics.add(Incident::LoadFigureIgnored);
+    this->dependencies.brittleEndpoints.recordAnswer(endpoint, metadata.brittleLimit);
+    if (metadata.isNotRun)
+        this->dependencies.brittleEndpoints.recordRejection(endpoint);
     if (metadata.isLeaving)
         this->dependencies.announcedStops.recordAnswer(endpoint);
 }
--- a/src/berylwing/gateway/forwarder_rollouts.cpp
+++ b/src/berylwing/gateway/forwarder_rollouts.cpp
@@ -1,4 +1,5 @@
 #include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/brittle_endpoints.hpp"
 #include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/gateway/gateway_rollouts.hpp"
 
@@ -7,6 +8,11 @@
 GatewayEndpointPtr Forwarder::placeRequest(const RequestContext& context)
 {
     auto request = placementRequestOf(context);
+    if (this->dependencies.brittleEndpoints.isBrittle(context.service)) {
+        request.hasRoom = [this](const GatewayEndpoint& candidate) {
+            return this->dependencies.brittleEndpoints.hasRoom(candidate);
+        };
+    }
     auto* host = this->dependencies.rollouts;
     if (host == nullptr || host->all().isIdle())
         return this->dependencies.placement.choose(request, context.traits);
--- a/src/berylwing/gateway/forwarder_versions.cpp
+++ b/src/berylwing/gateway/forwarder_versions.cpp
@@ -1,4 +1,5 @@
 #include "berylwing/core/hash.hpp"
+#include "berylwing/gateway/brittle_endpoints.hpp"
 #include "berylwing/gateway/forwarder_context.hpp"
 #include "berylwing/gateway/retry_delay.hpp"
 #include "berylwing/gateway/service_versions.hpp"
@@ -87,6 +88,8 @@
 
 std::optional<Refusal> Forwarder::findShortage(const RequestContext& context) const
 {
+    if (context.attempts == 0 && this->dependencies.brittleEndpoints.isBrittle(context.service))
+        return Refusal::NoRoom;
     if (!context.version)
         return std::nullopt;
     const auto available = this->dependencies.directory.availableEndpoints(context.service);
--- a/src/berylwing/gateway/fwd.hpp
+++ b/src/berylwing/gateway/fwd.hpp
@@ -4,6 +4,7 @@
 
 class AnnouncementQueue;
 class AnswerTimes;
+class BrittleEndpoints;
 class ColdRateLimit;
 class CrashEvidence;
 class CrashQuarantine;
--- a/src/berylwing/gateway/gateway.cpp
+++ b/src/berylwing/gateway/gateway.cpp
@@ -104,6 +104,10 @@
         this->costs, gatewaySettings.domain }
     , retries { hostClock, gatewaySettings.retries, [this] { return this->roster.names().size(); } }
     , prober { hostClock, this->directory, dependencies.open, this->log }
+    , brittleEndpoints { hostClock, this->directory,
+        { [this]() -> const std::vector<std::string>& { return this->roster.names(); },
+            [this](std::string_view service) { return this->unseenRequests.estimate(service); } },
+        gatewaySettings.host, this->log }
     , reach { hostClock, this->directory, [this] { this->prober.suspectAll(); }, this->log }
     , relayHosts { hostClock, this->roster, this->fleet, gatewaySettings.domain, gatewaySettings.regions }
     , planFeed { hostClock, this->client, ObjectKind::RoutingPlan, { kPlanWatchTimeout, {}, true, kFetchDelay, true },
@@ -136,10 +140,10 @@
     return { this->clock, this->protocol, [this] { return this->usablePlan(); }, this->lease, this->directory,
         this->placement, [this] { return this->fleet.loadAge(); }, this->holders, this->crashes, this->retries,
         this->unseenRequests, this->costs, this->admission, this->rateLimits, this->announcedStops,
-        this->streamVersions, this->serviceVersions, [this] { return this->refreshEndpoints(); }, std::move(open),
-        std::move(openHost), this->reach, this->relayHosts,
-        [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); }, this->hostMetrics, this->log,
-        this->rollouts.get() };
+        this->brittleEndpoints, this->streamVersions, this->serviceVersions,
+        [this] { return this->refreshEndpoints(); }, std::move(open), std::move(openHost), this->reach,
+        this->relayHosts, [this](GatewayEndpoint& endpoint) { this->prober.recordSilence(endpoint); },
+        this->hostMetrics, this->log, this->rollouts.get() };
 }
 
 Task<bool> Gateway::refreshEndpoints()
@@ -200,7 +204,8 @@
         this->roster, this->holders, this->crashes, this->rateLimits, this->announcedStops, this->streamVersions,
         this->demandExchange, this->storeEra, [this] { return this->plan ? this->plan->version() : 0; },
         [this] { return this->registration.isWanted(); }, this->feeds(), std::move(sendToHost), this->hostMetrics,
-        this->log, this->rollouts.get(), &this->versionExchange, &this->reach, &this->relayHosts };
+        this->log, this->rollouts.get(), &this->versionExchange, &this->reach, &this->relayHosts,
+        &this->brittleEndpoints };
 }
 
 void Gateway::start()
--- a/src/berylwing/gateway/gateway.hpp
+++ b/src/berylwing/gateway/gateway.hpp
@@ -262,6 +262,7 @@
     Placement placement;
     FleetRetryBudget retries;
     ReachabilityProber prober;
+    BrittleEndpoints brittleEndpoints;
     EndpointReach reach;
     RelayHosts relayHosts;
     StoreFeed planFeed;
--- a/src/berylwing/gateway/placement.cpp
+++ b/src/berylwing/gateway/placement.cpp
@@ -239,7 +239,8 @@
         const bool isTried = std::find(request.tried.begin(), request.tried.end(), endpoint) != request.tried.end();
         const bool isOtherVersion = request.version && *request.version != endpoint->versionHash;
         const bool isFiltered = request.filter && !request.filter(*endpoint);
-        return isTried || isOtherVersion || isFiltered || !this->canReceive(*endpoint, service, now);
+        const bool isCrowded = request.hasRoom && !request.hasRoom(*endpoint);
+        return isTried || isOtherVersion || isFiltered || isCrowded || !this->canReceive(*endpoint, service, now);
     });
     auto candidates = available;
     std::erase_if(candidates, [now](const GatewayEndpointPtr& endpoint) { return endpoint->health.isEjected(now); });
--- a/src/berylwing/gateway/placement.hpp
+++ b/src/berylwing/gateway/placement.hpp
@@ -38,6 +38,8 @@
     double heldTokens = 0;
     /** Endpoints that may get the request; empty if all may. */
     EndpointFilter filter {};
+    /** Checks if an endpoint has room for one more request; all have without it. */
+    EndpointFilter hasRoom {};
 };
 
 /** @brief What a host knows of the load of an endpoint when it chooses it. */
--- a/src/berylwing/gateway/request.hpp
+++ b/src/berylwing/gateway/request.hpp
@@ -138,6 +138,8 @@
     std::optional<Duration> idleTimeout;
     /** Requests per second that the endpoint takes from all hosts together; empty if it names no limit. */
     std::optional<double> requestLimit;
+    /** Requests that the endpoint can reject in a second without failing; empty if it does not say. */
+    std::optional<double> brittleLimit;
     /** Whether the endpoint announces that it is about to stop. */
     bool isLeaving = false;
     /** Time for which the endpoint wants no requests from this host; empty if it does not say. */
--- a/src/berylwing/telemetry/decision_log.hpp
+++ b/src/berylwing/telemetry/decision_log.hpp
@@ -54,6 +54,7 @@
     QuarantineLifted,
     LimitLearned,
     StopAnnounced,
+    BrittlenessLearned,
     EndpointPaused,
     StreamTakenUp,
     VersionsMixed,
@@ -74,7 +75,7 @@
 };
 
 /** @brief Names of the log events, as written to the `event` field. */
-inline constexpr EnumNames<LogEvent, 60> kLogEventNames { {
+inline constexpr EnumNames<LogEvent, 61> kLogEventNames { {
     "started",
     "stopping",
     "stopped",
@@ -118,6 +119,7 @@
     "quarantine_lifted",
     "limit_learned",
     "stop_announced",
+    "brittleness_learned",
     "endpoint_paused",
     "stream_taken_up",
     "versions_mixed",
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -181,3 +181,17 @@
         CHECK(read(text).isLoadInvalid);
     }
 }
+
+TEST_CASE("The limit of a brittle endpoint is read unless it makes no sense", "[platform]")
+{
+    const auto read = [](const char* text) {
+        HeaderFields fields;
+        fields.set("Server-Brittle", text);
+        return platform::readResponseHeaders(fields).brittleLimit;
+    };
+    CHECK(read("5") == 5);
+    CHECK(read("0") == 0);
+    CHECK(read("2.5") == 2.5);
+    for (const auto* text : { "", "-1", "many", "nan", "inf", "5 a second" })
+        CHECK_FALSE(read(text));
+}
--- a/test/support/engine_fleet.cpp
+++ b/test/support/engine_fleet.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kStep { 10 };
 constexpr std::uint16_t kPort = 7000;
 constexpr unsigned kOk = 200;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr std::uint32_t kSegmentTokens = 100;
 /** Mean of arrivals that are as good as none; a Poisson distribution needs a positive one. */
 constexpr double kMinMean = 1e-12;
@@ -65,7 +66,7 @@
     record.id = name;
     record.service = "engines";
     record.address = { value.at("address"), kPort };
-    record.slots = 64;
+    record.slots = value.at("slots");
     record.startedAt = value.at("born");
     return record;
 }
@@ -80,6 +81,7 @@
 
 EngineFleet::EngineFleet(const Sizes& sizes, const Network& datagrams, unsigned seed)
     : network { datagrams }
+    , slots { sizes.slots }
     , clock { this->context.get_executor(), [this] { return this->time; } }
     , random { seed }
 {
@@ -175,7 +177,7 @@
 {
     const auto& started = this->engines[engine];
     this->platform.store.write(ObjectKind::Endpoint, started.id,
-        { { "address", started.address.address }, { "born", started.incarnation + 1 } });
+        { { "address", started.address.address }, { "born", started.incarnation + 1 }, { "slots", this->slots } });
 }
 
 void EngineFleet::crash(std::size_t engine)
@@ -185,6 +187,7 @@
         return;
     crashed.isUp = false;
     ++crashed.incarnation;
+    crashed.held = 0;
     crashed.broke->notifyAll();
     this->schedule.emplace(this->time + kExpiry,
         [this, id = crashed.id] { this->platform.store.write(ObjectKind::Endpoint, id, nullptr); });
@@ -204,6 +207,31 @@
     limited.knownSince.clear();
 }
 
+void EngineFleet::setBrittle(std::optional<double> perSecond, std::size_t heldRequests)
+{
+    this->brittleLimit = perSecond;
+    this->room = heldRequests;
+}
+
+ResponseHead EngineFleet::reject(std::size_t engine)
+{
+    constexpr Duration kWindow { 1000 };
+    auto& rejections = this->engines[engine].rejections;
+    rejections.push_back(this->time);
+    while (rejections.front() + kWindow <= this->time)
+        rejections.pop_front();
+    if (this->brittleLimit && static_cast<double>(rejections.size()) > *this->brittleLimit) {
+        ++this->falls;
+        rejections.clear();
+        this->crash(engine);
+    }
+    ResponseHead head;
+    head.status = kServiceUnavailable;
+    head.metadata.isNotRun = true;
+    head.metadata.brittleLimit = this->brittleLimit;
+    return head;
+}
+
 double EngineFleet::maxExcess(Duration contactTime) const
 {
     constexpr Duration kWindow { 4000 };
@@ -249,6 +277,7 @@
     head.fields.set("Content-Type", "text/event-stream");
     auto& answering = this->engines[engine];
     head.metadata.requestLimit = answering.limit;
+    head.metadata.brittleLimit = this->brittleLimit;
     if (answering.limit) {
         answering.firstNamedAt = std::min(answering.firstNamedAt, this->time);
         answering.knownSince.emplace(this->arrivals[arrival].host, this->time);
@@ -267,17 +296,36 @@
     const auto arrival = std::make_shared<std::size_t>(0);
     const auto sentEvents = std::make_shared<int>(0);
     const auto isAborted = std::make_shared<bool>(false);
+    const auto isRejected = std::make_shared<bool>(false);
     const auto session = std::make_shared<EndpointSession>();
-    session->send = [this, host, engine, arrival](const EndpointRequest& request) -> Task<void> {
+    // The engine holds the request until the session ends.
+    const auto place = std::make_shared<std::shared_ptr<void>>();
+    session->send
+        = [this, host, engine, incarnation, arrival, isRejected, place](const EndpointRequest& request) -> Task<void> {
+        auto& receiving = this->engines[engine];
+        *isRejected = receiving.held >= this->room;
+        if (!*isRejected) {
+            ++receiving.held;
+            *place = std::shared_ptr<void>(nullptr, [this, engine, incarnation](void*) {
+                if (this->engines[engine].incarnation == incarnation)
+                    --this->engines[engine].held;
+            });
+        }
         *arrival = this->arrivals.size();
         const auto prompt = request.fields["prompt"];
         this->arrivals.push_back({ this->time, host, engine, split({ prompt.data(), prompt.size() }) });
         co_return;
     };
-    session->readHead
-        = [this, engine, incarnation, arrival](TimePoint) { return this->beginAnswer(engine, incarnation, *arrival); };
-    session->readBody
-        = [this, engine, incarnation, sentEvents, isAborted](TimePoint) -> Task<std::optional<std::string>> {
+    session->readHead = [this, engine, incarnation, arrival, isRejected](TimePoint) -> Task<ResponseHead> {
+        if (*isRejected)
+            co_return this->reject(engine);
+        auto head = co_await this->beginAnswer(engine, incarnation, *arrival);
+        co_return head;
+    };
+    session->readBody = [this, engine, incarnation, sentEvents, isAborted, isRejected](
+                            TimePoint) -> Task<std::optional<std::string>> {
+        if (*isRejected)
+            co_return std::nullopt;
         const auto due = this->time + kEventInterval;
         while (this->time < due && this->engines[engine].incarnation == incarnation)
             co_await this->engines[engine].broke->waitUntil(due);
--- a/test/support/engine_fleet.hpp
+++ b/test/support/engine_fleet.hpp
@@ -4,7 +4,10 @@
 #include "berylwing/gateway/gateway.hpp"
 #include "support/fake_platform.hpp"
 #include "support/runtime_context.hpp"
+#include <cstdint>
+#include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -30,6 +33,8 @@
         int domains = 1;
         int hostsPerDomain = 7;
         int engines = 18;
+        /** Requests that an engine runs at once, by its entry in the store. */
+        std::uint32_t slots = 64;
     };
 
     /** Datagrams between hosts. */
@@ -105,6 +110,16 @@
     /** @brief Sets the limit that the answers of an engine name. @param engine Engine. @param perSecond Limit. */
     void setLimit(std::size_t engine, std::optional<double> perSecond);
 
+    /**
+     * @brief Lets all engines say that they are brittle, or no longer.
+     * @param perSecond Requests that an engine can turn away in a second; one more and it falls over.
+     * @param room Requests that an engine holds, running and waiting.
+     */
+    void setBrittle(std::optional<double> perSecond, std::size_t room);
+
+    /** @brief Counts the engines that fell over because they turned too many requests away. @return Number. */
+    [[nodiscard]] int fallCount() const noexcept { return this->falls; }
+
     /**
      * @brief Compares the requests that engines got in any four seconds with the limits that they named.
      *
@@ -148,6 +163,9 @@
         /** Time of the first answer with the limit, and of the first such answer that each host passed on. */
         TimePoint firstNamedAt = TimePoint::max();
         std::map<std::size_t, TimePoint> knownSince {};
+        /** Requests that the engine holds, and the times at which it turned others away. */
+        std::size_t held = 0;
+        std::deque<TimePoint> rejections {};
         /** Wakes the connections when the process has crashed. */
         std::unique_ptr<Event> broke {};
     };
@@ -164,7 +182,14 @@
     void sendRandom(const Traffic& traffic);
     void runReady();
 
+    /** Turns a request away. */
+    ResponseHead reject(std::size_t engine);
+
     Network network;
+    std::uint32_t slots;
+    std::optional<double> brittleLimit;
+    std::size_t room = std::numeric_limits<std::size_t>::max();
+    int falls = 0;
     RuntimeContext context;
     Clock clock;
     GatewayProtocol protocol;
