Let the plan of every second soak seed be large

The soak's plans fit into news as a whole, so that differences of documents never crossed between real processes. Seeds with an even number now have 300 more routes.

--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kStartTimeout { 60'000 };
 constexpr Duration kWarmUpDelay { 2000 };
 constexpr Duration kRouteTimeout { 5000 };
+/** Routes without callers that make the plan of every second seed so large that hosts relay only what has changed. */
+constexpr unsigned kUnusedRoutes = 300;
 
 const std::vector<std::string> kDomains { "knox-a", "knox-b", "chatt-a" };
 const std::vector<std::pair<std::string, std::string>> kPermanentKeys { { "shop-key", "shop" }, { "yard-key", "yard" },
@@ -164,6 +166,9 @@
         routes.push_back(this->makeRoute(std::string { kSoakRequestKindNames[kind] }, kind));
     for (const auto version : this->extraRoutes)
         routes.push_back(this->makeRoute("extra-" + std::to_string(version), SoakRequestKind::Lookup));
+    const bool isLarge = this->options.seed % 2 == 0;
+    for (unsigned number = 0; isLarge && number < kUnusedRoutes; ++number)
+        routes.push_back(this->makeRoute(numbered("unused", number), SoakRequestKind::Lookup));
     json workspaces = json::array();
     for (const auto& [key, workspace] : kPermanentKeys)
         workspaces.push_back({ { "name", workspace }, { "api_keys", { key } } });
