--- a/src/berylwing/gateway/forwarder_context.hpp
+++ b/src/berylwing/gateway/forwarder_context.hpp
@@ -96,6 +96,8 @@
     unsigned attempts = 0;
     /** Attempts in which the endpoint may have executed the request. */
     unsigned executions = 0;
+    /** Whether all hosts that were asked to serve the request have handed it back. */
+    bool isHandedBack = false;
     bool isHeadWritten = false;
     /** Whether the head that was written is that of an event stream. */
     bool isStreamBegun = false;
--- a/src/berylwing/gateway/forwarder_relay.cpp
+++ b/src/berylwing/gateway/forwarder_relay.cpp
@@ -38,7 +38,7 @@
 bool Forwarder::mustRelay(const RequestContext& context) const
 {
     // A request passes from one host to another only once, so that hosts that are cut off do not pass it in a circle.
-    if (!this->dependencies.openHost || context.request.relay || context.isHeadWritten)
+    if (!this->dependencies.openHost || context.request.relay || context.isHeadWritten || context.isHandedBack)
         return false;
     // After a failed attempt another host is tried before more of the endpoints turn out to be unreachable.
     const auto& reach = this->dependencies.reach;
@@ -89,6 +89,7 @@
             co_return outcome;
         this->dependencies.relayHosts.avoid(host->name);
     }
+    context.isHandedBack = !tried.empty();
     co_return std::nullopt;
 }
 
--- a/src/berylwing/gateway/relay_hosts.cpp
+++ b/src/berylwing/gateway/relay_hosts.cpp
@@ -21,7 +21,7 @@
     : hosts { relayHosts }
     , name { std::move(host) }
 {
-    ++this->hosts.states[this->name].inFlight;
+    ++this->hosts.stateOf(this->name).inFlight;
 }
 
 RelayHosts::Use::~Use() { --this->hosts.states[this->name].inFlight; }
@@ -47,12 +47,22 @@
     const auto found = this->states.find(host);
     if (services.empty() && found == this->states.end())
         return;
-    auto& state = this->states[host];
+    auto& state = this->stateOf(host);
     state.lostServices.assign(services.begin(), services.end());
     state.toldAt = this->clock.now();
 }
 
-void RelayHosts::avoid(const std::string& host) { this->states[host].avoidedUntil = this->clock.now() + kAvoidedTime; }
+RelayHosts::HostState& RelayHosts::stateOf(const std::string& host)
+{
+    if (!this->states.contains(host)) {
+        std::erase_if(this->states, [this](const auto& entry) {
+            return entry.second.inFlight == 0 && this->roster.find(entry.first) == nullptr;
+        });
+    }
+    return this->states[host];
+}
+
+void RelayHosts::avoid(const std::string& host) { this->stateOf(host).avoidedUntil = this->clock.now() + kAvoidedTime; }
 
 bool RelayHosts::isInOwnRegion(const HostEntry& host) const
 {
--- a/src/berylwing/gateway/relay_hosts.hpp
+++ b/src/berylwing/gateway/relay_hosts.hpp
@@ -35,6 +35,8 @@
     [[nodiscard]] bool isEligible(const HostEntry& host, std::uint32_t service) const;
     [[nodiscard]] bool isInOwnRegion(const HostEntry& host) const;
     [[nodiscard]] unsigned countInFlight(const HostEntry& host) const;
+    /** Returns the state of a host; forgets hosts that have left the fleet. */
+    [[nodiscard]] HostState& stateOf(const std::string& host);
 
 public:
     /** @brief Failure domains and the regions that they belong to. */
--- a/src/berylwing/http/gateway_connection.cpp
+++ b/src/berylwing/http/gateway_connection.cpp
@@ -328,7 +328,7 @@
 
 bool GatewayConnection::readRelay(GatewayRequest& request) const
 {
-    const auto name = this->gateway.findHost(this->hostAddress);
+    const auto name = this->gateway.findHost(*this->hostAddress);
     request.relay = takeRelay(request.fields);
     if (!request.relay || name.empty())
         return false;
@@ -354,7 +354,7 @@
     removeConnectionFields(request.fields);
     request.isCallerClosed = [this] { return this->isClosedByCaller(); };
     this->setDeadline(TimePoint::max());
-    if (this->isHost && !this->readRelay(request)) {
+    if (this->hostAddress && !this->readRelay(request)) {
         const Outcome outcome { NotRun { Refusal::ConfigurationUnknown, retryAfterOf(hashText(this->attemptId)) } };
         this->gateway.recordRefusal(this->attemptId, Refusal::ConfigurationUnknown, "not from a known host");
         co_return co_await this->writeRefusal(outcome);
@@ -421,7 +421,7 @@
 {
     this->keepAlive = this->isKeptAlive();
     this->isChunked = !head.hasNoBody && !head.length;
-    if (!this->isHost) {
+    if (!this->hostAddress) {
         this->pendingHead = formatHead(head, this->isChunked, this->keepAlive);
         co_return;
     }
@@ -465,7 +465,7 @@
     this->keepAlive = this->isKeptAlive();
     HeaderFields fields;
     this->gateway.platformProtocol().markRefusal(fields, this->attemptId);
-    if (this->isHost)
+    if (this->hostAddress)
         writeOutcome(fields, outcome);
     const auto text = formatRefusal(outcome, std::move(fields), this->keepAlive);
     this->isAnswerBegun = true;
--- a/src/berylwing/http/gateway_connection.hpp
+++ b/src/berylwing/http/gateway_connection.hpp
@@ -9,7 +9,9 @@
 #include <boost/beast/http.hpp>
 #include <boost/intrusive/list.hpp>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace berylwing {
 
@@ -59,11 +61,7 @@
      * @brief Serves another host, whose requests are those of its callers.
      * @param address Address of the other host.
      */
-    void serveHost(std::string address)
-    {
-        this->hostAddress = std::move(address);
-        this->isHost = true;
-    }
+    void serveHost(std::string address) { this->hostAddress = std::move(address); }
 
     /**
      * @brief Creates a handler for an accepted connection.
@@ -114,9 +112,8 @@
     /** Formatted response head, which is written together with the first bytes of the body. */
     std::string pendingHead;
     std::string attemptId;
-    /** Whether another host has opened the connection, and its address. */
-    bool isHost = false;
-    std::string hostAddress;
+    /** Address of the other host that has opened the connection; empty for a caller. */
+    std::optional<std::string> hostAddress;
     /** Sends of the current request to endpoints. */
     unsigned sends = 0;
     bool isAwaitingRequest = true;
